--- /dev/null
+++ b/Source/Config/FieldReader.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Sardineford/Config/Objects.h"
+
+#include <boost/json/object.hpp>
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sardineford::config {
+
+/// Reads the fields of one object's spec and notes every fault.
+class FieldReader {
+public:
+  FieldReader(const boost::json::object &spec, std::string object,
+              std::vector<Fault> &faults)
+      : Spec(spec), Object(std::move(object)), Faults(faults) {}
+
+  void text(const char *name, std::string &out, bool required);
+  void integer(const char *name, int64_t &out, int64_t min, int64_t max);
+  void number(const char *name, double &out, double min, double max);
+  void milliseconds(const char *name, Milliseconds &out, int64_t min,
+                    int64_t max);
+  void boolean(const char *name, bool &out);
+  void names(const char *name, std::vector<std::string> &out);
+  /// Notes fields that no call has read.
+  void rejectOthers();
+
+  void fault(const std::string &field, std::string what, std::string remedy);
+
+private:
+  const boost::json::value *take(const char *name);
+
+  const boost::json::object &Spec;
+  std::string Object;
+  std::vector<Fault> &Faults;
+  std::set<std::string> Known;
+};
+
+} // namespace sardineford::config
--- /dev/null
+++ b/Source/Control/Commands.cpp
@@ -0,0 +1,335 @@
+#include "Control/Commands.h"
+
+#include "Sardineford/Control/Edits.h"
+#include "Sardineford/Http/Client.h"
+#include "Sardineford/Store/HttpObjectStore.h"
+
+#include <boost/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace sardineford::control {
+
+namespace json = boost::json;
+using config::RawObject;
+
+namespace {
+
+constexpr Milliseconds StoreTimeout{3'000};
+constexpr Milliseconds StatusTimeout{1'000};
+constexpr Milliseconds WaitPoll{100};
+
+[[noreturn]] void wrongUse(const std::string &what) {
+  throw Error(ErrorKind::BadRequest, what, "see sardinefordctl --help");
+}
+
+std::string readFile(const std::string &name) {
+  std::ifstream in(name);
+  if (!in)
+    wrongUse("cannot read the file '" + name + "'");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+/// One run of a command, with its connections.
+class Session {
+public:
+  Session(IoContext &io, const CommandOptions &options, std::ostream &out)
+      : Options(options), Out(out), Client(io),
+        Store(Client, options.Platform, StoreTimeout) {}
+
+  Awaitable<void> run();
+
+private:
+  Awaitable<void> validate();
+  Awaitable<void> apply(std::vector<RawObject> edits);
+  Awaitable<void> diff();
+  Awaitable<void> get();
+  Awaitable<void> describe();
+  Awaitable<void> edit(std::string list, bool add);
+  Awaitable<void> status();
+  Awaitable<void> waitInForce(std::vector<StoredObject> objects);
+  Awaitable<std::optional<json::value>> anyStatus();
+  Awaitable<StoredObject> find(std::string kind, std::string name);
+  std::vector<RawObject> fileObjects() const;
+  const std::string &word(size_t i) const;
+  void printStatus(const json::value &v);
+  void printPool(const json::value &p);
+
+  const CommandOptions &Options;
+  std::ostream &Out;
+  http::Client Client;
+  store::HttpObjectStore Store;
+};
+
+const std::string &Session::word(size_t i) const {
+  if (Options.Words.size() <= i)
+    wrongUse("a word is missing");
+  return Options.Words[i];
+}
+
+std::vector<RawObject> Session::fileObjects() const {
+  if (Options.File.empty())
+    wrongUse("-f FILE is missing");
+  return config::splitObjects(readFile(Options.File), Options.File);
+}
+
+Awaitable<void> Session::run() {
+  const std::string &command = word(0);
+  if (command == "validate")
+    co_await validate();
+  else if (command == "apply")
+    co_await apply(fileObjects());
+  else if (command == "diff")
+    co_await diff();
+  else if (command == "get")
+    co_await get();
+  else if (command == "describe")
+    co_await describe();
+  else if (command == "delete")
+    co_await removeObject(Store, word(1), word(2));
+  else if (command == "drain")
+    co_await edit("drain", !Options.Undo);
+  else if (command == "role")
+    co_await edit("pinned_" + word(3), !Options.Undo);
+  else if (command == "status")
+    co_await status();
+  else
+    wrongUse("'" + command + "' is not a command");
+}
+
+Awaitable<void> Session::validate() {
+  std::vector<StoredObject> present = co_await readObjects(Store);
+  std::vector<PlannedEdit> edits = planEdits(present, fileObjects());
+  Out << edits.size() << " objects are right\n";
+}
+
+Awaitable<void> Session::apply(std::vector<RawObject> edits) {
+  std::vector<StoredObject> present = co_await readObjects(Store);
+  std::vector<PlannedEdit> planned = planEdits(present, edits);
+  std::vector<StoredObject> written =
+      co_await applyEdits(Store, std::move(planned));
+  for (const StoredObject &it : written)
+    Out << fmt::format("{}/{} version {}\n", it.Object.Kind, it.Object.Name,
+                       it.Version);
+  if (Options.Wait)
+    co_await waitInForce(std::move(written));
+}
+
+Awaitable<void> Session::diff() {
+  std::vector<StoredObject> present = co_await readObjects(Store);
+  std::vector<PlannedEdit> planned = planEdits(present, fileObjects());
+  for (const PlannedEdit &it : planned) {
+    if (it.Unchanged)
+      continue;
+    Out << fmt::format("{} {}/{}\n", it.Version == 0 ? "create" : "change",
+                       it.Object.Kind, it.Object.Name);
+    for (const StoredObject &old : present)
+      if (old.Object.Kind == it.Object.Kind &&
+          old.Object.Name == it.Object.Name)
+        Out << "- " << old.Object.Text << "\n";
+    Out << "+ " << it.Object.Text << "\n";
+  }
+}
+
+Awaitable<void> Session::get() {
+  std::string kind = Options.Words.size() > 1 ? Options.Words[1] : "";
+  std::string name = Options.Words.size() > 2 ? Options.Words[2] : "";
+  std::vector<StoredObject> all = co_await readObjects(Store, kind);
+  json::array list;
+  for (const StoredObject &it : all) {
+    if (!name.empty() && it.Object.Name != name)
+      continue;
+    if (Options.AsJson || !name.empty())
+      list.push_back(json::parse(it.Object.Text));
+    else
+      Out << fmt::format("{:12} {:24} {}\n", it.Object.Kind, it.Object.Name,
+                         it.Version);
+  }
+  if (!list.empty())
+    Out << json::serialize(list) << "\n";
+}
+
+Awaitable<StoredObject> Session::find(std::string kind, std::string name) {
+  std::vector<StoredObject> all = co_await readObjects(Store, kind);
+  for (StoredObject &it : all)
+    if (it.Object.Name == name)
+      co_return it;
+  throw Error(ErrorKind::NotFound, kind + "/" + name + " does not exist",
+              "list the objects with 'get'");
+}
+
+Awaitable<void> Session::describe() {
+  StoredObject o = co_await find(word(1), word(2));
+  Out << fmt::format("{}/{} version {}\n{}\n", o.Object.Kind, o.Object.Name,
+                     o.Version, o.Object.Text);
+}
+
+Awaitable<void> Session::edit(std::string list, bool add) {
+  StoredObject pool = co_await find("EnginePool", word(1));
+  std::vector<RawObject> edits = {editList(pool.Object, list, word(2), add)};
+  co_await apply(std::move(edits));
+}
+
+/// Status of the first controller that answers.
+Awaitable<std::optional<json::value>> Session::anyStatus() {
+  http::CallOptions options;
+  options.Timeout = StatusTimeout;
+  for (const http::Endpoint &it : Options.Controllers) {
+    http::Request request;
+    request.Target = "/status";
+    try {
+      http::Response r = co_await Client.call(it, std::move(request), options);
+      co_return json::parse(r.Body);
+    } catch (const Error &) {
+      continue;
+    }
+  }
+  co_return std::nullopt;
+}
+
+Awaitable<void> Session::waitInForce(std::vector<StoredObject> objects) {
+  MonoTime end = MonoClock::now() + Options.LongestWait;
+  std::string shown;
+  while (MonoClock::now() < end) {
+    std::optional<uint64_t> generation = co_await publishedIn(Store, objects);
+    std::optional<json::value> v;
+    if (generation)
+      v = co_await anyStatus();
+    if (v) {
+      size_t confirmed = 0;
+      const json::array &members = v->at("members").as_array();
+      for (const json::value &it : members)
+        confirmed +=
+            it.at("generation").to_number<uint64_t>() >= *generation ? 1 : 0;
+      std::string line =
+          fmt::format("generation {}: in force on {} of {} processes",
+                      *generation, confirmed, members.size());
+      if (line != shown)
+        Out << line << std::endl;
+      shown = line;
+      if (confirmed == members.size())
+        co_return;
+    }
+    co_await sleepFor(WaitPoll);
+  }
+  throw Error(ErrorKind::NotReady, "the edit is not in force everywhere yet",
+              "look at 'status' for processes that lag");
+}
+
+void Session::printPool(const json::value &p) {
+  Out << fmt::format("pool {} epoch {} {}\n",
+                     std::string(p.at("pool").as_string()),
+                     p.at("epoch").to_number<uint64_t>(),
+                     p.at("holds").as_bool() ? "held here" : "");
+  for (const json::value &e : p.at("engines").as_array())
+    Out << fmt::format("  {:16} {:8} {:9} running {} waiting {}{}\n",
+                       std::string(e.at("name").as_string()),
+                       std::string(e.at("role").as_string()),
+                       std::string(e.at("state").as_string()),
+                       e.at("running").to_number<uint64_t>(),
+                       e.at("waiting").to_number<uint64_t>(),
+                       e.at("frozen").as_bool() ? " frozen" : "");
+  for (const json::value &o : p.at("unfinished_orders").as_array())
+    Out << fmt::format("  order {} to {} of {} in epoch {}\n",
+                       std::string(o.at("id").as_string()),
+                       std::string(o.at("engine").as_string()),
+                       std::string(o.at("issuer").as_string()),
+                       o.at("epoch").to_number<uint64_t>());
+}
+
+void Session::printStatus(const json::value &v) {
+  Out << fmt::format("generation {} in force on {} of {} processes\n",
+                     v.at("generation").to_number<uint64_t>(),
+                     v.at("confirmed").to_number<uint64_t>(),
+                     v.at("members").as_array().size());
+  for (const json::value &m : v.at("members").as_array())
+    Out << fmt::format("  {:24} {:16} generation {} {}\n",
+                       std::string(m.at("name").as_string()),
+                       std::string(m.at("domain").as_string()),
+                       m.at("generation").to_number<uint64_t>(),
+                       m.at("stopping").as_bool() ? "stopping"
+                       : m.at("ready").as_bool()  ? "ready"
+                                                  : "not ready");
+}
+
+Awaitable<void> Session::status() {
+  bool any = false;
+  http::CallOptions options;
+  options.Timeout = StatusTimeout;
+  for (const http::Endpoint &it : Options.Controllers) {
+    http::Request request;
+    request.Target = "/status";
+    std::string text;
+    try {
+      http::Response r = co_await Client.call(it, std::move(request), options);
+      text = r.Body;
+    } catch (const Error &e) {
+      Out << "controller " << http::toString(it) << " does not answer\n";
+      continue;
+    }
+    json::value v = json::parse(text);
+    if (Options.AsJson) {
+      Out << text << "\n";
+      any = true;
+      continue;
+    }
+    if (!any)
+      printStatus(v);
+    any = true;
+    if (v.at("publishes").as_bool())
+      Out << "publishes: " << std::string(v.at("process").as_string()) << "\n";
+    for (const json::value &p : v.at("pools").as_array())
+      if (p.at("holds").as_bool())
+        printPool(p);
+  }
+  if (!any)
+    throw Error(ErrorKind::NotReady, "no controller answers",
+                "check --controllers and the controllers' logs");
+}
+
+ExitCode codeOf(ErrorKind k) {
+  switch (k) {
+  case ErrorKind::BadRequest:
+  case ErrorKind::BadSettings:
+    return ExitCode::WrongUse;
+  case ErrorKind::Conflict:
+    return ExitCode::Conflict;
+  case ErrorKind::BadConfiguration:
+    return ExitCode::Rejected;
+  case ErrorKind::StoreUnavailable:
+  case ErrorKind::StoreAmbiguous:
+    return ExitCode::StoreUnavailable;
+  case ErrorKind::NotReady:
+    return ExitCode::NotInForce;
+  default:
+    return ExitCode::Failed;
+  }
+}
+
+} // namespace
+
+ExitCode runCommand(const CommandOptions &options, std::ostream &out,
+                    std::ostream &err) {
+  IoContext io(1);
+  ExitCode code = ExitCode::Done;
+  Session session(io, options, out);
+  spawn(io, "command", [&]() -> Awaitable<void> {
+    try {
+      co_await session.run();
+    } catch (const Error &e) {
+      err << e.what() << "\n" << e.Remedy << "\n";
+      code = codeOf(e.Kind);
+    } catch (const std::exception &e) {
+      err << e.what() << "\n";
+      code = ExitCode::Failed;
+    }
+  });
+  io.run();
+  return code;
+}
+
+} // namespace sardineford::control
--- /dev/null
+++ b/Source/Control/Commands.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Sardineford/Common/Time.h"
+#include "Sardineford/Http/Message.h"
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace sardineford::control {
+
+/// How a command ended; documented in docs/OPERATIONS.md.
+enum class ExitCode {
+  Done = 0,
+  Failed = 1,
+  WrongUse = 2,
+  Conflict = 3,
+  Rejected = 4,
+  StoreUnavailable = 5,
+  NotInForce = 6,
+};
+
+struct CommandOptions {
+  /// The command and its words.
+  std::vector<std::string> Words;
+  http::Endpoint Platform;
+  std::vector<http::Endpoint> Controllers;
+  std::string File;
+  bool AsJson = false;
+  bool Wait = false;
+  Milliseconds LongestWait{30'000};
+  bool Undo = false;
+};
+
+/// Runs one command of sardinefordctl.
+ExitCode runCommand(const CommandOptions &options, std::ostream &out,
+                    std::ostream &err);
+
+} // namespace sardineford::control
--- /dev/null
+++ b/Source/Controller/Controller.cpp
@@ -0,0 +1,147 @@
+#include "Controller/Controller.h"
+
+#include <boost/json.hpp>
+
+namespace sardineford::controller {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *LoadPath = "/load";
+constexpr const char *RenouncePath = "/renounce";
+constexpr size_t MaxBodyBytes = 64 * 1024;
+
+json::object describeEngine(const messages::EngineLoad &e) {
+  return {{"name", e.name()},
+          {"address", e.address()},
+          {"role", e.role()},
+          {"state", messages::EngineState_Name(e.state())},
+          {"running", e.running()},
+          {"waiting", e.waiting()},
+          {"queued_prefill_tokens", e.queued_prefill_tokens()},
+          {"frozen", e.frozen()}};
+}
+
+json::object describePool(const PoolKeeper &keeper) {
+  messages::PoolView v = keeper.view();
+  json::array engines;
+  for (const messages::EngineLoad &it : v.engines())
+    engines.push_back(describeEngine(it));
+  json::array orders;
+  for (const plan::Order &it : keeper.lease().plan().Unfinished)
+    orders.push_back(json::object{{"id", it.Id},
+                                  {"engine", it.Engine},
+                                  {"epoch", it.Epoch},
+                                  {"issuer", it.Issuer.Name}});
+  return {{"pool", v.pool()},
+          {"holds", v.holding()},
+          {"epoch", v.epoch()},
+          {"engines", std::move(engines)},
+          {"unfinished_orders", std::move(orders)}};
+}
+
+json::object describeMember(const exchange::Member &m) {
+  return {{"name", m.Name},
+          {"domain", m.FailureDomain},
+          {"generation", m.Generation},
+          {"ready", m.Ready},
+          {"stopping", m.Stopping},
+          {"controller", m.IsController}};
+}
+
+} // namespace
+
+Controller::Controller(node::Node &node)
+    : Node(node), Engines(node.Io, node.Client), Publishing(node) {
+  Node.RpcServer.handle(LoadPath, [this](std::string body) {
+    return answerLoad(std::move(body));
+  });
+  Node.RpcServer.handle(RenouncePath, [this](std::string body) {
+    return answerRenounce(std::move(body));
+  });
+  Node.Exchange.onGeneration([this] { startKeepers(); });
+}
+
+void Controller::start() {
+  Node.serve([this](http::Request &request,
+                    http::ResponseWriter &out) { return handle(request, out); },
+             MaxBodyBytes);
+  Node.start();
+  Publishing.start();
+}
+
+void Controller::startKeepers() {
+  for (const auto &[name, spec] : Node.Exchange.config().catalog().Pools) {
+    if (Keepers.contains(name))
+      continue;
+    Keepers[name] = std::make_unique<PoolKeeper>(Node, Engines, name);
+    Keepers[name]->start();
+  }
+}
+
+PoolKeeper *Controller::keeperOf(const std::string &pool) {
+  auto it = Keepers.find(pool);
+  return it == Keepers.end() ? nullptr : it->second.get();
+}
+
+Awaitable<std::string> Controller::answerLoad(std::string body) {
+  messages::LoadReport in;
+  in.ParseFromString(body);
+  Node.Recorder.clock().observe({in.time()});
+  PoolKeeper *keeper = keeperOf(in.demand().pool());
+  messages::PoolView out;
+  if (keeper)
+    out = keeper->report(in);
+  co_return out.SerializeAsString();
+}
+
+Awaitable<std::string> Controller::answerRenounce(std::string body) {
+  messages::RenounceRequest in;
+  in.ParseFromString(body);
+  Node.Recorder.clock().observe({in.time()});
+  PoolKeeper *keeper = keeperOf(in.pool());
+  messages::RenounceReply out;
+  if (keeper)
+    out = keeper->renounce(in);
+  else
+    out.set_replaced(in.incarnation() != Node.Incarnation);
+  co_return out.SerializeAsString();
+}
+
+http::Response Controller::status() const {
+  json::array pools;
+  for (const auto &[name, keeper] : Keepers)
+    pools.push_back(describePool(*keeper));
+  json::array members;
+  uint64_t confirmed = 0;
+  uint64_t generation = Node.Exchange.config().generation();
+  for (const auto &[name, m] : Node.Exchange.members()) {
+    members.push_back(describeMember(m));
+    confirmed += m.Generation >= generation ? 1 : 0;
+  }
+  return http::jsonResponse(
+      200, json::serialize(
+               json::object{{"process", Node.Name},
+                            {"generation", generation},
+                            {"confirmed", confirmed},
+                            {"members", std::move(members)},
+                            {"publishes", Publishing.lease().isLastHolder()},
+                            {"pools", std::move(pools)}}));
+}
+
+Awaitable<void> Controller::handle(http::Request &request,
+                                   http::ResponseWriter &out) {
+  http::Response r;
+  if (http::pathOf(request.Target) == "/status")
+    r = status();
+  else
+    r = http::problem(404,
+                      Error(ErrorKind::NotFound, "no such path",
+                            "use /status, /healthz, /readyz, /metrics or "
+                            "/events"),
+                      RunState::No);
+  co_await out.send(std::move(r));
+}
+
+} // namespace sardineford::controller
--- /dev/null
+++ b/Source/Controller/Controller.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Controller/PoolKeeper.h"
+#include "Controller/Publisher.h"
+#include "Node/Node.h"
+#include "Sardineford/Engine/HttpEngineClient.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sardineford::controller {
+
+/// The control process: competes for the leases of pools and of publishing.
+class Controller {
+public:
+  explicit Controller(node::Node &node);
+
+  void start();
+
+private:
+  Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
+  Awaitable<std::string> answerLoad(std::string body);
+  Awaitable<std::string> answerRenounce(std::string body);
+  void startKeepers();
+  http::Response status() const;
+  PoolKeeper *keeperOf(const std::string &pool);
+
+  node::Node &Node;
+  engine::HttpEngineClient Engines;
+  Publisher Publishing;
+  std::map<std::string, std::unique_ptr<PoolKeeper>> Keepers;
+};
+
+} // namespace sardineford::controller
--- /dev/null
+++ b/Source/Controller/PoolKeeper.cpp
@@ -0,0 +1,356 @@
+#include "Controller/PoolKeeper.h"
+
+#include "Controller/ControllerSettings.h"
+#include "Sardineford/Admission/Admission.h"
+#include "Sardineford/Common/Log.h"
+#include "Sardineford/Common/Random.h"
+
+#include <algorithm>
+
+namespace sardineford::controller {
+
+using plan::PoolPlan;
+using routing::EngineRole;
+using routing::EngineState;
+
+namespace {
+
+/// An entry process counts as reporting for this long.
+constexpr Milliseconds ReportFresh{3'000};
+constexpr double RateWeight = 0.3;
+/// Rates below this are forgotten, in tokens a second.
+constexpr double MinRate = 0.5;
+
+messages::EngineState toMessage(EngineState s) {
+  switch (s) {
+  case EngineState::Serving:
+    return messages::SERVING;
+  case EngineState::Draining:
+    return messages::DRAINING;
+  case EngineState::Changing:
+    return messages::CHANGING;
+  case EngineState::Leaving:
+    return messages::LEAVING;
+  case EngineState::Lost:
+    return messages::LOST;
+  }
+  return messages::LOST;
+}
+
+void fillReport(messages::EngineLoad &out, const EngineInfo &e) {
+  if (!e.Report)
+    return;
+  const engine::LoadReport &r = *e.Report;
+  out.set_incarnation(r.Incarnation);
+  out.set_role(std::string(routing::toString(r.Role)));
+  out.set_queued_prefill_tokens(r.QueuedPrefillTokens);
+  out.set_running(r.Running);
+  out.set_waiting(r.Waiting);
+  out.set_used_pieces(r.UsedPieces);
+  out.set_total_pieces(r.TotalPieces);
+  for (uint64_t it : r.Prefixes)
+    out.add_prefixes(it);
+  Milliseconds age = toMilliseconds(MonoClock::now() - e.ReportAsked);
+  out.set_age_ms(static_cast<uint64_t>(age.count()));
+}
+
+bool contains(const std::vector<std::string> &names, const std::string &n) {
+  return std::find(names.begin(), names.end(), n) != names.end();
+}
+
+routing::EngineView toRoleView(const EngineInfo &e, EngineState state) {
+  routing::EngineView v;
+  v.Name = e.Where.Name;
+  v.State = state;
+  if (!e.Report)
+    return v;
+  v.Role = e.Report->Role;
+  v.Running = e.Report->Running;
+  v.Waiting = e.Report->Waiting;
+  v.QueuedPrefillTokens = e.Report->QueuedPrefillTokens;
+  return v;
+}
+
+} // namespace
+
+routing::EngineSpeeds speedsOf(const config::EnginePoolSpec &s) {
+  routing::EngineSpeeds out;
+  out.PrefillTokensPerSecond = s.PrefillTokensPerSecond;
+  out.PrefillShareInDecode = s.PrefillShareInDecode;
+  out.DecodeStep = Seconds(s.DecodeStepMs / 1000);
+  out.DecodeStepPerSequence = Seconds(s.DecodeStepPerSequenceMs / 1000);
+  out.MaxBatch = static_cast<uint64_t>(s.MaxBatch);
+  out.MaxBatchPrefill = static_cast<uint64_t>(s.MaxBatchPrefill);
+  return out;
+}
+
+PoolKeeper::PoolKeeper(node::Node &node, engine::EngineClient &engines,
+                       std::string pool)
+    : Node(node), Pool(std::move(pool)), Lease(node, plan::PlanKind, Pool),
+      Table(node, engines, Pool), Orders(node, engines, Lease, Table, Pool) {}
+
+void PoolKeeper::start() {
+  spawn(Node.Io, "lease-" + Pool, [this] { return leaseLoop(); });
+  spawn(Node.Io, "work-" + Pool, [this] { return workLoop(); });
+  spawn(Node.Io, "decide-" + Pool, [this] { return decideLoop(); });
+}
+
+const config::EnginePoolSpec *PoolKeeper::spec() const {
+  const config::Catalog &c = Node.Exchange.config().catalog();
+  auto it = c.Pools.find(Pool);
+  return it == c.Pools.end() ? nullptr : &it->second;
+}
+
+Awaitable<void> PoolKeeper::leaseLoop() {
+  for (;;) {
+    co_await Lease.tick();
+    if (Lease.isLastHolder() && Lease.plan().Epoch != KnownEpoch)
+      onTakeOver();
+    Milliseconds wait =
+        Lease.isLastHolder()
+            ? Node.Options.milliseconds(RenewInterval)
+            : jittered(Node.Options.milliseconds(ObserveInterval));
+    co_await sleepFor(wait);
+  }
+}
+
+void PoolKeeper::onTakeOver() {
+  KnownEpoch = Lease.plan().Epoch;
+  Node.Exchange.noteHolder(
+      {Pool, Node.Name, KnownEpoch, Node.Exchange.options().Address});
+  Orders.settleLeftOvers();
+}
+
+Awaitable<void> PoolKeeper::workLoop() {
+  for (;;) {
+    co_await sleepFor(Node.Options.milliseconds(PollInterval));
+    if (!Lease.isLastHolder())
+      continue;
+    Table.refresh();
+    Table.poll();
+    if (Lease.mayAct())
+      co_await assignNewEngines();
+  }
+}
+
+/// Gives engines that the plan does not know a role: the first ones prefill.
+Awaitable<void> PoolKeeper::assignNewEngines() {
+  const config::EnginePoolSpec *s = spec();
+  if (!s)
+    co_return;
+  std::vector<std::string> unknown;
+  for (const auto &[name, e] : Table.all())
+    if (!Lease.plan().Engines.contains(name) &&
+        e.Where.State == membership::InstanceState::Live)
+      unknown.push_back(name);
+  if (unknown.empty())
+    co_return;
+  int64_t initialPrefill = s->InitialPrefill;
+  PlanLease::Change add = [unknown, initialPrefill](PoolPlan p) {
+    for (const std::string &it : unknown) {
+      int64_t prefill = std::count_if(
+          p.Engines.begin(), p.Engines.end(), [](const auto &known) {
+            return known.second.Role == EngineRole::Prefill;
+          });
+      p.Engines[it].Role =
+          prefill < initialPrefill ? EngineRole::Prefill : EngineRole::Decode;
+    }
+    return p;
+  };
+  co_await Lease.update(add);
+}
+
+Awaitable<void> PoolKeeper::decideLoop() {
+  for (;;) {
+    co_await sleepFor(Node.Options.milliseconds(DecideInterval));
+    takeSample();
+    if (!Lease.mayAct())
+      continue;
+    reconcile();
+    decide();
+  }
+}
+
+void PoolKeeper::takeSample() {
+  MonoTime now = MonoClock::now();
+  Pending.Interval = Seconds(toSeconds(now - LastSample));
+  LastSample = now;
+  double interval = Pending.Interval.count();
+  roles::EstimatorTimes times;
+  times.Fast = Seconds(toSeconds(Node.Options.milliseconds(FastEstimate)));
+  times.Slow = Seconds(toSeconds(Node.Options.milliseconds(SlowEstimate)));
+  // A new holder has heard of no demand yet; that is not a demand of zero.
+  if (reportingNodes() > 0)
+    roles::addSample(Demand, Pending, times);
+  Pending = roles::DemandSample();
+  for (auto &[name, rate] : WorkspaceRates)
+    rate *= 1 - RateWeight;
+  for (const auto &[name, tokens] : PendingWorkspaces)
+    WorkspaceRates[name] += RateWeight * static_cast<double>(tokens) / interval;
+  PendingWorkspaces.clear();
+  std::erase_if(WorkspaceRates,
+                [](const auto &it) { return it.second < MinRate; });
+}
+
+bool PoolKeeper::isPinned(const std::string &engine) const {
+  const config::EnginePoolSpec *s = spec();
+  return s && (contains(s->PinnedPrefill, engine) ||
+               contains(s->PinnedDecode, engine));
+}
+
+/// Role that operators pinned, else the plan's.
+EngineRole PoolKeeper::wantedRole(const std::string &engine) const {
+  const config::EnginePoolSpec *s = spec();
+  if (s && contains(s->PinnedPrefill, engine))
+    return EngineRole::Prefill;
+  if (s && contains(s->PinnedDecode, engine))
+    return EngineRole::Decode;
+  return Lease.plan().Engines.at(engine).Role;
+}
+
+/// Brings engines whose role is not the plan's to it, such as one that was
+/// started anew in its default role.
+void PoolKeeper::reconcile() {
+  const std::map<std::string, EngineInfo> &engines = Table.all();
+  size_t limit = std::max<size_t>(1, engines.size() / 2);
+  for (const auto &[name, e] : engines) {
+    bool mayChange = Lease.plan().Engines.contains(name) && e.Report &&
+                     e.Report->Role != wantedRole(name) &&
+                     !plan::unfinishedOrder(Lease.plan(), name) &&
+                     Table.stateOf(e, Lease.plan()) == EngineState::Serving;
+    if (mayChange && Orders.running() < limit)
+      Orders.startChange(name, wantedRole(name));
+  }
+}
+
+roles::RoleView PoolKeeper::makeRoleView() const {
+  roles::RoleView v;
+  v.Spec = *spec();
+  v.Pool.Pool = Pool;
+  v.Pool.Speeds = speedsOf(v.Spec);
+  const PoolPlan &p = Lease.plan();
+  for (const auto &[name, e] : Table.all()) {
+    routing::EngineView engine = toRoleView(e, Table.stateOf(e, p));
+    engine.Frozen = isPinned(name) ||
+                    plan::isFrozen(p, name, v.Spec.ChecksFencing) ||
+                    plan::unfinishedOrder(p, name).has_value();
+    v.Pool.Engines.push_back(std::move(engine));
+  }
+  v.Work = Demand;
+  const settings::Settings &s = Node.Options;
+  v.Times.Horizon = Seconds(toSeconds(s.milliseconds(Horizon)));
+  v.Times.Drain = Seconds(toSeconds(s.milliseconds(ExpectedDrain)));
+  v.Times.MinBetweenChanges =
+      Seconds(toSeconds(s.milliseconds(MinBetweenChanges)));
+  v.Now = MonoClock::now();
+  v.LastChange = LastChange;
+  return v;
+}
+
+void PoolKeeper::decide() {
+  if (!spec() || Orders.running() > 0)
+    return;
+  std::optional<roles::RoleChange> change = roles::decideRoles(makeRoleView());
+  if (!change)
+    return;
+  LastChange = MonoClock::now();
+  log::info(log::Category::Roles,
+            "pool {}: engine {} to {}; gain {:.1f} answers, cost {:.1f}", Pool,
+            change->Engine, routing::toString(change->To), change->Gain,
+            change->Cost);
+  Node.Metrics.count("sardineford_role_changes_total", {{"pool", Pool}});
+  Node.Recorder.record({.Kind = timeline::EventKind::RoleChanged,
+                        .Pool = Pool,
+                        .Engine = change->Engine,
+                        .Epoch = Lease.plan().Epoch,
+                        .Detail = std::string(routing::toString(change->To))});
+  Orders.startChange(change->Engine, change->To);
+}
+
+size_t PoolKeeper::reportingNodes() const {
+  MonoTime now = MonoClock::now();
+  return static_cast<size_t>(
+      std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &it) {
+        return now - it.second.LastReport < ReportFresh;
+      }));
+}
+
+/// Only workspaces that take more than their share are told of, so that the
+/// view does not grow with the number of workspaces.
+void PoolKeeper::addRates(messages::PoolView &out) const {
+  const config::EnginePoolSpec *s = spec();
+  if (!s)
+    return;
+  routing::PoolView pool;
+  pool.Speeds = speedsOf(*s);
+  pool.Engines.resize(Table.all().size());
+  double capacity = admission::poolCapacity(pool);
+  const config::Catalog &c = Node.Exchange.config().catalog();
+  for (const auto &[name, rate] : WorkspaceRates) {
+    auto account = c.Workspaces.find(name);
+    if (account == c.Workspaces.end() ||
+        rate <= account->second.Share * capacity)
+      continue;
+    messages::WorkspaceRate *r = out.add_rates();
+    r->set_workspace(name);
+    r->set_tokens_per_second(rate);
+  }
+}
+
+messages::PoolView PoolKeeper::view() const {
+  messages::PoolView out;
+  out.set_time(Node.Recorder.clock().now().Value);
+  out.set_pool(Pool);
+  out.set_holding(Lease.isLastHolder());
+  const PoolPlan &p = Lease.plan();
+  out.set_epoch(p.Epoch);
+  out.set_reporting_nodes(reportingNodes());
+  bool checks = spec() && spec()->ChecksFencing;
+  for (const auto &[name, e] : Table.all()) {
+    if (e.Where.State == membership::InstanceState::Gone)
+      continue;
+    messages::EngineLoad *load = out.add_engines();
+    load->set_name(name);
+    load->set_address(http::toString(e.Where.Address));
+    load->set_state(toMessage(Table.stateOf(e, p)));
+    load->set_frozen(plan::isFrozen(p, name, checks));
+    fillReport(*load, e);
+  }
+  addRates(out);
+  return out;
+}
+
+messages::PoolView PoolKeeper::report(const messages::LoadReport &in) {
+  const messages::PoolDemand &d = in.demand();
+  Nodes[in.node()].LastReport = MonoClock::now();
+  Pending.Requests += static_cast<double>(d.requests());
+  Pending.PromptTokens += static_cast<double>(d.prompt_tokens());
+  Pending.OutputTokens += static_cast<double>(d.output_tokens());
+  for (const messages::WorkspaceDemand &it : d.workspaces())
+    PendingWorkspaces[it.workspace()] += it.tokens();
+  return view();
+}
+
+messages::RenounceReply
+PoolKeeper::renounce(const messages::RenounceRequest &in) {
+  messages::RenounceReply out;
+  out.set_time(Node.Recorder.clock().now().Value);
+  if (in.incarnation() != Node.Incarnation) {
+    out.set_replaced(true);
+    return out;
+  }
+  switch (Orders.renounce(in.order())) {
+  case OrderRunner::Renounce::Renounced:
+    out.set_answer(messages::RENOUNCED);
+    break;
+  case OrderRunner::Renounce::Ended:
+    out.set_answer(messages::ENDED);
+    break;
+  case OrderRunner::Renounce::Unknown:
+    out.set_answer(messages::UNKNOWN);
+    break;
+  }
+  return out;
+}
+
+} // namespace sardineford::controller
--- /dev/null
+++ b/Source/Controller/Publisher.cpp
@@ -0,0 +1,119 @@
+#include "Controller/Publisher.h"
+
+#include "Controller/ControllerSettings.h"
+#include "Node/NodeSettings.h"
+#include "Sardineford/Common/Log.h"
+#include "Sardineford/Common/Random.h"
+#include "Sardineford/Store/Write.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sardineford::controller {
+
+namespace {
+
+constexpr const char *LeaseKind = "PublisherLease";
+constexpr const char *LeaseName = "publisher";
+/// Edits within this time are published together.
+constexpr Milliseconds Gather{30};
+constexpr Milliseconds FirstRetry{50};
+constexpr Milliseconds LongestRetry{2'000};
+/// Looks at all objects even if no watch told of an edit.
+constexpr Milliseconds LookAnyway{5'000};
+
+} // namespace
+
+Publisher::Publisher(node::Node &node)
+    : Node(node), Lease(node, LeaseKind, LeaseName), Edited(node.Io) {}
+
+void Publisher::start() {
+  spawn(Node.Io, "publisher-lease", [this] { return leaseLoop(); });
+  spawn(Node.Io, "publisher", [this] { return watchLoop(); });
+  for (const std::string &it : config::objectKinds())
+    spawn(Node.Io, "watch-" + it, [this, it] { return watchKind(it); });
+}
+
+Awaitable<void> Publisher::leaseLoop() {
+  for (;;) {
+    bool held = Lease.isLastHolder();
+    co_await Lease.tick();
+    if (!held && Lease.isLastHolder()) {
+      Pending = true;
+      Edited.cancel();
+    }
+    Milliseconds wait =
+        Lease.isLastHolder()
+            ? Node.Options.milliseconds(RenewInterval)
+            : jittered(Node.Options.milliseconds(ObserveInterval));
+    co_await sleepFor(wait);
+  }
+}
+
+Awaitable<void> Publisher::watchKind(std::string kind) {
+  store::Backoff backoff(FirstRetry, LongestRetry);
+  uint64_t revision = 0;
+  for (;;) {
+    if (!Lease.isLastHolder()) {
+      revision = 0;
+      co_await sleepFor(Node.Options.milliseconds(ObserveInterval));
+      continue;
+    }
+    bool failed = false;
+    try {
+      store::Changes seen = co_await Node.Store.watch(
+          kind, revision, Node.Options.milliseconds(node::WatchTime));
+      revision = seen.Revision;
+      backoff.reset();
+      if (!seen.Objects.empty()) {
+        Pending = true;
+        Edited.cancel();
+      }
+    } catch (const Error &e) {
+      log::debug(log::Category::Config, "watch of {}: {}", kind, e.what());
+      failed = true;
+    }
+    if (failed)
+      co_await sleepFor(backoff.next());
+  }
+}
+
+Awaitable<void> Publisher::watchLoop() {
+  for (;;) {
+    if (!Lease.mayAct()) {
+      co_await sleepFor(Node.Options.milliseconds(ObserveInterval));
+      continue;
+    }
+    if (!Pending) {
+      Edited.expires_after(LookAnyway);
+      co_await Edited.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+    co_await sleepFor(Gather);
+    if (Lease.mayAct())
+      co_await publishNow();
+  }
+}
+
+Awaitable<void> Publisher::publishNow() {
+  Pending = false;
+  try {
+    config::PublishResult r = co_await config::publish(Node.Store);
+    for (const config::Fault &it : r.Faults)
+      log::warn(log::Category::Config, "not published: {}", toString(it));
+    if (!r.Published)
+      co_return;
+    log::info(log::Category::Config, "published generation {}", r.Generation);
+    Node.Recorder.record({.Kind = timeline::EventKind::GenerationPublished,
+                          .Generation = r.Generation});
+    config::Delta d = co_await config::readNewestGeneration(Node.Store);
+    Node.Exchange.applyGeneration(d);
+    co_return;
+  } catch (const Error &e) {
+    log::warn(log::Category::Config, "publishing: {}", e.what());
+    Pending = true;
+  }
+  co_await sleepFor(jittered(LongestRetry));
+}
+
+} // namespace sardineford::controller
--- /dev/null
+++ b/Source/Entry/Entry.cpp
@@ -0,0 +1,317 @@
+#include "Entry/Entry.h"
+
+#include "Entry/EntrySettings.h"
+#include "Entry/Sinks.h"
+#include "Sardineford/Common/Log.h"
+#include "Sardineford/Common/Random.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace sardineford::entry {
+
+namespace json = boost::json;
+using timeline::EventKind;
+
+namespace {
+
+constexpr size_t BytesPerToken = 4;
+constexpr double FirstOutputShare = 0.75;
+constexpr double LearnWeight = 0.05;
+constexpr Milliseconds MaxDeadline{600'000};
+constexpr Milliseconds TrackerPoll{20};
+
+unsigned statusOf(ErrorKind k) {
+  switch (k) {
+  case ErrorKind::BadRequest:
+    return 400;
+  case ErrorKind::NotFound:
+    return 404;
+  case ErrorKind::TooLarge:
+    return 413;
+  case ErrorKind::Conflict:
+    return 409;
+  default:
+    return 503;
+  }
+}
+
+Error refusalError(admission::Refusal why) {
+  switch (why) {
+  case admission::Refusal::NoEngine:
+    return {ErrorKind::NotReady, "no engine of the pool takes new work",
+            "send the request again after the time given"};
+  case admission::Refusal::OverShare:
+    return {ErrorKind::LimitReached,
+            "the workspace is over its share while the pool is short",
+            "send the request again after the time given"};
+  default:
+    return {ErrorKind::DeadlineTooShort,
+            "the whole answer cannot be ready by the deadline",
+            "send the request again after the time given, or with a later "
+            "deadline"};
+  }
+}
+
+Milliseconds deadlineOf(const http::Request &request, Milliseconds byDefault) {
+  std::optional<std::string> text = request.Fields.find("X-Deadline-Ms");
+  if (!text)
+    return byDefault;
+  int64_t n = 0;
+  auto [end, ec] =
+      std::from_chars(text->data(), text->data() + text->size(), n);
+  if (ec != std::errc() || n <= 0 || n > MaxDeadline.count())
+    throw Error(ErrorKind::BadRequest, "X-Deadline-Ms is not a usable time",
+                "give 1 to 600000 milliseconds");
+  return Milliseconds(n);
+}
+
+} // namespace
+
+Entry::Entry(node::Node &node)
+    : Node(node), Engines(node.Io, node.Client), OnceStore(node.Store),
+      Once(node, OnceStore), Services(node, Once) {
+  Node.Exchange.onGeneration([this] { startTrackers(); });
+  Node.addReadiness([this] {
+    return std::all_of(Pools.begin(), Pools.end(),
+                       [](const auto &it) { return it.second->hasEngines(); });
+  });
+}
+
+void Entry::start() {
+  Node.serve([this](http::Request &request,
+                    http::ResponseWriter &out) { return handle(request, out); },
+             static_cast<size_t>(Node.Options.get(MaxBodyBytes)));
+  Node.start();
+}
+
+void Entry::startTrackers() {
+  for (const auto &[name, spec] : Node.Exchange.config().catalog().Pools) {
+    if (Pools.contains(name))
+      continue;
+    auto tracker = std::make_unique<PoolTracker>(Node, name);
+    PoolTracker *p = tracker.get();
+    Pools[name] = std::move(tracker);
+    spawn(Node.Io, "pool-" + name, [p] { return p->reportLoop(); });
+  }
+}
+
+Entry::Context Entry::makeContext(const http::Request &request) const {
+  Context c;
+  c.Start = MonoClock::now();
+  c.RequestId = request.Fields.find("X-Request-Id").value_or(makeId());
+  c.Workspace = request.Fields.find("X-Workspace").value_or("");
+  const config::Catalog &catalog = Node.Exchange.config().catalog();
+  auto it = catalog.Workspaces.find(c.Workspace);
+  if (it == catalog.Workspaces.end())
+    throw Error(ErrorKind::NotFound, "unknown workspace '" + c.Workspace + "'",
+                "name a Workspace object in the X-Workspace header");
+  c.Account = it->second;
+  c.Deadline = c.Start + deadlineOf(request, it->second.Deadline);
+  return c;
+}
+
+Awaitable<void> Entry::handle(http::Request &request,
+                              http::ResponseWriter &out) {
+  std::optional<http::Response> refused;
+  try {
+    Context c = makeContext(request);
+    co_await dispatch(request, out, c);
+  } catch (const http::TransportError &) {
+    throw;
+  } catch (const Error &e) {
+    if (out.started())
+      throw;
+    refused = http::problem(statusOf(e.Kind), e, RunState::No);
+  }
+  if (!refused)
+    co_return;
+  Node.Metrics.count("sardineford_bad_requests_total", {});
+  co_await out.send(std::move(*refused));
+}
+
+Awaitable<void> Entry::dispatch(http::Request &request,
+                                http::ResponseWriter &out, const Context &c) {
+  std::string path(http::pathOf(request.Target));
+  if (path == "/v1/chat/completions" && request.Method == "POST")
+    co_return co_await complete(request, out, c, true);
+  if (path == "/v1/completions" && request.Method == "POST")
+    co_return co_await complete(request, out, c, false);
+  if (path == "/v1/models" && request.Method == "GET")
+    co_return co_await out.send(listModels(c));
+  if (path.starts_with("/services/")) {
+    std::string service = path.substr(10, path.find('/', 10) - 10);
+    const std::vector<std::string> &allowed = c.Account.Services;
+    if (std::find(allowed.begin(), allowed.end(), service) == allowed.end())
+      throw Error(ErrorKind::NotFound,
+                  "the workspace has no service '" + service + "'",
+                  "add the service to the Workspace object");
+    co_return co_await Services.handle(request, out, c.Workspace, c.RequestId,
+                                       c.Deadline);
+  }
+  throw Error(ErrorKind::NotFound, "no such path or method",
+              "use /v1/chat/completions, /v1/completions, /v1/models or "
+              "/services/NAME/...");
+}
+
+http::Response Entry::listModels(const Context &c) const {
+  json::array data;
+  for (const std::string &it : c.Account.Models)
+    data.push_back(json::object{{"id", it}, {"object", "model"}});
+  return http::jsonResponse(
+      200, json::serialize(
+               json::object{{"object", "list"}, {"data", std::move(data)}}));
+}
+
+PoolTracker &Entry::poolOf(const std::string &model) {
+  const config::Catalog &c = Node.Exchange.config().catalog();
+  auto it = c.Models.find(model);
+  auto pool = it == c.Models.end() ? Pools.end() : Pools.find(it->second.Pool);
+  if (pool == Pools.end())
+    throw Error(ErrorKind::NotFound, "unknown model '" + model + "'",
+                "use a model that GET /v1/models lists");
+  return *pool->second;
+}
+
+double Entry::expectedOutput(const std::string &model,
+                             uint64_t maxTokens) const {
+  auto it = OutputShare.find(model);
+  double share = it == OutputShare.end() ? FirstOutputShare : it->second;
+  return share * static_cast<double>(maxTokens);
+}
+
+void Entry::learnOutput(const std::string &model, uint64_t maxTokens,
+                        uint64_t tokens) {
+  auto [it, isNew] = OutputShare.try_emplace(model, FirstOutputShare);
+  double share = static_cast<double>(tokens) / static_cast<double>(maxTokens);
+  it->second += LearnWeight * (share - it->second);
+}
+
+ModelRequest Entry::makeRequest(const http::Request &request, const Context &c,
+                                bool isChat) const {
+  ModelRequest r;
+  r.Id = c.RequestId;
+  r.Deadline = c.Deadline;
+  r.What = parseCompletion(request.Body, isChat);
+  r.Resume = parseResume(request.Fields);
+  const config::Catalog &catalog = Node.Exchange.config().catalog();
+  auto model = catalog.Models.find(r.What.Model);
+  const std::vector<std::string> &allowed = c.Account.Models;
+  if (model == catalog.Models.end() ||
+      std::find(allowed.begin(), allowed.end(), r.What.Model) == allowed.end())
+    throw Error(ErrorKind::NotFound, "unknown model '" + r.What.Model + "'",
+                "use a model that GET /v1/models lists");
+  r.Shape.PromptTokens = r.What.Prompt.size() / BytesPerToken + 1;
+  const config::ModelSpec &spec = model->second;
+  if (r.Shape.PromptTokens > static_cast<uint64_t>(spec.MaxPromptTokens))
+    throw Error(ErrorKind::TooLarge, "the prompt is over the model's limit",
+                "send a shorter prompt");
+  r.What.MaxTokens =
+      std::min(r.What.MaxTokens, static_cast<uint64_t>(spec.MaxOutputTokens));
+  r.Shape.ExpectedOutputTokens = expectedOutput(r.What.Model, r.What.MaxTokens);
+  size_t pieceBytes = routing::EngineSpeeds().TokensPerPiece * BytesPerToken;
+  std::string_view prompt = r.What.Prompt;
+  for (size_t end = pieceBytes; end <= prompt.size(); end += pieceBytes)
+    r.Shape.PrefixHashes.push_back(hash64(prompt.substr(0, end)));
+  r.Shape.Affinity = hash64(c.Workspace, hash64(prompt.substr(0, pieceBytes)));
+  r.Priority = static_cast<int>(
+      admission::classify(r.Shape.PromptTokens, r.What.MaxTokens));
+  return r;
+}
+
+admission::Decision Entry::admit(const ModelRequest &r, PoolTracker &pool,
+                                 const Context &c) {
+  routing::PoolView view = pool.view({});
+  std::optional<routing::Route> route =
+      routing::chooseRoute(view, r.Shape, randomGenerator());
+  double cost = admission::tokenCost(view.Speeds,
+                                     static_cast<double>(r.Shape.PromptTokens),
+                                     r.Shape.ExpectedOutputTokens);
+  pool.noteDemand(c.Workspace, r.Shape.PromptTokens,
+                  r.Shape.ExpectedOutputTokens, cost);
+  admission::ShareView share;
+  share.PoolTokensPerSecond = admission::poolCapacity(view);
+  share.WorkspaceTokensPerSecond = pool.workspaceRate(c.Workspace);
+  share.Share = c.Account.Share;
+  return admission::decide(route, Seconds(toSeconds(c.Deadline - c.Start)),
+                           share, randomGenerator());
+}
+
+void Entry::noteEnd(const ModelRequest &r, const Context &c,
+                    const std::string &outcome) {
+  auto size = static_cast<admission::RequestClass>(r.Priority);
+  metrics::Labels labels = {{"model", r.What.Model},
+                            {"class", std::string(toString(size))},
+                            {"outcome", outcome}};
+  Node.Metrics.count("sardineford_requests_total", labels);
+  Node.Metrics.observe("sardineford_request_seconds", labels,
+                       Seconds(toSeconds(MonoClock::now() - c.Start)));
+  log::debug(log::Category::Entry, "request {} of {}: {}", r.Id, c.Workspace,
+             outcome);
+}
+
+Awaitable<void> Entry::complete(http::Request &request,
+                                http::ResponseWriter &out, const Context &c,
+                                bool isChat) {
+  ModelRequest r = makeRequest(request, c, isChat);
+  PoolTracker &pool = poolOf(r.What.Model);
+  // A caller that takes up a broken stream was admitted before.
+  admission::Decision d = r.Resume ? admission::Decision() : admit(r, pool, c);
+  if (!d.accepted()) {
+    Node.Recorder.record(
+        {.Kind = EventKind::RequestRefused, .Request = r.Id, .Detail = "no"});
+    noteEnd(r, c, "refused");
+    Error e = refusalError(d.Why);
+    unsigned status = d.Why == admission::Refusal::OverShare ? 429 : 503;
+    co_await out.send(http::problem(status, e, RunState::No, d.RetryAfter));
+    co_return;
+  }
+  Node.Recorder.record({.Kind = EventKind::RequestAccepted, .Request = r.Id});
+  co_await runAdmitted(std::move(r), pool, out, c);
+}
+
+Awaitable<void> Entry::runAdmitted(ModelRequest r, PoolTracker &pool,
+                                   http::ResponseWriter &out,
+                                   const Context &c) {
+  CompletionWriter format(r.What, r.Id);
+  EventSink events(format, out);
+  WholeSink whole;
+  TokenSink &sink = r.What.Stream ? static_cast<TokenSink &>(events) : whole;
+  ModelCall call(Node, Engines, pool, r, sink);
+  out.onPeerGone([&call] { call.callerGone(); });
+  ModelOutcome outcome;
+  try {
+    outcome = co_await call.run();
+  } catch (...) {
+    call.callerGone();
+    noteEnd(r, c, "caller-gone");
+    throw;
+  }
+  Node.Recorder.record({.Kind = outcome.Complete ? EventKind::RequestDone
+                                                 : EventKind::RequestFailed,
+                        .Request = r.Id,
+                        .Detail = outcome.Why});
+  noteEnd(r, c, outcome.Complete ? "complete" : "failed");
+  if (outcome.Complete)
+    learnOutput(r.What.Model, r.What.MaxTokens, outcome.Tokens);
+  Error e(ErrorKind::BackendFailed, outcome.Why,
+          "send the request again after the time given");
+  if (r.What.Stream && out.started()) {
+    // Not in the call: GCC 12 destroys such a temporary twice.
+    std::string last =
+        outcome.Complete ? format.end() : format.failure(e, outcome.Run);
+    co_await out.write(std::move(last));
+    co_await out.finish();
+  } else if (!outcome.Complete) {
+    co_await out.send(
+        http::problem(504, e, outcome.Run, jittered(Milliseconds(1'000))));
+  } else {
+    co_await out.send(http::jsonResponse(
+        200,
+        format.document(whole.Text, r.Shape.PromptTokens, outcome.Tokens)));
+  }
+}
+
+} // namespace sardineford::entry
--- /dev/null
+++ b/Source/Entry/EntrySettings.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Sardineford/Settings/Settings.h"
+
+namespace sardineford::entry {
+
+using settings::Setting;
+
+inline const Setting<int64_t> MaxBodyBytes{
+    "entry.max_body_bytes", 4 * 1024 * 1024, 1024,
+    64 * 1024 * 1024,       "bytes",         "largest body of a request"};
+inline const Setting<int64_t> ViewInterval{
+    "entry.view_interval_ms",
+    250,
+    10,
+    60'000,
+    "ms",
+    "time between reports to the holder of a pool"};
+inline const Setting<int64_t> ReportLag{
+    "entry.report_lag_ms",
+    200,
+    0,
+    60'000,
+    "ms",
+    "lag of engine reports that routing allows for"};
+inline const Setting<int64_t> FirstTokenTimeout{
+    "entry.first_token_timeout_ms",
+    3'000,
+    10,
+    600'000,
+    "ms",
+    "wait for a first token beyond its estimate before an engine is suspected"};
+inline const Setting<int64_t> BetweenTokensTimeout{
+    "entry.between_tokens_timeout_ms",
+    2'000,
+    10,
+    600'000,
+    "ms",
+    "wait between tokens before a connection is suspected"};
+inline const Setting<int64_t> HeadTimeout{
+    "entry.head_timeout_ms",
+    1'000,
+    10,
+    600'000,
+    "ms",
+    "wait for an engine to accept a request"};
+inline const Setting<int64_t> OnceWriteTimeout{
+    "entry.once_write_timeout_ms",
+    2'000,
+    10,
+    60'000,
+    "ms",
+    "longest time to settle the record of a call that must not repeat"};
+inline const Setting<bool> WriteRecords{
+    "entry.write_once_records", true,
+    "write the record of a call that must not repeat before it is run; off "
+    "only to show what the record prevents"};
+inline const Setting<bool> ContinueStreams{
+    "entry.continue_streams", true,
+    "go on with a broken stream; off only to show what that prevents"};
+
+} // namespace sardineford::entry
--- /dev/null
+++ b/Source/Entry/PoolTracker.cpp
@@ -0,0 +1,233 @@
+#include "Entry/PoolTracker.h"
+
+#include "Entry/EntrySettings.h"
+#include "Messages/Messages.pb.h"
+#include "Sardineford/Common/Log.h"
+#include "Sardineford/Common/Random.h"
+
+#include <algorithm>
+
+namespace sardineford::entry {
+
+using membership::Instance;
+using membership::InstanceKind;
+using membership::InstanceState;
+using routing::EngineState;
+using routing::EngineView;
+
+namespace {
+
+constexpr const char *LoadPath = "/load";
+constexpr Milliseconds ReportTimeout{1'000};
+
+EngineState toState(messages::EngineState s) {
+  switch (s) {
+  case messages::DRAINING:
+    return EngineState::Draining;
+  case messages::CHANGING:
+    return EngineState::Changing;
+  case messages::LEAVING:
+    return EngineState::Leaving;
+  case messages::LOST:
+    return EngineState::Lost;
+  default:
+    return EngineState::Serving;
+  }
+}
+
+EngineView toView(const messages::EngineLoad &in) {
+  EngineView e;
+  e.Name = in.name();
+  e.Address = http::parseEndpoint(in.address());
+  e.Incarnation = in.incarnation();
+  e.Role = routing::parseRole(in.role());
+  e.State = toState(in.state());
+  e.QueuedPrefillTokens = in.queued_prefill_tokens();
+  e.Running = in.running();
+  e.Waiting = in.waiting();
+  e.UsedPieces = in.used_pieces();
+  e.TotalPieces = in.total_pieces();
+  e.Age = Milliseconds(in.age_ms());
+  e.Frozen = in.frozen();
+  e.Prefixes.assign(in.prefixes().begin(), in.prefixes().end());
+  return e;
+}
+
+} // namespace
+
+PoolTracker::PoolTracker(node::Node &node, std::string pool)
+    : Node(node), Pool(std::move(pool)) {}
+
+routing::EngineSpeeds PoolTracker::speeds() const {
+  routing::EngineSpeeds s;
+  const config::Catalog &c = Node.Exchange.config().catalog();
+  auto it = c.Pools.find(Pool);
+  if (it == c.Pools.end())
+    return s;
+  s.PrefillTokensPerSecond = it->second.PrefillTokensPerSecond;
+  s.PrefillShareInDecode = it->second.PrefillShareInDecode;
+  s.DecodeStep = Seconds(it->second.DecodeStepMs / 1000);
+  s.DecodeStepPerSequence = Seconds(it->second.DecodeStepPerSequenceMs / 1000);
+  s.MaxBatch = static_cast<uint64_t>(it->second.MaxBatch);
+  s.MaxBatchPrefill = static_cast<uint64_t>(it->second.MaxBatchPrefill);
+  return s;
+}
+
+/// Adds this process's attempts that began after the report was made. Other
+/// nodes have sent as much on average, so the count is taken times the nodes.
+void PoolTracker::addOwnWork(EngineView &e) const {
+  MonoTime reportMade =
+      ViewTaken - e.Age - Node.Options.milliseconds(ReportLag);
+  for (const std::weak_ptr<OwnAttempt> &it : Own) {
+    std::shared_ptr<OwnAttempt> own = it.lock();
+    if (!own || own->Engine != e.Name || own->Sent < reportMade)
+      continue;
+    e.OwnRunning += Nodes;
+    if (!own->Prefilled)
+      e.OwnPrefillTokens += own->PrefillTokens * Nodes;
+  }
+}
+
+routing::PoolView PoolTracker::view(const std::vector<std::string> &without) {
+  std::erase_if(Own, [](const auto &it) { return it.expired(); });
+  routing::PoolView v;
+  v.Pool = Pool;
+  v.Epoch = Epoch;
+  v.Nodes = Nodes;
+  v.Speeds = speeds();
+  MonoTime now = MonoClock::now();
+  for (const EngineView &it : Engines) {
+    EngineView e = it;
+    bool excluded =
+        std::find(without.begin(), without.end(), e.Name) != without.end();
+    e.Ejected = excluded || Ejections.isEjected(e.Name, now, Engines.size());
+    if (Node.Exchange.isLeaving(e.Name, e.Incarnation))
+      e.State = EngineState::Leaving;
+    addOwnWork(e);
+    v.Engines.push_back(std::move(e));
+  }
+  return v;
+}
+
+std::shared_ptr<OwnAttempt> PoolTracker::begin(std::string engine,
+                                               uint64_t tokens) {
+  auto own = std::make_shared<OwnAttempt>();
+  own->Engine = std::move(engine);
+  own->PrefillTokens = tokens;
+  own->Sent = MonoClock::now();
+  Own.push_back(own);
+  return own;
+}
+
+void PoolTracker::noteDemand(const std::string &workspace,
+                             uint64_t promptTokens, double outputTokens,
+                             double cost) {
+  ++Demand.Requests;
+  Demand.PromptTokens += promptTokens;
+  Demand.OutputTokens += outputTokens;
+  Demand.TokensByWorkspace[workspace] += static_cast<uint64_t>(cost);
+  Retries.deposit();
+}
+
+double PoolTracker::workspaceRate(const std::string &workspace) const {
+  auto it = WorkspaceRates.find(workspace);
+  return it == WorkspaceRates.end() ? 0 : it->second;
+}
+
+void PoolTracker::engineFailed(const std::string &engine) {
+  Ejections.failed(engine, MonoClock::now());
+}
+
+void PoolTracker::engineSucceeded(const std::string &engine) {
+  Ejections.succeeded(engine);
+}
+
+void PoolTracker::engineIsLeaving(const std::string &engine) {
+  for (const EngineView &it : Engines)
+    if (it.Name == engine && !it.Incarnation.empty())
+      Node.Exchange.markLeaving(engine, it.Incarnation);
+}
+
+std::optional<http::Endpoint> PoolTracker::holderAddress() const {
+  std::optional<exchange::KnownHolder> h = Node.Exchange.holderOf(Pool);
+  return h ? std::optional(h->Address) : std::nullopt;
+}
+
+std::string PoolTracker::makeReport() {
+  PendingDemand d = std::exchange(Demand, PendingDemand());
+  messages::LoadReport out;
+  out.set_time(Node.Recorder.clock().now().Value);
+  out.set_node(Node.Name);
+  Milliseconds interval = toMilliseconds(MonoClock::now() - d.Since);
+  out.set_interval_ms(static_cast<uint64_t>(interval.count()));
+  messages::PoolDemand *demand = out.mutable_demand();
+  demand->set_pool(Pool);
+  demand->set_requests(d.Requests);
+  demand->set_prompt_tokens(d.PromptTokens);
+  demand->set_output_tokens(static_cast<uint64_t>(d.OutputTokens));
+  demand->set_in_flight(Own.size());
+  for (const auto &[name, tokens] : d.TokensByWorkspace) {
+    messages::WorkspaceDemand *w = demand->add_workspaces();
+    w->set_workspace(name);
+    w->set_tokens(tokens);
+  }
+  return out.SerializeAsString();
+}
+
+void PoolTracker::takeView(const std::string &body) {
+  messages::PoolView in;
+  if (!in.ParseFromString(body) || !in.holding() || in.epoch() < Epoch)
+    return;
+  Node.Recorder.clock().observe({in.time()});
+  Epoch = in.epoch();
+  Nodes = std::max<uint64_t>(1, in.reporting_nodes());
+  Engines.clear();
+  for (const messages::EngineLoad &it : in.engines())
+    Engines.push_back(toView(it));
+  WorkspaceRates.clear();
+  for (const messages::WorkspaceRate &it : in.rates())
+    WorkspaceRates[it.workspace()] = it.tokens_per_second();
+  ViewTaken = MonoClock::now();
+}
+
+/// Without an answer of a holder, engines are known from the instance list.
+void PoolTracker::takeInstances() {
+  if (!Engines.empty())
+    return;
+  for (const Instance &it : Node.instances()) {
+    if (it.Kind != InstanceKind::Engine || it.Group != Pool ||
+        it.State != InstanceState::Live)
+      continue;
+    EngineView e;
+    e.Name = it.Name;
+    e.Address = it.Address;
+    Engines.push_back(std::move(e));
+  }
+  ViewTaken = MonoClock::now();
+}
+
+Awaitable<void> PoolTracker::report() {
+  std::optional<http::Endpoint> holder = holderAddress();
+  if (!holder) {
+    takeInstances();
+    co_return;
+  }
+  try {
+    std::string reply = co_await Node.RpcClient.call(
+        *holder, LoadPath, makeReport(), ReportTimeout);
+    takeView(reply);
+  } catch (const Error &e) {
+    log::debug(log::Category::Entry, "report to the holder of {}: {}", Pool,
+               e.what());
+    takeInstances();
+  }
+}
+
+Awaitable<void> PoolTracker::reportLoop() {
+  for (;;) {
+    co_await report();
+    co_await sleepFor(jittered(Node.Options.milliseconds(ViewInterval)));
+  }
+}
+
+} // namespace sardineford::entry
--- /dev/null
+++ b/Source/Exchange/Wire.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Sardineford/Exchange/Exchange.h"
+
+#include <string>
+#include <vector>
+
+namespace sardineford::exchange::wire {
+
+struct LeavingMark {
+  std::string Backend;
+  std::string Incarnation;
+};
+
+/// One side of an exchange: what is new since the last one.
+struct Message {
+  timeline::HybridTime Time;
+  uint64_t Generation = 0;
+  http::Endpoint From;
+  bool WantAll = false;
+  std::vector<Member> Members;
+  std::vector<LeavingMark> Leaving;
+  std::vector<KnownHolder> Holders;
+};
+
+std::string encode(const Message &m);
+Message decode(const std::string &bytes);
+
+std::string encodeFetch(timeline::HybridTime now, uint64_t have);
+/// Returns the generation that the asking process has.
+uint64_t decodeFetch(const std::string &bytes);
+
+std::string encodeDelta(timeline::HybridTime now, const config::Delta &d);
+config::Delta decodeDelta(const std::string &bytes);
+
+} // namespace sardineford::exchange::wire
--- /dev/null
+++ b/Source/Http/Server.cpp
@@ -0,0 +1,267 @@
+#include "Sardineford/Http/Server.h"
+
+#include "Sardineford/Common/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+
+namespace sardineford::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+Request toRequest(bhttp::request<bhttp::string_body> &&in) {
+  Request out;
+  out.Method = std::string(in.method_string());
+  out.Target = std::string(in.target());
+  for (const auto &it : in)
+    out.Fields.add(std::string(it.name_string()), std::string(it.value()));
+  out.Body = std::move(in.body());
+  return out;
+}
+
+template <class Message> void copyHead(const Response &from, Message &to) {
+  to.result(from.Status);
+  for (const Header &it : from.Fields.Fields)
+    to.set(it.Name, it.Value);
+}
+
+/// Maps a failed read to the answer that the peer gets, or to none.
+std::optional<Response> answerForReadError(beast::error_code ec) {
+  auto make = [](unsigned status, ErrorKind kind, const char *what,
+                 const char *remedy) {
+    return problem(status, Error(kind, what, remedy), RunState::No);
+  };
+  if (ec == bhttp::error::body_limit)
+    return make(413, ErrorKind::TooLarge, "the body is over its limit",
+                "send a smaller body");
+  if (ec == bhttp::error::header_limit)
+    return make(431, ErrorKind::TooLarge, "the headers are over their limit",
+                "send fewer or shorter headers");
+  if (ec == beast::error::timeout)
+    return make(408, ErrorKind::BadRequest, "the request came too slowly",
+                "send the whole request within the read timeout");
+  if (ec.category() ==
+          bhttp::make_error_code(bhttp::error::bad_version).category() &&
+      ec != bhttp::error::end_of_stream && ec != bhttp::error::partial_message)
+    return make(400, ErrorKind::BadRequest, "the request is not valid HTTP",
+                "send an HTTP/1.1 request");
+  return std::nullopt;
+}
+
+/// Tells when the peer closes its end while an answer is being made.
+struct PeerWatch {
+  std::function<void()> OnGone;
+  bool Waiting = false;
+};
+
+class Writer : public ResponseWriter {
+public:
+  Writer(beast::tcp_stream &stream, const ServerOptions &options,
+         bool keepAlive)
+      : Stream(stream), Options(options), KeepAlive(keepAlive) {}
+
+  Awaitable<void> send(Response r) override {
+    bhttp::response<bhttp::string_body> out;
+    out.version(11);
+    copyHead(r, out);
+    out.body() = std::move(r.Body);
+    out.keep_alive(KeepAlive);
+    out.prepare_payload();
+    Started = true;
+    Stream.expires_after(Options.WriteTimeout);
+    co_await bhttp::async_write(Stream, out, use_awaitable);
+    Complete = true;
+  }
+
+  Awaitable<void> startStream(Response head) override {
+    bhttp::response<bhttp::empty_body> out;
+    out.version(11);
+    copyHead(head, out);
+    out.chunked(true);
+    out.keep_alive(KeepAlive);
+    bhttp::response_serializer<bhttp::empty_body> serializer(out);
+    Started = true;
+    Stream.expires_after(Options.WriteTimeout);
+    co_await bhttp::async_write_header(Stream, serializer, use_awaitable);
+  }
+
+  Awaitable<void> write(std::string data) override {
+    if (data.empty())
+      co_return;
+    Stream.expires_after(Options.WriteTimeout);
+    co_await asio::async_write(Stream, bhttp::make_chunk(asio::buffer(data)),
+                               use_awaitable);
+  }
+
+  Awaitable<void> finish() override {
+    Stream.expires_after(Options.WriteTimeout);
+    co_await asio::async_write(Stream, bhttp::make_chunk_last(), use_awaitable);
+    Complete = true;
+  }
+
+  bool started() const override { return Started; }
+
+  void onPeerGone(std::function<void()> f) override {
+    Watch->OnGone = std::move(f);
+    if (Watch->Waiting)
+      return;
+    Watch->Waiting = true;
+    tcp::socket &socket = Stream.socket();
+    socket.async_wait(
+        tcp::socket::wait_read, [watch = Watch, &socket](beast::error_code ec) {
+          watch->Waiting = false;
+          if (!watch->OnGone || ec)
+            return;
+          std::array<char, 1> buf{};
+          socket.receive(asio::buffer(buf), tcp::socket::message_peek, ec);
+          // Bytes that can be read are a pipelined request, not a close.
+          if (ec && ec != asio::error::would_block)
+            std::exchange(watch->OnGone, nullptr)();
+        });
+  }
+
+  void abort() override {
+    beast::error_code ec;
+    Stream.socket().close(ec);
+  }
+
+  /// Ends the watch for a closed connection.
+  void release() {
+    Watch->OnGone = nullptr;
+    if (!Watch->Waiting)
+      return;
+    beast::error_code ec;
+    Stream.socket().cancel(ec);
+  }
+
+  bool complete() const { return Complete; }
+
+private:
+  beast::tcp_stream &Stream;
+  const ServerOptions &Options;
+  std::shared_ptr<PeerWatch> Watch = std::make_shared<PeerWatch>();
+  bool KeepAlive;
+  bool Started = false;
+  bool Complete = false;
+};
+
+} // namespace
+
+struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
+  Impl(IoContext &io, ServerOptions options, Handler handler)
+      : Io(io), Acceptor(io), Options(std::move(options)),
+        Handle(std::move(handler)) {}
+
+  IoContext &Io;
+  tcp::acceptor Acceptor;
+  ServerOptions Options;
+  Handler Handle;
+  size_t Open = 0;
+
+  void bind() {
+    tcp::endpoint at(asio::ip::make_address(Options.Listen.Host),
+                     Options.Listen.Port);
+    Acceptor.open(at.protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(at);
+    Acceptor.listen();
+  }
+
+  Awaitable<void> acceptLoop() {
+    auto self = shared_from_this();
+    while (Acceptor.is_open()) {
+      auto [ec, socket] =
+          co_await Acceptor.async_accept(asio::as_tuple(use_awaitable));
+      if (ec == asio::error::operation_aborted)
+        co_return;
+      if (ec) {
+        co_await sleepFor(Milliseconds(10));
+        continue;
+      }
+      asio::co_spawn(Io, serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  Awaitable<void> serve(tcp::socket socket) {
+    auto self = shared_from_this();
+    beast::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buf;
+    try {
+      while (co_await serveOne(stream, buf)) {
+      }
+    } catch (const std::exception &e) {
+      log::debug(log::Category::Http, "connection closed: {}", e.what());
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+  }
+
+  /// Reads and answers one request. Returns false when the connection ends.
+  Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf) {
+    bhttp::request_parser<bhttp::string_body> parser;
+    parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
+    parser.body_limit(Options.MaxBodyBytes);
+    stream.expires_after(Options.ReadTimeout);
+    auto [ec, n] = co_await bhttp::async_read(stream, buf, parser,
+                                              asio::as_tuple(use_awaitable));
+    if (ec) {
+      std::optional<Response> answer = answerForReadError(ec);
+      if (answer && (n > 0 || buf.size() > 0 || parser.got_some()))
+        co_await Writer(stream, Options, false).send(std::move(*answer));
+      co_return false;
+    }
+    stream.expires_never();
+    bool keepAlive = parser.get().keep_alive();
+    Writer writer(stream, Options, keepAlive);
+    Request request = toRequest(parser.release());
+    ++Open;
+    try {
+      co_await Handle(request, writer);
+    } catch (...) {
+      --Open;
+      writer.release();
+      throw;
+    }
+    --Open;
+    writer.release();
+    co_return keepAlive &&writer.complete();
+  }
+};
+
+Server::Server(IoContext &io, ServerOptions options, Handler handler)
+    : Shared(
+          std::make_shared<Impl>(io, std::move(options), std::move(handler))) {}
+
+Server::~Server() { stopAccepting(); }
+
+void Server::start() {
+  Shared->bind();
+  asio::co_spawn(Shared->Io, Shared->acceptLoop(), asio::detached);
+}
+
+void Server::stopAccepting() {
+  beast::error_code ec;
+  Shared->Acceptor.close(ec);
+}
+
+size_t Server::openRequests() const { return Shared->Open; }
+
+uint16_t Server::port() const {
+  return Shared->Acceptor.local_endpoint().port();
+}
+
+} // namespace sardineford::http
--- /dev/null
+++ b/Source/Node/Daemon.cpp
@@ -0,0 +1,64 @@
+#include "Node/Node.h"
+#include "Node/NodeSettings.h"
+#include "Sardineford/Common/Log.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(settings, "", "settings file, JSON");
+DEFINE_bool(check_settings, false, "only check the settings file");
+DEFINE_bool(print_settings, false, "print every setting and its meaning");
+
+namespace sardineford::node {
+
+namespace {
+
+constexpr int ExitBadSettings = 2;
+constexpr int ExitFailed = 1;
+
+log::Level levelOf(const std::string &name) {
+  if (name == "debug")
+    return log::Level::Debug;
+  if (name == "warning")
+    return log::Level::Warning;
+  if (name == "error")
+    return log::Level::Error;
+  if (name == "off")
+    return log::Level::Off;
+  return name == "trace" ? log::Level::Trace : log::Level::Info;
+}
+
+} // namespace
+
+int runDaemon(int argc, char **argv, const std::string &about,
+              std::function<void(IoContext &, const settings::Settings &,
+                                 std::function<void()> run)>
+                  body) {
+  gflags::SetUsageMessage(about + " Use --settings=FILE.");
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_print_settings) {
+    std::cout << settings::describeAll();
+    return 0;
+  }
+  try {
+    settings::Settings s = settings::Settings::load(FLAGS_settings);
+    if (FLAGS_check_settings) {
+      std::cout << FLAGS_settings << ": settings are right\n";
+      return 0;
+    }
+    log::start({s.get(LogJson), levelOf(s.get(LogLevel)), s.get(Name)});
+    IoContext io(1);
+    body(io, s, [&] { io.run(); });
+    return 0;
+  } catch (const Error &e) {
+    std::cerr << e.what() << "\n" << e.Remedy << "\n";
+    return e.Kind == ErrorKind::BadSettings ? ExitBadSettings : ExitFailed;
+  } catch (const std::exception &e) {
+    std::cerr << e.what() << "\n";
+    return ExitFailed;
+  }
+}
+
+} // namespace sardineford::node
--- /dev/null
+++ b/Source/Node/NodeSettings.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Sardineford/Settings/Settings.h"
+
+namespace sardineford::node {
+
+using settings::Setting;
+
+inline const Setting<std::string> Name{
+    "node.name", "", "name of this process, unique in the deployment", true};
+inline const Setting<std::string> FailureDomain{
+    "node.failure_domain", "", "failure domain that the instance is in", true};
+inline const Setting<std::string> HttpListen{
+    "node.http_listen", "127.0.0.1:8080",
+    "address for callers, operators and health checks"};
+inline const Setting<std::string> RpcListen{
+    "node.rpc_listen", "127.0.0.1:8081",
+    "address for the system's other processes"};
+inline const Setting<std::string> RpcAdvertise{
+    "node.rpc_advertise", "",
+    "address that other processes use, if it is not the one listened on"};
+inline const Setting<std::string> Platform{
+    "platform.endpoint", "127.0.0.1:9100",
+    "address of the platform's object API and instance list"};
+inline const Setting<int64_t> PlatformTimeout{
+    "platform.timeout_ms",
+    1'000,
+    10,
+    60'000,
+    "ms",
+    "longest wait for an answer of the platform"};
+inline const Setting<int64_t> ListInterval{
+    "platform.list_interval_ms",
+    2'000,
+    50,
+    60'000,
+    "ms",
+    "time between reads of the instance list"};
+inline const Setting<int64_t> WatchTime{
+    "platform.watch_ms",
+    10'000,
+    100,
+    60'000,
+    "ms",
+    "time that one watch waits for a change"};
+inline const Setting<int64_t> Watchers{
+    "platform.watchers",
+    3,
+    1,
+    100,
+    "",
+    "processes that watch the newest generation in the store"};
+inline const Setting<int64_t> ExchangeInterval{
+    "exchange.interval_ms",
+    300,
+    10,
+    60'000,
+    "ms",
+    "time between exchanges with a peer"};
+inline const Setting<int64_t> IsolatedAfter{
+    "exchange.isolated_after_ms",
+    5'000,
+    100,
+    600'000,
+    "ms",
+    "time without word from store or peers after which a process is not "
+    "ready"};
+inline const Setting<int64_t> BalancerWait{
+    "shutdown.balancer_wait_ms",
+    2'000,
+    0,
+    600'000,
+    "ms",
+    "time for the balancer to notice that the process stops"};
+inline const Setting<int64_t> DrainLimit{
+    "shutdown.drain_limit_ms",
+    600'000,
+    0,
+    3'600'000,
+    "ms",
+    "longest time that a stop waits for open requests"};
+inline const Setting<std::string> LogLevel{
+    "log.level", "info", "trace, debug, info, warning, error or off"};
+inline const Setting<bool> LogJson{"log.json", false,
+                                   "write log lines as JSON"};
+inline const Setting<std::string> HistoryFile{
+    "history.file", "", "file that every event is appended to, for tests"};
+inline const Setting<int64_t> EventRing{
+    "events.ring", 4'096,    16,
+    1'000'000,     "events", "newest events kept for the time line"};
+
+} // namespace sardineford::node
--- /dev/null
+++ b/Source/Programs/sardineford-controller.cpp
@@ -0,0 +1,14 @@
+#include "Controller/Controller.h"
+
+using namespace sardineford;
+
+int main(int argc, char **argv) {
+  return node::runDaemon(argc, argv, "The control process of sardineford.",
+                         [](IoContext &io, const settings::Settings &s,
+                            std::function<void()> run) {
+                           node::Node node(io, s, true);
+                           controller::Controller controller(node);
+                           controller.start();
+                           run();
+                         });
+}
--- /dev/null
+++ b/Source/Programs/sardineford-demo.cpp
@@ -0,0 +1,184 @@
+#include "Sardineford/Common/Log.h"
+#include "StandIns/Deployment/Deployment.h"
+#include "StandIns/Engine/Text.h"
+#include "StandIns/Service/Service.h"
+
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(programs, ".", "folder of the built programs");
+DEFINE_string(examples, "examples", "folder of the examples");
+DEFINE_string(folder, "/tmp/sardineford-demo", "folder for logs and settings");
+
+using namespace sardineford;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Milliseconds AnswerTimeout{40'000};
+constexpr size_t ShownBytes = 160;
+
+/// One request of the examples.
+struct Example {
+  std::string Name;
+  http::Request Request;
+  json::value Body;
+};
+
+Example readExample(const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  json::value v = json::parse(text.str());
+  Example e;
+  e.Name = json::value_to<std::string>(v.at("name"));
+  e.Request.Method = json::value_to<std::string>(v.at("method"));
+  e.Request.Target = json::value_to<std::string>(v.at("path"));
+  for (const auto &it : v.at("headers").as_object())
+    e.Request.Fields.add(std::string(it.key()),
+                         std::string(it.value().as_string()));
+  e.Body = v.at("body");
+  if (!e.Body.is_null())
+    e.Request.Body = json::serialize(e.Body);
+  return e;
+}
+
+std::vector<Example> readExamples(const std::string &folder) {
+  std::vector<std::string> files;
+  for (const auto &it : std::filesystem::directory_iterator(folder))
+    files.push_back(it.path().string());
+  std::sort(files.begin(), files.end());
+  std::vector<Example> out;
+  for (const std::string &it : files)
+    out.push_back(readExample(it));
+  return out;
+}
+
+std::string promptOf(const json::object &body) {
+  if (const json::value *v = body.if_contains("prompt"))
+    return std::string(v->as_string());
+  std::string out;
+  for (const json::value &it : body.at("messages").as_array())
+    out += std::string(it.at("role").as_string()) + ": " +
+           std::string(it.at("content").as_string()) + "\n";
+  return out;
+}
+
+/// Text of a streamed or a whole completion.
+std::string textOf(const std::string &answer, bool isStream) {
+  if (!isStream)
+    return std::string(
+        json::parse(answer).at("choices").at(0).at("text").as_string());
+  std::string out;
+  std::istringstream in(answer);
+  for (std::string line; std::getline(in, line);) {
+    constexpr std::string_view Data = "data: ";
+    if (!line.starts_with(Data) || line == "data: [DONE]")
+      continue;
+    json::value v = json::parse(line.substr(Data.size()));
+    const json::value &choice = v.at("choices").at(0);
+    out += std::string(choice.at("delta").at("content").as_string());
+  }
+  return out;
+}
+
+std::string expectedOf(const Example &e) {
+  if (e.Request.Target.starts_with("/services/")) {
+    size_t path = e.Request.Target.find('/', std::string("/services/").size());
+    return standins::serviceAnswer(
+        e.Request.Method, e.Request.Target.substr(path),
+        e.Request.Fields.find("Idempotency-Key").value_or(""), e.Request.Body);
+  }
+  const json::object &body = e.Body.as_object();
+  return standins::expectedAnswer(json::value_to<std::string>(body.at("model")),
+                                  promptOf(body),
+                                  body.at("max_tokens").to_number<uint64_t>());
+}
+
+std::string receivedOf(const Example &e, const http::Response &r) {
+  if (r.Status != 200 || e.Request.Target.starts_with("/services/"))
+    return r.Body;
+  return textOf(r.Body, e.Body.as_object().at("stream").as_bool());
+}
+
+/// Sends one example and prints its answer; true if it is whole and right.
+bool runExample(const Example &e, const std::string &entry,
+                const http::Endpoint &at) {
+  MonoTime start = MonoClock::now();
+  http::Response r = standins::callNow(at, e.Request, AnswerTimeout);
+  std::string text = receivedOf(e, r);
+  bool isRight = r.Status == 200 && text == expectedOf(e);
+  std::cout << (isRight ? "ok    " : "WRONG ") << e.Name << " by " << entry
+            << ", status " << r.Status << ", " << text.size() << " bytes in "
+            << toMilliseconds(MonoClock::now() - start).count() << " ms\n  "
+            << text.substr(0, ShownBytes) << "\n";
+  return isRight;
+}
+
+/// What runs in one of the two deployments of the demo.
+struct Scene {
+  std::string Name;
+  std::string Pool;
+  std::string Service;
+  std::vector<std::string> Domains;
+};
+
+/// Returns the number of requests that failed.
+int runScene(const Scene &scene, int &total) {
+  standins::DeploymentOptions o;
+  o.Programs = FLAGS_programs;
+  o.Folder = FLAGS_folder + "/" + scene.Name;
+  o.ObjectsFile = FLAGS_examples + "/" + scene.Name + "/objects.json";
+  o.FailureDomains = scene.Domains;
+  o.Engines = {{scene.Pool, 4}};
+  o.Services = {{scene.Service, 1}};
+  o.Settings["shutdown.balancer_wait_ms"] = "200";
+  standins::Deployment d(o);
+  d.start();
+  std::cout << scene.Name << ": " << d.entries().size() << " entries, "
+            << d.controllers().size() << " controllers, " << d.engines().size()
+            << " engines are ready\n";
+  int failed = 0;
+  std::vector<std::string> entries = d.entries();
+  for (const Example &it :
+       readExamples(FLAGS_examples + "/" + scene.Name + "/requests")) {
+    const std::string &entry = entries[total++ % entries.size()];
+    failed += runExample(it, entry, d.httpOf(entry)) ? 0 : 1;
+  }
+  d.stop();
+  return failed;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("Serves the examples through small deployments.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  log::start({.DefaultLevel = log::Level::Warning, .Process = "demo"});
+  std::vector<Scene> scenes = {{"nilebridge",
+                                "scribe-llm",
+                                "filing-api",
+                                {"eg-north-1", "eg-north-2", "eg-north-3"}},
+                               {"trinacria",
+                                "concierge-llm",
+                                "ticket-desk",
+                                {"catania", "palermo", "siracusa"}}};
+  int total = 0;
+  int failed = 0;
+  try {
+    for (const Scene &it : scenes)
+      failed += runScene(it, total);
+  } catch (const std::exception &e) {
+    std::cerr << e.what() << "\n";
+    return 1;
+  }
+  std::cout << "demo: " << total - failed << " of " << total
+            << " answers are whole and right\n";
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/Source/Programs/sardinefordctl.cpp
@@ -0,0 +1,68 @@
+#include "Control/Commands.h"
+
+#include "Sardineford/Common/Log.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(platform, "127.0.0.1:9100", "address of the object API");
+DEFINE_string(controllers, "127.0.0.1:8080",
+              "addresses of controllers, with commas between");
+DEFINE_string(f, "", "file with objects");
+DEFINE_string(o, "table", "output: table or json");
+DEFINE_bool(wait, false, "wait until the edit is in force everywhere");
+DEFINE_int32(wait_ms, 30000, "longest wait, ms");
+DEFINE_bool(undo, false, "take a drain or a pinned role back");
+
+using namespace sardineford;
+
+namespace {
+
+constexpr const char *Usage =
+    "Edits and shows the objects of sardineford.\n"
+    "  validate -f FILE          check a file against the present set\n"
+    "  apply -f FILE [--wait]    write the objects of a file\n"
+    "  diff -f FILE              what apply would change\n"
+    "  get [KIND [NAME]]         list objects, or show one\n"
+    "  describe KIND NAME        one object with its version\n"
+    "  delete KIND NAME          remove an object\n"
+    "  drain POOL ENGINE         empty an engine and keep it empty\n"
+    "  role POOL ENGINE ROLE     pin an engine to prefill or decode\n"
+    "  status                    generation in force, pools, members\n"
+    "Exit codes: 0 done, 1 failed, 2 wrong use, 3 conflict, 4 rejected, "
+    "5 store unavailable, 6 not in force in time.";
+
+std::vector<http::Endpoint> parseEndpoints(const std::string &text) {
+  std::vector<http::Endpoint> out;
+  std::istringstream in(text);
+  for (std::string one; std::getline(in, one, ',');)
+    out.push_back(http::parseEndpoint(one));
+  return out;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage(Usage);
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  log::start({.DefaultLevel = log::Level::Warning, .Process = "ctl"});
+  control::CommandOptions options;
+  options.File = FLAGS_f;
+  options.AsJson = FLAGS_o == "json";
+  options.Wait = FLAGS_wait;
+  options.LongestWait = Milliseconds(FLAGS_wait_ms);
+  options.Undo = FLAGS_undo;
+  for (int i = 1; i < argc; ++i)
+    options.Words.emplace_back(argv[i]);
+  try {
+    options.Platform = http::parseEndpoint(FLAGS_platform);
+    options.Controllers = parseEndpoints(FLAGS_controllers);
+  } catch (const Error &e) {
+    std::cerr << e.what() << "; " << e.Remedy << "\n";
+    return static_cast<int>(control::ExitCode::WrongUse);
+  }
+  return static_cast<int>(control::runCommand(options, std::cout, std::cerr));
+}
--- /dev/null
+++ b/Source/Routing/Route.cpp
@@ -0,0 +1,209 @@
+#include "Sardineford/Routing/Route.h"
+
+#include "Sardineford/Common/Random.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sardineford::routing {
+
+namespace {
+
+constexpr size_t AffinityCandidates = 2;
+constexpr size_t RandomCandidates = 2;
+/// Weight of a step that shares the engine with a prefill.
+constexpr double InterferenceShare = 0.5;
+
+using Indices = std::set<size_t>;
+
+std::vector<size_t> workers(const PoolView &view) {
+  std::vector<size_t> out;
+  for (size_t i = 0; i < view.Engines.size(); ++i)
+    if (takesWork(view.Engines[i]))
+      out.push_back(i);
+  return out;
+}
+
+std::vector<size_t> withRole(const PoolView &view,
+                             const std::vector<size_t> &from,
+                             EngineRole without) {
+  std::vector<size_t> out;
+  for (size_t i : from)
+    if (view.Engines[i].Role != without)
+      out.push_back(i);
+  return out;
+}
+
+void addRandom(Indices &to, const std::vector<size_t> &from, size_t n,
+               std::mt19937_64 &random) {
+  if (from.empty())
+    return;
+  std::uniform_int_distribution<size_t> pick(0, from.size() - 1);
+  for (size_t i = 0; i < n; ++i)
+    to.insert(from[pick(random)]);
+}
+
+void addByAffinity(Indices &to, const PoolView &view, std::vector<size_t> from,
+                   uint64_t affinity) {
+  auto score = [&](size_t i) {
+    return rendezvousScore(affinity, view.Engines[i].Name);
+  };
+  std::sort(from.begin(), from.end(),
+            [&](size_t a, size_t b) { return score(a) > score(b); });
+  from.resize(std::min(from.size(), AffinityCandidates));
+  to.insert(from.begin(), from.end());
+}
+
+uint64_t cachedTokens(const PoolView &view, size_t i,
+                      const RequestShape &shape) {
+  const std::vector<uint64_t> &known = view.Engines[i].Prefixes;
+  uint64_t pieces = 0;
+  for (uint64_t hash : shape.PrefixHashes) {
+    if (std::find(known.begin(), known.end(), hash) == known.end())
+      break;
+    ++pieces;
+  }
+  return std::min(pieces * view.Speeds.TokensPerPiece, shape.PromptTokens);
+}
+
+Seconds prefillWait(const PoolView &view, size_t i, const RequestShape &shape) {
+  const EngineView &e = view.Engines[i];
+  auto queued = static_cast<double>(e.QueuedPrefillTokens + e.OwnPrefillTokens);
+  auto missing =
+      static_cast<double>(shape.PromptTokens - cachedTokens(view, i, shape));
+  return Seconds((queued + missing) / prefillRate(view.Speeds, e.Role));
+}
+
+/// Time until the engine has a place in its batch for one more sequence.
+Seconds slotWait(const PoolView &view, size_t i, double outputTokens) {
+  const EngineView &e = view.Engines[i];
+  auto limit = static_cast<double>(batchLimit(view.Speeds, e.Role));
+  auto load = static_cast<double>(e.Running + e.Waiting + e.OwnRunning);
+  if (load < limit)
+    return Seconds(0);
+  // Sequences end evenly over the time that one takes.
+  Seconds each = stepTime(view.Speeds, limit) * outputTokens / limit;
+  return each * (load - limit + 1);
+}
+
+Seconds decodeStep(const PoolView &view, size_t i) {
+  const EngineView &e = view.Engines[i];
+  auto limit = static_cast<double>(batchLimit(view.Speeds, e.Role));
+  auto load = static_cast<double>(e.Running + e.OwnRunning + 1);
+  Seconds step = stepTime(view.Speeds, std::min(load, limit));
+  bool prefills = e.QueuedPrefillTokens + e.OwnPrefillTokens > 0;
+  return prefills ? step * (1 + InterferenceShare) : step;
+}
+
+Route estimate(const PoolView &view, size_t prefill, size_t decode,
+               const RequestShape &shape) {
+  Route r;
+  r.Prefill = prefill;
+  r.Decode = decode;
+  r.CachedTokens = cachedTokens(view, prefill, shape);
+  r.FirstToken = prefillWait(view, prefill, shape);
+  if (r.isSplit())
+    r.FirstToken +=
+        view.Speeds.MoveTimePerToken * static_cast<double>(shape.PromptTokens);
+  Seconds step = decodeStep(view, decode);
+  r.FirstToken += slotWait(view, decode, shape.ExpectedOutputTokens) + step;
+  r.WholeAnswer = r.FirstToken + step * shape.ExpectedOutputTokens;
+  return r;
+}
+
+/// The engines that may decode: those not in the prefill role while any is
+/// there, few of them at random beside those that prefill.
+Indices decodeCandidates(const PoolView &view, const std::vector<size_t> &all,
+                         std::mt19937_64 &random) {
+  std::vector<size_t> decoders = withRole(view, all, EngineRole::Prefill);
+  Indices out;
+  addRandom(out, decoders.empty() ? all : decoders, RandomCandidates + 1,
+            random);
+  return out;
+}
+
+Indices prefillCandidates(const PoolView &view, const std::vector<size_t> &all,
+                          const RequestShape &shape, std::mt19937_64 &random) {
+  std::vector<size_t> prefillers = withRole(view, all, EngineRole::Decode);
+  const std::vector<size_t> &from = prefillers.empty() ? all : prefillers;
+  Indices out;
+  addRandom(out, from, RandomCandidates, random);
+  addByAffinity(out, view, from, shape.Affinity);
+  for (size_t i : all)
+    if (cachedTokens(view, i, shape) > 0)
+      out.insert(i);
+  return out;
+}
+
+/// Splitting pays only when the answer comes sooner; the move has a cost.
+bool isBetter(const Route &a, const Route &b) {
+  return a.WholeAnswer + a.FirstToken < b.WholeAnswer + b.FirstToken;
+}
+
+} // namespace
+
+std::string_view toString(EngineRole r) {
+  switch (r) {
+  case EngineRole::Prefill:
+    return "prefill";
+  case EngineRole::Decode:
+    return "decode";
+  case EngineRole::Mixed:
+    return "mixed";
+  }
+  return "mixed";
+}
+
+EngineRole parseRole(std::string_view text) {
+  if (text == "prefill")
+    return EngineRole::Prefill;
+  return text == "decode" ? EngineRole::Decode : EngineRole::Mixed;
+}
+
+double prefillRate(const EngineSpeeds &s, EngineRole r) {
+  if (r == EngineRole::Prefill)
+    return s.PrefillTokensPerSecond;
+  return s.PrefillTokensPerSecond * s.PrefillShareInDecode;
+}
+
+Seconds stepTime(const EngineSpeeds &s, double running) {
+  return s.DecodeStep + s.DecodeStepPerSequence * running;
+}
+
+uint64_t batchLimit(const EngineSpeeds &s, EngineRole r) {
+  return r == EngineRole::Prefill ? s.MaxBatchPrefill : s.MaxBatch;
+}
+
+bool takesWork(const EngineView &e) {
+  return e.State == EngineState::Serving && !e.Ejected;
+}
+
+uint64_t rendezvousScore(uint64_t affinity, std::string_view name) {
+  return hash64(name, affinity);
+}
+
+std::optional<Route> chooseRoute(const PoolView &view,
+                                 const RequestShape &shape,
+                                 std::mt19937_64 &random) {
+  std::vector<size_t> all = workers(view);
+  if (all.empty())
+    return std::nullopt;
+  Indices decoders = decodeCandidates(view, all, random);
+  Indices prefillers = prefillCandidates(view, all, shape, random);
+  std::optional<Route> best;
+  auto consider = [&](size_t prefill, size_t decode) {
+    Route r = estimate(view, prefill, decode, shape);
+    if (!best || isBetter(r, *best))
+      best = r;
+  };
+  for (size_t decode : decoders) {
+    consider(decode, decode);
+    for (size_t prefill : prefillers)
+      consider(prefill, decode);
+  }
+  for (size_t prefill : prefillers)
+    consider(prefill, prefill);
+  return best;
+}
+
+} // namespace sardineford::routing
--- /dev/null
+++ b/Source/Settings/Settings.cpp
@@ -0,0 +1,179 @@
+#include "Sardineford/Settings/Settings.h"
+
+#include <boost/json.hpp>
+#include <spdlog/fmt/fmt.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace sardineford::settings {
+
+namespace json = boost::json;
+
+namespace {
+
+std::map<std::string, Declaration> &registry() {
+  static std::map<std::string, Declaration> instance;
+  return instance;
+}
+
+std::string_view typeName(const Value &v) {
+  constexpr std::array<std::string_view, 4> Names = {"a boolean", "an integer",
+                                                     "a number", "text"};
+  return Names[v.index()];
+}
+
+std::string valueText(const Value &v) {
+  return std::visit([](const auto &it) { return fmt::format("{}", it); }, v);
+}
+
+/// Collects the faults of one file.
+class Checker {
+public:
+  Checker(std::string file) : File(std::move(file)) {}
+
+  void walk(const json::object &o, const std::string &prefix) {
+    for (const auto &it : o) {
+      std::string key = prefix + std::string(it.key());
+      if (it.value().is_object())
+        walk(it.value().as_object(), key + ".");
+      else
+        take(key, it.value());
+    }
+  }
+
+  void finish() {
+    for (const auto &[key, d] : declarations()) {
+      auto [it, isNew] = Values.emplace(key, d.Default);
+      if (d.Required && std::get<std::string>(it->second).empty())
+        fault(key, "is missing", "set it; " + d.Help);
+    }
+    if (!Faults.empty())
+      throw Error(ErrorKind::BadSettings, Faults,
+                  "correct the keys named above and check again with "
+                  "--check-settings");
+  }
+
+  std::map<std::string, Value> Values;
+
+private:
+  void fault(const std::string &key, const std::string &what,
+             const std::string &remedy) {
+    Faults += fmt::format("{}: {}: {}; {}\n", File, key, what, remedy);
+  }
+
+  void take(const std::string &key, const json::value &v) {
+    auto it = declarations().find(key);
+    if (it == declarations().end()) {
+      fault(key, "is not a known setting",
+            "remove it, or see docs/CONFIGURATION.md for the right name");
+      return;
+    }
+    const Declaration &d = it->second;
+    std::optional<Value> value = convert(v, d.Default);
+    if (!value) {
+      fault(key, "has the wrong type",
+            fmt::format("give {}", typeName(d.Default)));
+      return;
+    }
+    if (!inRange(*value, d)) {
+      fault(key, fmt::format("{} is out of range", valueText(*value)),
+            fmt::format("give {} to {} {}", d.Min, d.Max, d.Unit));
+      return;
+    }
+    Values[key] = std::move(*value);
+  }
+
+  static std::optional<Value> convert(const json::value &v, const Value &like) {
+    if (std::holds_alternative<bool>(like) && v.is_bool())
+      return Value(v.as_bool());
+    if (std::holds_alternative<int64_t>(like) && v.is_int64())
+      return Value(v.as_int64());
+    if (std::holds_alternative<double>(like) && v.is_number())
+      return Value(v.to_number<double>());
+    if (std::holds_alternative<std::string>(like) && v.is_string())
+      return Value(std::string(v.as_string()));
+    return std::nullopt;
+  }
+
+  static bool inRange(const Value &v, const Declaration &d) {
+    double n = d.Min;
+    if (const auto *i = std::get_if<int64_t>(&v))
+      n = static_cast<double>(*i);
+    if (const auto *f = std::get_if<double>(&v))
+      n = *f;
+    return n >= d.Min && n <= d.Max;
+  }
+
+  std::string File;
+  std::string Faults;
+};
+
+} // namespace
+
+const std::map<std::string, Declaration> &declarations() { return registry(); }
+
+template <class T>
+Setting<T>::Setting(std::string key, T byDefault, double min, double max,
+                    std::string unit, std::string help)
+    : Key(key) {
+  registry()[key] = {
+      key, byDefault, min, max, std::move(unit), std::move(help), false};
+}
+
+template <class T>
+Setting<T>::Setting(std::string key, T byDefault, std::string help,
+                    bool required)
+    : Key(key) {
+  registry()[key] = {key, byDefault, 0, 0, "", std::move(help), required};
+}
+
+template class Setting<bool>;
+template class Setting<int64_t>;
+template class Setting<double>;
+template class Setting<std::string>;
+
+Settings Settings::parse(const std::string &text, const std::string &file) {
+  boost::system::error_code ec;
+  json::value root = json::parse(text, ec);
+  if (ec || !root.is_object())
+    throw Error(ErrorKind::BadSettings,
+                file + ": is not a JSON object" +
+                    (ec ? " (" + ec.message() + ")" : ""),
+                "write one JSON object");
+  Checker checker(file);
+  checker.walk(root.as_object(), "");
+  checker.finish();
+  Settings s;
+  s.Values = std::move(checker.Values);
+  return s;
+}
+
+Settings Settings::load(const std::string &file) {
+  std::ifstream in(file);
+  if (!in)
+    throw Error(ErrorKind::BadSettings, file + ": cannot be read",
+                "name a readable file with --settings");
+  std::ostringstream text;
+  text << in.rdbuf();
+  return parse(text.str(), file);
+}
+
+const Value &Settings::valueOf(const std::string &key) const {
+  return Values.at(key);
+}
+
+std::string describeAll() {
+  std::string out = "| key | type | default | range | unit | meaning |\n"
+                    "| --- | --- | --- | --- | --- | --- |\n";
+  for (const auto &[key, d] : declarations()) {
+    bool isNumber = d.Default.index() == 1 || d.Default.index() == 2;
+    std::string range = isNumber ? fmt::format("{} to {}", d.Min, d.Max) : "";
+    out += fmt::format("| `{}` | {} | {} | {} | {} | {} |\n", key,
+                       typeName(d.Default), valueText(d.Default), range, d.Unit,
+                       d.Help);
+  }
+  return out;
+}
+
+} // namespace sardineford::settings
--- /dev/null
+++ b/StandIns/Deployment/Deployment.cpp
@@ -0,0 +1,369 @@
+#include "StandIns/Deployment/Deployment.h"
+
+#include "Sardineford/Control/Edits.h"
+#include "Sardineford/Http/Client.h"
+#include "Sardineford/Membership/HttpInstanceList.h"
+#include "Sardineford/Store/HttpObjectStore.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace sardineford::standins {
+
+namespace json = boost::json;
+using membership::InstanceKind;
+using membership::InstanceState;
+
+namespace {
+
+constexpr const char *Loopback = "127.0.0.1";
+constexpr const char *PlatformName = "platform";
+constexpr int StopWaitMs = 8'000;
+constexpr int ReadyWaitMs = 20'000;
+constexpr Milliseconds CallTimeout{3'000};
+constexpr std::chrono::milliseconds PollStep{20};
+
+void putPath(json::object &root, const std::string &key, json::value v) {
+  size_t dot = key.find('.');
+  std::string group = key.substr(0, dot);
+  json::value &inner = root[group];
+  if (!inner.is_object())
+    inner.emplace_object();
+  inner.as_object()[key.substr(dot + 1)] = std::move(v);
+}
+
+std::string readAll(const std::string &file) {
+  std::ifstream in(file);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+http::Request post(const std::string &path, const std::string &body) {
+  http::Request r;
+  r.Method = "POST";
+  r.Target = path;
+  r.Body = body;
+  return r;
+}
+
+} // namespace
+
+http::Endpoint freeEndpoint() {
+  // Ports below the range from which the system takes those of outgoing
+  // connections, so that a restarted process finds its port free.
+  static std::atomic<uint32_t> next{10'000 + static_cast<uint32_t>(getpid()) *
+                                                 131 % 20'000};
+  namespace asio = boost::asio;
+  asio::io_context io;
+  for (;;) {
+    auto port = static_cast<uint16_t>(10'000 + next++ % 22'000);
+    asio::ip::tcp::acceptor probe(io);
+    boost::system::error_code ec;
+    probe.open(asio::ip::tcp::v4());
+    probe.bind({asio::ip::make_address(Loopback), port}, ec);
+    if (!ec)
+      return {Loopback, port};
+  }
+}
+
+http::Response callNow(const http::Endpoint &to, http::Request request,
+                       Milliseconds timeout) {
+  IoContext io(1);
+  http::Client client(io);
+  http::Response out;
+  out.Status = 0;
+  http::CallOptions options;
+  options.Timeout = timeout;
+  spawn(io, "call", [&]() -> Awaitable<void> {
+    try {
+      out = co_await client.call(to, request, options);
+    } catch (const Error &) {
+      out.Status = 0;
+    }
+  });
+  io.run();
+  return out;
+}
+
+Deployment::Deployment(DeploymentOptions options)
+    : Options(std::move(options)) {
+  std::filesystem::remove_all(Options.Folder);
+  std::filesystem::create_directories(Options.Folder);
+  PlatformAddress = freeEndpoint();
+  addProcess(PlatformName, "standin-object-api",
+             {"--listen=" + http::toString(PlatformAddress),
+              "--list_lag_ms=" + std::to_string(Options.ListLag.count())});
+  for (const GroupSetup &it : Options.Engines)
+    addEngines(it);
+  for (const GroupSetup &it : Options.Services)
+    addServices(it);
+  for (int i = 0; i < Options.Controllers; ++i)
+    addNode("controller-" + std::to_string(i), InstanceKind::Controller);
+  for (int i = 0; i < Options.Entries; ++i)
+    addNode("entry-" + std::to_string(i), InstanceKind::Entry);
+}
+
+Deployment::~Deployment() { stop(); }
+
+const std::string &Deployment::domainFor(size_t i) const {
+  return Options.FailureDomains[i % Options.FailureDomains.size()];
+}
+
+void Deployment::addProcess(const std::string &name, const std::string &program,
+                            std::vector<std::string> arguments) {
+  bool writesHistory =
+      program == "standin-engine" || program == "standin-service";
+  if (Options.Histories && writesHistory)
+    arguments.push_back("--history=" + Options.Folder + "/" + name +
+                        ".history");
+  ProcessSpec spec{name, Options.Programs + "/" + program, std::move(arguments),
+                   Options.Folder + "/" + name + ".log"};
+  Processes[name] = std::make_unique<Process>(std::move(spec));
+  StartOrder.push_back(name);
+}
+
+http::Endpoint Deployment::addRelay(const std::string &name,
+                                    const http::Endpoint &to) {
+  if (!Options.Relays)
+    return to;
+  http::Endpoint listen = freeEndpoint();
+  http::Endpoint admin = freeEndpoint();
+  RelayAdmins[name] = admin;
+  addProcess("relay-" + name, "standin-relay",
+             {"--listen=" + http::toString(listen),
+              "--to=" + http::toString(to),
+              "--admin=" + http::toString(admin)});
+  return listen;
+}
+
+void Deployment::addEngines(const GroupSetup &group) {
+  for (int i = 0; i < group.Count; ++i) {
+    std::string name = group.Group + "-" + std::to_string(i);
+    Node n;
+    n.Own = n.Http = freeEndpoint();
+    n.Listed = {name,
+                InstanceKind::Engine,
+                group.Group,
+                addRelay(name, n.Own),
+                domainFor(static_cast<size_t>(i)),
+                InstanceState::Live};
+    std::string role = i < Options.InitialPrefill ? "prefill" : "decode";
+    addProcess(
+        name, "standin-engine",
+        {"--name=" + name, "--listen=" + http::toString(n.Own),
+         "--role=" + role,
+         std::string("--check_fencing=") +
+             (Options.EnginesCheckFencing ? "true" : "false"),
+         "--time_scale=" + std::to_string(Options.TimeScale),
+         "--report_lag_ms=" + std::to_string(Options.ReportLag.count()),
+         "--role_change_ms=" + std::to_string(Options.RoleChange.count())});
+    Nodes[name] = n;
+  }
+}
+
+void Deployment::addServices(const GroupSetup &group) {
+  for (int i = 0; i < group.Count; ++i) {
+    std::string name = group.Group + "-" + std::to_string(i);
+    Node n;
+    n.Own = n.Http = freeEndpoint();
+    n.Listed = {name,
+                InstanceKind::Service,
+                group.Group,
+                addRelay(name, n.Own),
+                domainFor(static_cast<size_t>(i)),
+                InstanceState::Live};
+    addProcess(name, "standin-service",
+               {"--name=" + name, "--listen=" + http::toString(n.Own)});
+    Nodes[name] = n;
+  }
+}
+
+void Deployment::addNode(const std::string &name, InstanceKind kind) {
+  Node n;
+  n.Own = freeEndpoint();
+  n.Http = freeEndpoint();
+  size_t index = Nodes.size();
+  n.Listed = {name,
+              kind,
+              "",
+              addRelay(name, n.Own),
+              domainFor(index),
+              InstanceState::Live};
+  http::Endpoint platform = addRelay("store-" + name, PlatformAddress);
+  std::string settings = writeSettings(name, n, platform);
+  const char *program = kind == InstanceKind::Entry ? "sardineford-entry"
+                                                    : "sardineford-controller";
+  addProcess(name, program, {"--settings=" + settings});
+  Nodes[name] = n;
+}
+
+std::string Deployment::writeSettings(const std::string &name, const Node &n,
+                                      const http::Endpoint &platform) {
+  json::object root;
+  putPath(root, "node.name", json::value(name));
+  putPath(root, "node.failure_domain", json::value(n.Listed.FailureDomain));
+  putPath(root, "node.http_listen", json::value(http::toString(n.Http)));
+  putPath(root, "node.rpc_listen", json::value(http::toString(n.Own)));
+  putPath(root, "node.rpc_advertise",
+          json::value(http::toString(n.Listed.Address)));
+  putPath(root, "platform.endpoint", json::value(http::toString(platform)));
+  if (Options.Histories)
+    putPath(root, "history.file",
+            json::value(Options.Folder + "/" + name + ".history"));
+  bool isEntry = n.Listed.Kind == InstanceKind::Entry;
+  for (const auto &[key, text] : Options.Settings) {
+    bool ofController = key.starts_with("plan.") || key.starts_with("roles.");
+    bool ofEntry = key.starts_with("entry.");
+    if ((ofController && isEntry) || (ofEntry && !isEntry))
+      continue;
+    putPath(root, key, json::parse(text));
+  }
+  std::string file = Options.Folder + "/" + name + ".json";
+  std::ofstream(file) << json::serialize(root);
+  return file;
+}
+
+void Deployment::registerInstance(const Node &n, int lag) {
+  (void)lag;
+  callNow(PlatformAddress,
+          post("/admin/instance", membership::encodeInstance(n.Listed)),
+          CallTimeout);
+}
+
+void Deployment::start() {
+  for (const std::string &it : StartOrder) {
+    Processes.at(it)->start();
+    if (it != PlatformName)
+      continue;
+    http::Request probe;
+    probe.Target = "/admin/counts";
+    while (callNow(PlatformAddress, probe, CallTimeout).Status == 0)
+      std::this_thread::sleep_for(PollStep);
+    for (const auto &[name, n] : Nodes)
+      registerInstance(n, 0);
+    applyObjects();
+  }
+  if (!waitReady(ReadyWaitMs))
+    throw std::runtime_error("the deployment did not become ready; see " +
+                             Options.Folder);
+}
+
+void Deployment::applyObjects() {
+  IoContext io(1);
+  http::Client client(io);
+  store::HttpObjectStore store(client, PlatformAddress, CallTimeout);
+  std::string failure;
+  spawn(io, "apply", [&]() -> Awaitable<void> {
+    try {
+      std::vector<config::RawObject> edits = config::splitObjects(
+          readAll(Options.ObjectsFile), Options.ObjectsFile);
+      std::vector<control::StoredObject> present =
+          co_await control::readObjects(store);
+      co_await control::applyEdits(store, control::planEdits(present, edits));
+    } catch (const Error &e) {
+      failure = e.what();
+    }
+  });
+  io.run();
+  if (!failure.empty())
+    throw std::runtime_error(failure);
+}
+
+bool Deployment::isReady(const std::string &name) {
+  http::Request request;
+  request.Target = "/readyz";
+  return callNow(httpOf(name), request, CallTimeout).Status == 200;
+}
+
+bool Deployment::waitReady(int milliseconds) {
+  MonoTime end = MonoClock::now() + Milliseconds(milliseconds);
+  std::vector<std::string> waiting = entries();
+  std::vector<std::string> others = controllers();
+  waiting.insert(waiting.end(), others.begin(), others.end());
+  while (!waiting.empty() && MonoClock::now() < end) {
+    if (isReady(waiting.back()))
+      waiting.pop_back();
+    else
+      std::this_thread::sleep_for(PollStep);
+  }
+  return waiting.empty();
+}
+
+void Deployment::stop() {
+  for (auto it = StartOrder.rbegin(); it != StartOrder.rend(); ++it) {
+    Process &p = *Processes.at(*it);
+    p.resume();
+    p.terminate();
+  }
+  for (auto it = StartOrder.rbegin(); it != StartOrder.rend(); ++it) {
+    Process &p = *Processes.at(*it);
+    if (!p.wait(StopWaitMs))
+      p.kill();
+  }
+}
+
+void Deployment::restart(const std::string &name) {
+  Process &p = *Processes.at(name);
+  p.kill();
+  p.start();
+}
+
+http::Endpoint Deployment::httpOf(const std::string &name) const {
+  return Nodes.at(name).Http;
+}
+
+std::vector<std::string> Deployment::namesOf(InstanceKind kind) const {
+  std::vector<std::string> out;
+  for (const auto &[name, n] : Nodes)
+    if (n.Listed.Kind == kind)
+      out.push_back(name);
+  return out;
+}
+
+std::vector<std::string> Deployment::entries() const {
+  return namesOf(InstanceKind::Entry);
+}
+
+std::vector<std::string> Deployment::controllers() const {
+  return namesOf(InstanceKind::Controller);
+}
+
+std::vector<std::string> Deployment::engines() const {
+  return namesOf(InstanceKind::Engine);
+}
+
+std::vector<std::string> Deployment::services() const {
+  return namesOf(InstanceKind::Service);
+}
+
+void Deployment::admin(const std::string &name, const std::string &json) {
+  callNow(Nodes.at(name).Own, post("/admin", json), CallTimeout);
+}
+
+void Deployment::setStore(const std::string &json) {
+  callNow(PlatformAddress, post("/admin/mode", json), CallTimeout);
+}
+
+void Deployment::setInstance(const std::string &name, InstanceState state) {
+  Nodes.at(name).Listed.State = state;
+  registerInstance(Nodes.at(name), 0);
+}
+
+void Deployment::setLink(const std::string &name, const std::string &json) {
+  callNow(RelayAdmins.at(name), post("/", json), CallTimeout);
+}
+
+void Deployment::setStoreLink(const std::string &name,
+                              const std::string &json) {
+  setLink("store-" + name, json);
+}
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Engine/Engine.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Sardineford/Http/Client.h"
+#include "Sardineford/Http/Server.h"
+#include "Sardineford/Timeline/Recorder.h"
+#include "StandIns/Engine/Batch.h"
+
+#include <boost/json/object.hpp>
+
+#include <deque>
+#include <random>
+#include <set>
+
+namespace sardineford::standins {
+
+struct EngineOptions {
+  std::string Name;
+  http::Endpoint Listen;
+  EngineRole InitialRole = EngineRole::Mixed;
+  /// Refuses an order whose fencing number is below one it has seen.
+  bool CheckFencing = true;
+  double TimeScale = 1;
+  /// Age of the load that a report shows.
+  Milliseconds ReportLag{200};
+  Milliseconds RoleChangeTime{4'000};
+  Milliseconds LoadTime{2'000};
+  EngineSpeed Speed;
+};
+
+/// Stand-in for a model engine.
+class Engine {
+public:
+  Engine(IoContext &io, EngineOptions options, timeline::Recorder &recorder);
+
+  void start();
+
+private:
+  struct Snapshot {
+    MonoTime At;
+    std::string Report;
+  };
+
+  Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
+  Awaitable<void> generate(const http::Request &request,
+                           http::ResponseWriter &out);
+  Awaitable<void> prefill(const http::Request &request,
+                          http::ResponseWriter &out);
+  Awaitable<void> resume(const http::Request &request,
+                         http::ResponseWriter &out);
+  Awaitable<void> stream(SequencePtr s, uint64_t from,
+                         http::ResponseWriter &out);
+  Awaitable<http::Response> exportStream(const http::Request &request);
+  Awaitable<bool> importKv(const boost::json::object &from, SequencePtr s);
+  Awaitable<http::Response> order(const http::Request &request);
+  Awaitable<void> runOrder(std::string kind, std::string role);
+  http::Response exportKv(std::string_view handle);
+  http::Response cancel(const http::Request &request);
+  http::Response admin(const http::Request &request);
+  std::string makeReport() const;
+  http::Response laggingReport() const;
+  Awaitable<void> takeSnapshots();
+  SequencePtr makeSequence(const boost::json::object &body);
+  std::optional<http::Response> refusal() const;
+  void note(timeline::EventKind kind, const SequencePtr &s,
+            std::string detail = "");
+
+  IoContext &Io;
+  EngineOptions Options;
+  timeline::Recorder &Recorder;
+  http::Client Client;
+  http::Server Listener;
+  Batch Work;
+  std::string Incarnation;
+  std::deque<Snapshot> Snapshots;
+  /// Finished prefills by handle, kept for a decode engine to fetch.
+  std::map<std::string, SequencePtr> Exported;
+  uint64_t HighestEpoch = 0;
+  bool OrderRunning = false;
+  /// Outcome of orders that ended, newest last.
+  std::deque<std::string> EndedOrders;
+  bool Leaving = false;
+  bool CrashInOrder = false;
+};
+
+/// Names of roles on the wire.
+std::string_view toString(EngineRole r);
+EngineRole parseEngineRole(std::string_view text);
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Relay/Relay.cpp
@@ -0,0 +1,138 @@
+#include "StandIns/Relay/Relay.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace sardineford::standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using asio::use_awaitable;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr size_t BufferBytes = 16 * 1024;
+
+tcp::endpoint toNative(const http::Endpoint &e) {
+  return {asio::ip::make_address(e.Host), e.Port};
+}
+
+LinkMode parseMode(std::string_view text) {
+  if (text == "drop")
+    return LinkMode::Drop;
+  if (text == "swallow")
+    return LinkMode::Swallow;
+  return text == "swallow_open" ? LinkMode::SwallowOpen : LinkMode::Pass;
+}
+
+} // namespace
+
+struct Relay::Link {
+  Link(tcp::socket from, tcp::socket to)
+      : From(std::move(from)), To(std::move(to)) {}
+
+  tcp::socket From;
+  tcp::socket To;
+  bool Swallows = false;
+
+  void close() {
+    boost::system::error_code ec;
+    From.close(ec);
+    To.close(ec);
+  }
+};
+
+Relay::Relay(IoContext &io, http::Endpoint listen, http::Endpoint to,
+             http::Endpoint admin)
+    : Io(io), Listen(std::move(listen)), To(std::move(to)), Acceptor(io),
+      Admin(io, http::ServerOptions{.Listen = std::move(admin)},
+            [this](http::Request &request, http::ResponseWriter &out) {
+              return handle(request, out);
+            }) {}
+
+void Relay::start() {
+  Acceptor.open(tcp::v4());
+  Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  Acceptor.bind(toNative(Listen));
+  Acceptor.listen();
+  Admin.start();
+  spawn(Io, "relay", [this] { return acceptLoop(); });
+}
+
+Awaitable<void> Relay::acceptLoop() {
+  for (;;) {
+    auto [ec, socket] =
+        co_await Acceptor.async_accept(asio::as_tuple(use_awaitable));
+    if (ec || Mode == LinkMode::Drop)
+      continue;
+    auto from = std::make_shared<tcp::socket>(std::move(socket));
+    spawn(Io, "link", [this, from] { return open(std::move(*from)); });
+  }
+}
+
+Awaitable<void> Relay::open(tcp::socket from) {
+  tcp::socket to(Io);
+  auto [ec] =
+      co_await to.async_connect(toNative(To), asio::as_tuple(use_awaitable));
+  if (ec)
+    co_return;
+  boost::system::error_code ignored;
+  from.set_option(tcp::no_delay(true), ignored);
+  to.set_option(tcp::no_delay(true), ignored);
+  auto link = std::make_shared<Link>(std::move(from), std::move(to));
+  Links.push_back(link);
+  spawn(Io, "forward", [this, link] { return pump(link, true); });
+  spawn(Io, "backward", [this, link] { return pump(link, false); });
+}
+
+Awaitable<void> Relay::pump(LinkPtr link, bool forward) {
+  tcp::socket &in = forward ? link->From : link->To;
+  tcp::socket &out = forward ? link->To : link->From;
+  std::array<char, BufferBytes> buf{};
+  for (;;) {
+    auto [ec, n] = co_await in.async_read_some(asio::buffer(buf),
+                                               asio::as_tuple(use_awaitable));
+    if (ec)
+      break;
+    if (Delay.count() > 0)
+      co_await sleepFor(Delay);
+    if (link->Swallows || Mode == LinkMode::Swallow)
+      continue;
+    auto [failed, written] = co_await asio::async_write(
+        out, asio::buffer(buf.data(), n), asio::as_tuple(use_awaitable));
+    if (failed)
+      break;
+  }
+  // A swallowing link tells neither end that the other is gone.
+  if (!link->Swallows && Mode != LinkMode::Swallow)
+    link->close();
+}
+
+void Relay::setMode(LinkMode mode) {
+  Mode = mode;
+  for (const std::weak_ptr<Link> &it : Links) {
+    LinkPtr link = it.lock();
+    if (link && mode == LinkMode::Drop)
+      link->close();
+    if (link && mode == LinkMode::SwallowOpen)
+      link->Swallows = true;
+  }
+  Links.remove_if([](const auto &it) { return it.expired(); });
+}
+
+Awaitable<void> Relay::handle(http::Request &request,
+                              http::ResponseWriter &out) {
+  json::object body = json::parse(request.Body).as_object();
+  if (const json::value *v = body.if_contains("mode"))
+    setMode(parseMode(v->as_string()));
+  if (const json::value *v = body.if_contains("delay_ms"))
+    Delay = Milliseconds(v->to_number<int64_t>());
+  co_await out.send(http::jsonResponse(200, "{}"));
+}
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Service/Service.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Sardineford/Http/Server.h"
+#include "Sardineford/Timeline/Recorder.h"
+
+#include <map>
+
+namespace sardineford::standins {
+
+struct ServiceOptions {
+  std::string Name;
+  http::Endpoint Listen;
+  Milliseconds WorkTime{20};
+};
+
+/// Stand-in for a plain service. Counts the runs of each idempotency key.
+class Service {
+public:
+  Service(IoContext &io, ServiceOptions options, timeline::Recorder &recorder);
+
+  void start() { Listener.start(); }
+
+private:
+  Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
+
+  ServiceOptions Options;
+  timeline::Recorder &Recorder;
+  http::Server Listener;
+  std::map<std::string, uint64_t> Runs;
+  bool Leaving = false;
+};
+
+/// The body that the stand-in answers a call with.
+std::string serviceAnswer(std::string_view method, std::string_view path,
+                          std::string_view key, std::string_view body);
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/Tests/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/include/Sardineford/Admission/Admission.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Sardineford/Routing/Route.h"
+
+#include <optional>
+#include <random>
+#include <string>
+
+namespace sardineford::admission {
+
+/// Class of a request; higher ones go first at the engine.
+enum class RequestClass { Long, Normal, Short };
+
+/// Class by size: short questions must not wait behind long drafts.
+RequestClass classify(uint64_t promptTokens, uint64_t maxOutputTokens);
+
+std::string_view toString(RequestClass c);
+
+/// What is known of the demand on a pool and of one workspace's part.
+struct ShareView {
+  /// Tokens a second that the pool can do, prompt tokens weighed.
+  double PoolTokensPerSecond = 0;
+  /// Tokens a second that the workspace asks for on all nodes.
+  double WorkspaceTokensPerSecond = 0;
+  /// Share that the workspace has when the pool is short.
+  double Share = 1;
+};
+
+enum class Refusal { None, NoEngine, DeadlineTooShort, OverShare };
+
+/// Accepted, or refused with the time to come back after.
+struct Decision {
+  Refusal Why = Refusal::None;
+  Milliseconds RetryAfter{0};
+
+  bool accepted() const { return Why == Refusal::None; }
+};
+
+/// Decides at once whether the whole answer can be in time. A refused caller
+/// is told when the present backlog will have drained, spread at random so
+/// that refused callers do not return together.
+Decision decide(const std::optional<routing::Route> &route,
+                Seconds timeToDeadline, const ShareView &share,
+                std::mt19937_64 &random);
+
+/// Tokens of both phases that a pool can do a second, in units of decode
+/// tokens: a prompt token counts as much less.
+double poolCapacity(const routing::PoolView &view);
+
+/// Cost of a request in the same unit.
+double tokenCost(const routing::EngineSpeeds &s, double promptTokens,
+                 double outputTokens);
+
+} // namespace sardineford::admission
--- /dev/null
+++ b/include/Sardineford/Http/Server.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Sardineford/Common/Async.h"
+#include "Sardineford/Http/Message.h"
+
+#include <functional>
+#include <memory>
+
+namespace sardineford::http {
+
+struct ServerOptions {
+  Endpoint Listen;
+  size_t MaxHeaderBytes = 16 * 1024;
+  size_t MaxBodyBytes = 4 * 1024 * 1024;
+  /// Longest time for one whole request to arrive, idle time included.
+  Milliseconds ReadTimeout{30'000};
+  /// Longest time that one write may wait for a slow reader.
+  Milliseconds WriteTimeout{10'000};
+};
+
+/// Sends the answer to one request, whole or as a stream of chunks.
+class ResponseWriter {
+public:
+  virtual ~ResponseWriter() = default;
+
+  /// Sends a whole answer.
+  virtual Awaitable<void> send(Response r) = 0;
+  /// Sends status and headers of a chunked answer. The body is ignored.
+  virtual Awaitable<void> startStream(Response head) = 0;
+  /// Sends one chunk. Throws when the peer is gone or reads too slowly.
+  virtual Awaitable<void> write(std::string data) = 0;
+  /// Ends a chunked answer.
+  virtual Awaitable<void> finish() = 0;
+  /// True once status and headers were sent.
+  virtual bool started() const = 0;
+  /// Calls the function, at most once, when the peer closes the connection
+  /// before the answer is complete.
+  virtual void onPeerGone(std::function<void()> f) = 0;
+  /// Closes the connection without completing the answer.
+  virtual void abort() = 0;
+};
+
+using Handler = std::function<Awaitable<void>(Request &, ResponseWriter &)>;
+
+/// An HTTP/1.1 server with keep-alive. Runs on one thread.
+class Server {
+public:
+  Server(IoContext &io, ServerOptions options, Handler handler);
+  ~Server();
+
+  /// Binds and accepts. Throws when the address cannot be bound.
+  void start();
+  /// Closes the listening socket; open requests go on.
+  void stopAccepting();
+  /// Number of requests whose answer is not complete.
+  size_t openRequests() const;
+  /// The bound port.
+  uint16_t port() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Shared;
+};
+
+} // namespace sardineford::http
--- /dev/null
+++ b/include/Sardineford/Metrics/Metrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Sardineford/Common/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sardineford::metrics {
+
+/// A label of a metric, such as model="scribe".
+struct Label {
+  std::string Name;
+  std::string Value;
+};
+
+using Labels = std::vector<Label>;
+
+/// The metrics of one process, in the Prometheus text format.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+
+  /// Adds to a counter; its name ends in "_total".
+  void count(const std::string &name, const Labels &labels, double n = 1);
+  /// Takes a sample of a duration; its name ends in "_seconds". Quantiles are
+  /// those of all samples since the start.
+  void observe(const std::string &name, const Labels &labels, Seconds value);
+  /// Registers a figure that is read when the metrics are.
+  void gauge(const std::string &name, const Labels &labels,
+             std::function<double()> read);
+
+  std::string render() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Data;
+};
+
+} // namespace sardineford::metrics
--- /dev/null
+++ b/include/Sardineford/Settings/Settings.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Sardineford/Common/Error.h"
+#include "Sardineford/Common/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sardineford::settings {
+
+using Value = std::variant<bool, int64_t, double, std::string>;
+
+/// Everything known of one setting. The key is a path into the settings file,
+/// such as "entry.listen".
+struct Declaration {
+  std::string Key;
+  Value Default;
+  /// Bounds of numbers; ignored for text and booleans.
+  double Min = 0;
+  double Max = 0;
+  std::string Unit;
+  std::string Help;
+  /// Text that must not be empty.
+  bool Required = false;
+};
+
+/// All declared settings, in the order of their keys.
+const std::map<std::string, Declaration> &declarations();
+
+/// A declared setting of type T. Declare each once, as a constant.
+template <class T> class Setting {
+public:
+  Setting(std::string key, T byDefault, double min, double max,
+          std::string unit, std::string help);
+  Setting(std::string key, T byDefault, std::string help,
+          bool required = false);
+
+  const std::string &key() const { return Key; }
+
+private:
+  std::string Key;
+};
+
+/// The values of one process, from its settings file.
+class Settings {
+public:
+  /// Reads and checks a JSON file. Throws Error(BadSettings) that lists every
+  /// fault with the file, the path of the key and the remedy.
+  static Settings load(const std::string &file);
+  /// Checks JSON text; the file name is used in messages only.
+  static Settings parse(const std::string &text, const std::string &file);
+
+  template <class T> T get(const Setting<T> &s) const {
+    return std::get<T>(valueOf(s.key()));
+  }
+
+  Milliseconds milliseconds(const Setting<int64_t> &s) const {
+    return Milliseconds(get(s));
+  }
+
+private:
+  const Value &valueOf(const std::string &key) const;
+
+  std::map<std::string, Value> Values;
+};
+
+/// Describes every setting as a Markdown table.
+std::string describeAll();
+
+} // namespace sardineford::settings
