--- /dev/null
+++ b/Source/Programs/sardineford-faults.cpp
@@ -0,0 +1,202 @@
+#include "Sardineford/Common/Log.h"
+#include "StandIns/Proof/FaultRun.h"
+
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+
+DEFINE_string(programs, ".", "folder of the built programs");
+DEFINE_string(examples, "examples", "folder of the examples");
+DEFINE_string(folder, "/tmp/sardineford-faults", "folder for the runs");
+DEFINE_string(scene, "both", "nilebridge, trinacria or both");
+DEFINE_uint64(seed, 1, "first seed");
+DEFINE_int32(runs, 10, "number of seeds");
+DEFINE_int32(parallel, 3, "runs at a time");
+DEFINE_string(off, "", "settings that switch mechanisms off: key=value,...");
+DEFINE_string(only, "", "bring only this kind of fault");
+DEFINE_string(out, "", "file for the result, JSON");
+
+using namespace sardineford;
+using namespace sardineford::standins;
+namespace json = boost::json;
+
+namespace {
+
+struct Job {
+  Scene Where;
+  uint64_t Seed = 0;
+};
+
+/// Sums over all runs.
+struct Totals {
+  int Runs = 0;
+  int Broken = 0;
+  WorkloadCounts Counts;
+  std::map<std::string, int> FaultsBrought;
+  std::map<std::string, int> Violations;
+  std::vector<int64_t> Takeovers;
+  std::vector<int64_t> InForce;
+  uint64_t Events = 0;
+};
+
+std::map<std::string, std::string> parseOff() {
+  std::map<std::string, std::string> out;
+  std::istringstream in(FLAGS_off);
+  for (std::string one; std::getline(in, one, ',');)
+    out[one.substr(0, one.find('='))] = one.substr(one.find('=') + 1);
+  return out;
+}
+
+std::vector<Job> makeJobs() {
+  std::vector<Job> out;
+  for (int i = 0; i < FLAGS_runs; ++i) {
+    uint64_t seed = FLAGS_seed + static_cast<uint64_t>(i);
+    if (FLAGS_scene != "trinacria")
+      out.push_back({nilebridge(), seed});
+    if (FLAGS_scene != "nilebridge")
+      out.push_back({trinacria(), seed});
+  }
+  return out;
+}
+
+FaultSchedule onlyKind(uint64_t seed, Milliseconds length) {
+  FaultSchedule s = makeSchedule(seed, length);
+  for (Fault &it : s)
+    for (size_t k = 0; k < FaultKinds; ++k)
+      if (toString(static_cast<FaultKind>(k)) == FLAGS_only)
+        it.Kind = static_cast<FaultKind>(k);
+  return s;
+}
+
+FaultRunResult runJob(const Job &job) {
+  FaultRunOptions o;
+  o.Programs = FLAGS_programs;
+  o.Examples = FLAGS_examples;
+  o.Folder = fmt::format("{}/{}-{}", FLAGS_folder, job.Where.Name, job.Seed);
+  o.Where = job.Where;
+  o.Seed = job.Seed;
+  o.Off = parseOff();
+  if (!FLAGS_only.empty())
+    o.Schedule = onlyKind(job.Seed, o.Length);
+  return runFaults(o);
+}
+
+void add(Totals &t, const FaultRunResult &r) {
+  ++t.Runs;
+  t.Broken += r.Failure.empty() ? 0 : 1;
+  t.Events += r.Events;
+  for (const Fault &it : r.Schedule)
+    ++t.FaultsBrought[std::string(toString(it.Kind))];
+  for (const Violation &it : r.Violations)
+    ++t.Violations[std::string(toString(it.What))];
+  for (Milliseconds it : r.Takeovers)
+    t.Takeovers.push_back(it.count());
+  for (Milliseconds it : r.InForce)
+    t.InForce.push_back(it.count());
+  WorkloadCounts &c = t.Counts;
+  c.Answers += r.Counts.Answers;
+  c.Whole += r.Counts.Whole;
+  c.Refused += r.Counts.Refused;
+  c.Late += r.Counts.Late;
+  c.Resumes += r.Counts.Resumes;
+  c.Filings += r.Counts.Filings;
+  c.FiledOnce += r.Counts.FiledOnce;
+  c.FiledUnknown += r.Counts.FiledUnknown;
+  c.Edits += r.Counts.Edits;
+  c.Conflicts += r.Counts.Conflicts;
+}
+
+int64_t quantile(std::vector<int64_t> v, double q) {
+  if (v.empty())
+    return 0;
+  std::sort(v.begin(), v.end());
+  return v[static_cast<size_t>(q * static_cast<double>(v.size() - 1))];
+}
+
+std::string report(const Totals &t) {
+  std::string out = fmt::format(
+      "runs {} (not made {}), events {}\n"
+      "answers {}: whole {}, refused {}, late {}; resumes {}\n"
+      "filings {}: done {}, unknown {}; edits {}, conflicts {}\n"
+      "takeover ms: n {}, median {}, most {}\n"
+      "in force ms: n {}, median {}, 99th {}, most {}\n",
+      t.Runs, t.Broken, t.Events, t.Counts.Answers, t.Counts.Whole,
+      t.Counts.Refused, t.Counts.Late, t.Counts.Resumes, t.Counts.Filings,
+      t.Counts.FiledOnce, t.Counts.FiledUnknown, t.Counts.Edits,
+      t.Counts.Conflicts, t.Takeovers.size(), quantile(t.Takeovers, 0.5),
+      quantile(t.Takeovers, 1), t.InForce.size(), quantile(t.InForce, 0.5),
+      quantile(t.InForce, 0.99), quantile(t.InForce, 1));
+  out += "faults:";
+  for (const auto &[name, n] : t.FaultsBrought)
+    out += fmt::format(" {} {}", name, n);
+  out += "\npoint                    violations\n";
+  for (Point it : allPoints()) {
+    std::string name(toString(it));
+    auto found = t.Violations.find(name);
+    out += fmt::format("{:24} {}\n", name,
+                       found == t.Violations.end() ? 0 : found->second);
+  }
+  return out;
+}
+
+std::string toJson(const Totals &t) {
+  json::object faults;
+  for (const auto &[name, n] : t.FaultsBrought)
+    faults[name] = n;
+  json::object violations;
+  for (const auto &[name, n] : t.Violations)
+    violations[name] = n;
+  return json::serialize(json::object{
+      {"runs", t.Runs},
+      {"not_made", t.Broken},
+      {"answers", t.Counts.Answers},
+      {"whole", t.Counts.Whole},
+      {"filings", t.Counts.Filings},
+      {"filed", t.Counts.FiledOnce},
+      {"takeover_ms_most", quantile(t.Takeovers, 1)},
+      {"in_force_ms_99", quantile(t.InForce, 0.99)},
+      {"faults", std::move(faults)},
+      {"violations", std::move(violations)}});
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("Runs fault schedules and checks their histories.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  log::start({.DefaultLevel = log::Level::Error, .Process = "faults"});
+  std::vector<Job> jobs = makeJobs();
+  std::atomic<size_t> next{0};
+  std::mutex mutex;
+  Totals totals;
+  auto work = [&] {
+    for (size_t i = next++; i < jobs.size(); i = next++) {
+      FaultRunResult r = runJob(jobs[i]);
+      std::lock_guard lock(mutex);
+      add(totals, r);
+      std::cout << jobs[i].Where.Name << " seed " << jobs[i].Seed << ": "
+                << describe(r.Schedule) << ": "
+                << (r.Failure.empty() ? "" : "NOT MADE " + r.Failure)
+                << r.Violations.size() << " violations" << std::endl;
+      for (const Violation &it : r.Violations)
+        std::cout << "  " << toString(it.What) << ": " << it.Text << "\n";
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < FLAGS_parallel; ++i)
+    threads.emplace_back(work);
+  for (std::thread &it : threads)
+    it.join();
+  std::cout << report(totals);
+  if (!FLAGS_out.empty())
+    std::ofstream(FLAGS_out) << toJson(totals);
+  bool clean = totals.Violations.empty() && totals.Broken == 0;
+  return clean ? 0 : 1;
+}
--- a/StandIns/Programs/standin-service.cpp
+++ b/StandIns/Programs/standin-service.cpp
@@ -18,6 +18,7 @@
   timeline::Recorder recorder({.Process = FLAGS_name});
   if (!FLAGS_history.empty())
     recorder.openHistory(FLAGS_history);
+  recorder.record({.Kind = timeline::EventKind::ProcessStarted});
   standins::Service service(io,
                             {.Name = FLAGS_name,
                              .Listen = http::parseEndpoint(FLAGS_listen),
