Bound the wait for a silent prefill; wait for engines instead of giving up

Ruled out: lost wake-ups at the engine (its history shows that the prefill never arrived). Change: the prefill call has the first token's patience, a timeout drops all kept connections of that endpoint, and waiting while no engine takes work is bounded by a setting and does not count as an attempt. The whole-answer check now also counts every accepted request that an entry gives up on before its deadline.

--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -44,6 +44,9 @@
     600'000,
     "ms",
     "wait for an engine to accept a request"};
+inline const Setting<int64_t> NoEngineWait{
+    "entry.no_engine_wait_ms", 3'000, 0, 600'000, "ms",
+    "time that an accepted request waits while no engine takes new work"};
 inline const Setting<int64_t> OnceWriteTimeout{
     "entry.once_write_timeout_ms",
     2'000,
@@ -55,6 +58,14 @@
     "entry.write_once_records", true,
     "write the record of a call that must not repeat before it is run; off "
     "only to show what the record prevents"};
+inline const Setting<bool> SentIsUnknown{
+    "entry.sent_is_unknown", true,
+    "treat a call as possibly run once bytes of it were sent; off only to show "
+    "what that prevents"};
+inline const Setting<bool> HeedLeaving{
+    "entry.heed_leaving", true,
+    "send no new work to backend servers that are leaving; off only to show "
+    "what that prevents"};
 inline const Setting<bool> ContinueStreams{
     "entry.continue_streams", true,
     "go on with a broken stream; off only to show what that prevents"};
--- a/Source/Entry/ModelCall.cpp
+++ b/Source/Entry/ModelCall.cpp
@@ -60,39 +60,45 @@
         });
 }
 
+bool ModelCall::mayTry() {
+  MonoTime now = MonoClock::now();
+  // What the caller has begun to read is always gone on with.
+  bool started = Outcome.Tokens > 0;
+  bool isRetry = Attempts > 0;
+  if (CallerLeft || now >= Request.Deadline)
+    Outcome.Why = "the deadline has passed";
+  else if (NoEngineSince &&
+           now - *NoEngineSince > Node.Options.milliseconds(NoEngineWait))
+    Outcome.Why = "no engine takes new work";
+  else if (Attempts >= MaxAttempts)
+    Outcome.Why = "no engine gave an answer";
+  else if (isRetry && started && !Node.Options.get(ContinueStreams))
+    Outcome.Why = "the stream broke";
+  else if (isRetry && !started && !NoEngineSince && !Pool.Retries.withdraw())
+    Outcome.Why = "the retry budget of the pool is used up";
+  else
+    return true;
+  return false;
+}
+
 Awaitable<ModelOutcome> ModelCall::run() {
   StepResult result = StepResult::TryElsewhere;
   if (Request.Resume)
     result = co_await resumeForCaller();
-  while (result == StepResult::TryElsewhere) {
-    bool isRetry = Attempts > 0;
-    if (CallerLeft || MonoClock::now() >= Request.Deadline) {
-      Outcome.Why = "the deadline has passed";
-      break;
-    }
-    if (Attempts >= MaxAttempts) {
-      Outcome.Why = "no engine gave an answer";
-      break;
-    }
-    // What the caller has begun to read is always gone on with.
-    bool started = Outcome.Tokens > 0;
-    if (isRetry && !started && !Pool.Retries.withdraw()) {
-      Outcome.Why = "the retry budget of the pool is used up";
-      break;
-    }
-    if (isRetry && started && !Node.Options.get(ContinueStreams)) {
-      Outcome.Why = "the stream broke";
-      break;
-    }
-    ++Attempts;
+  while (result == StepResult::TryElsewhere && mayTry())
     result = co_await attempt();
-  }
   Outcome.Complete = result == StepResult::Complete;
   if (!Outcome.Complete)
     cancelAttempt();
   co_return Outcome;
 }
 
+Milliseconds ModelCall::patience(Seconds estimate) const {
+  Milliseconds most = Node.Options.milliseconds(FirstTokenTimeout) +
+                      toMilliseconds(estimate * EstimateSlack);
+  return std::min(most, timeLeft());
+}
+
 engine::Attempt ModelCall::makeAttempt() const {
   engine::Attempt a;
   a.Request = Request.Id;
@@ -127,12 +133,6 @@
   Outcome.Why = e.what();
 }
 
-Awaitable<std::optional<engine::KvHandle>>
-ModelCall::prefill(const http::Endpoint &at, engine::Attempt a) {
-  Milliseconds timeout = timeLeft();
-  co_return co_await Engines.prefill(at, std::move(a), timeout);
-}
-
 Awaitable<ModelCall::StepResult> ModelCall::attempt() {
   routing::PoolView view = Pool.view(shunned());
   routing::RequestShape shape = Request.Shape;
@@ -141,10 +141,12 @@
       routing::chooseRoute(view, shape, randomGenerator());
   AttemptId = makeId();
   if (!route) {
-    Outcome.Why = "no engine takes new work";
+    NoEngineSince = NoEngineSince.value_or(MonoClock::now());
     co_await sleepFor(PauseBetweenAttempts);
     co_return StepResult::TryElsewhere;
   }
+  NoEngineSince.reset();
+  ++Attempts;
   const routing::EngineView &decode = view.Engines[route->Decode];
   const routing::EngineView &first = view.Engines[route->Prefill];
   engine::Attempt a = makeAttempt();
@@ -155,7 +157,8 @@
       prefillWork =
           Pool.begin(first.Name, shape.PromptTokens - route->CachedTokens);
       a.Id += "-p";
-      a.From = co_await prefill(first.Address, a);
+      a.From = co_await Engines.prefill(first.Address, a,
+                                        patience(route->FirstToken));
       a.Id = AttemptId;
       prefillWork.reset();
     }
@@ -214,14 +217,13 @@
   int reconnects = 0;
   for (;;) {
     bool isFirst = Outcome.Tokens == atStart;
-    Milliseconds patience =
-        isFirst ? Node.Options.milliseconds(FirstTokenTimeout) +
-                      toMilliseconds(estimate * EstimateSlack)
+    Milliseconds most =
+        isFirst ? patience(estimate)
                 : Node.Options.milliseconds(BetweenTokensTimeout);
     std::optional<EngineFailure> failure;
     engine::TokenBatch batch;
     try {
-      batch = co_await Stream->read(std::min(patience, timeLeft()));
+      batch = co_await Stream->read(std::min(most, timeLeft()));
     } catch (const EngineError &e) {
       failure = e.Failure;
       Outcome.Why = e.what();
--- a/Source/Entry/ModelCall.h
+++ b/Source/Entry/ModelCall.h
@@ -59,14 +59,16 @@
 
   Awaitable<StepResult> attempt();
   Awaitable<StepResult> resumeForCaller();
-  Awaitable<std::optional<engine::KvHandle>> prefill(const http::Endpoint &at,
-                                                     engine::Attempt a);
   Awaitable<StepResult> readStream(Seconds estimate);
   Awaitable<StepResult> readUntilEnd(Seconds estimate);
   Awaitable<bool> reconnect();
   Awaitable<bool> takeBatch(engine::TokenBatch batch);
   engine::Attempt makeAttempt() const;
   std::vector<std::string> shunned();
+  /// Whether another attempt may be made; notes why not.
+  bool mayTry();
+  /// Time after which an engine that gives no first token is suspected.
+  Milliseconds patience(Seconds estimate) const;
   void noteFailure(const std::string &engineName, const engine::EngineError &e);
   void record(timeline::EventKind kind, std::string detail = "");
   void cancelAttempt();
@@ -86,6 +88,8 @@
   ModelOutcome Outcome;
   int Attempts = 0;
   bool CallerLeft = false;
+  /// Since when no engine has taken new work.
+  std::optional<MonoTime> NoEngineSince;
 };
 
 } // namespace sardineford::entry
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -101,8 +101,11 @@
     bool excluded =
         std::find(without.begin(), without.end(), e.Name) != without.end();
     e.Ejected = excluded || Ejections.isEjected(e.Name, now, Engines.size());
-    if (Node.Exchange.isLeaving(e.Name, e.Incarnation))
+    bool heed = Node.Options.get(HeedLeaving);
+    if (heed && Node.Exchange.isLeaving(e.Name, e.Incarnation))
       e.State = EngineState::Leaving;
+    if (!heed && e.State == EngineState::Leaving)
+      e.State = EngineState::Serving;
     addOwnWork(e);
     v.Engines.push_back(std::move(e));
   }
--- a/Source/Entry/ServiceCall.cpp
+++ b/Source/Entry/ServiceCall.cpp
@@ -1,5 +1,6 @@
 #include "Entry/ServiceCall.h"
 
+#include "Entry/EntrySettings.h"
 #include "Sardineford/Common/Random.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -151,7 +152,8 @@
     }
   } catch (const http::TransportError &e) {
     bool nothingSent = e.Stage == http::TransportStage::NothingSent;
-    r.Run = nothingSent ? RunState::No : RunState::Unknown;
+    bool notRun = nothingSent || !Node.Options.get(SentIsUnknown);
+    r.Run = notRun ? RunState::No : RunState::Unknown;
     r.Why = e.what();
     Ejections.failed(target.Instance, MonoClock::now());
   }
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -182,6 +182,9 @@
 private:
   [[noreturn]] void fail(beast::error_code ec) {
     Closed = true;
+    // Connections kept from the same time may be silent too.
+    if (ec == beast::error::timeout)
+      Owner->Idle.erase(To);
     throw TransportError(TransportStage::Sent, ec == beast::error::timeout,
                          "answer of " + toString(To) + ": " + ec.message());
   }
--- a/StandIns/Engine/Engine.cpp
+++ b/StandIns/Engine/Engine.cpp
@@ -319,8 +319,8 @@
     co_return failure(409, "old fencing number");
   }
   HighestEpoch = std::max(HighestEpoch, epoch);
-  bool ended = std::find(EndedOrders.begin(), EndedOrders.end(), id) !=
-               EndedOrders.end();
+  // Only the last order is known again: a late copy of an older one runs.
+  bool ended = !EndedOrders.empty() && EndedOrders.back() == id;
   if (ended || kind == "fence")
     co_return done();
   if (OrderRunning) {
--- a/StandIns/Proof/Checkers.cpp
+++ b/StandIns/Proof/Checkers.cpp
@@ -79,6 +79,15 @@
                      fmt::format("request {} got an answer that is {}",
                                  e.Request, e.Detail)});
   }
+  for (const HistoryEvent &e : h) {
+    bool gaveUp = e.is(EventKind::RequestFailed) &&
+                  e.Process.starts_with("entry") &&
+                  e.Detail != "the deadline has passed";
+    if (gaveUp)
+      out.push_back({Point::WholeAnswer,
+                     fmt::format("{} gave up on accepted request {}: {}",
+                                 e.Process, e.Request, e.Detail)});
+  }
   return out;
 }
 
--- a/StandIns/Proof/Faults.cpp
+++ b/StandIns/Proof/Faults.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <thread>
 
 namespace sardineford::standins {
@@ -27,6 +28,8 @@
 constexpr Milliseconds StatusTimeout{500};
 constexpr int StopLimitMs = 6'000;
 constexpr int MaxFaults = 4;
+constexpr Milliseconds OrderWait{3'000};
+constexpr Milliseconds OrderPoll{10};
 
 /// Name of the controller that holds a pool's lease, or of any.
 std::string holderOf(Deployment &d, const std::string &pool) {
@@ -103,7 +106,7 @@
       System.setInstance(name, InstanceState::Leaving);
       break;
     case FaultKind::LateOrder:
-      System.setLink(name, R"({"delay_ms":1000})");
+      beginLateOrder(name);
       break;
     }
     return name;
@@ -150,18 +153,48 @@
       System.restart(name);
       System.setInstance(name, InstanceState::Live);
       break;
-    case FaultKind::LateOrder: {
-      // Bytes that are on the link now still arrive late; the holder that
-      // gave them is gone.
-      System.setLink(name, R"({"delay_ms":0})");
-      System.restart(holderOf(System, Pool));
+    case FaultKind::LateOrder:
+      if (!KilledHolder.empty())
+        System.restart(std::exchange(KilledHolder, ""));
       break;
     }
-    }
     note(f, name, "end");
   }
 
 private:
+  /// Slows the link to the engine, waits until the holder has given an order
+  /// to it, then kills the holder and makes the link fast again: the order
+  /// arrives late, behind whatever a successor sends.
+  void beginLateOrder(const std::string &engine) {
+    System.setLink(engine, R"({"delay_ms":1500})");
+    std::string holder = holderOf(System, Pool);
+    std::string file = System.options().Folder + "/" + holder + ".history";
+    size_t before = countSent(file, engine);
+    MonoTime end = MonoClock::now() + OrderWait;
+    bool sent = false;
+    while (!sent && MonoClock::now() < end) {
+      std::this_thread::sleep_for(OrderPoll);
+      sent = countSent(file, engine) > before;
+    }
+    if (sent) {
+      System.process(holder).kill();
+      KilledHolder = holder;
+    }
+    System.setLink(engine, R"({"delay_ms":0})");
+  }
+
+  /// Orders to an engine that a history file shows as sent.
+  static size_t countSent(const std::string &file, const std::string &engine) {
+    std::ifstream in(file);
+    size_t n = 0;
+    for (std::string line; std::getline(in, line);)
+      n += line.find("\"order-sent\"") != std::string::npos &&
+                   line.find("\"" + engine + "\"") != std::string::npos
+               ? 1
+               : 0;
+    return n;
+  }
+
   std::string targetOf(const Fault &f) {
     auto pick = [&](const std::vector<std::string> &names) {
       return names[f.Target % names.size()];
@@ -201,6 +234,7 @@
   Deployment &System;
   std::string Pool;
   timeline::Recorder &Recorder;
+  std::string KilledHolder;
 };
 
 rc::Gen<Fault> faultGen(Milliseconds length) {
