Exchange: tell a restarted peer everything

Ruled out: a lost drain mark in the plan (the plan's history shows it). Change: messages carry the sender's incarnation; what was given is counted for one incarnation; after a failed call everything is asked for.

--- a/Source/Exchange/Exchange.cpp
+++ b/Source/Exchange/Exchange.cpp
@@ -150,12 +150,20 @@
   }
 }
 
-std::string Exchange::makeMessage(uint64_t newsAfter) {
+void Exchange::Given::meet(const std::string &incarnation) {
+  if (Incarnation == incarnation)
+    return;
+  Incarnation = incarnation;
+  News = 0;
+}
+
+std::string Exchange::makeMessage(uint64_t newsAfter, bool wantAll) {
   wire::Message out;
   out.Time = Recorder.clock().now();
   out.Generation = State.generation();
   out.From = Options.Address;
-  out.WantAll = newsAfter == 0;
+  out.WantAll = wantAll;
+  out.Incarnation = Options.Incarnation;
   for (const auto &[name, m] : Members)
     if (MemberNews[name] > newsAfter)
       out.Members.push_back(m);
@@ -196,23 +204,31 @@
 }
 
 Awaitable<void> Exchange::exchangeWith(http::Endpoint peer) {
-  uint64_t given = GivenTo[peer].News;
+  Given before = GivenTo[peer];
   uint64_t upTo = News;
   uint64_t theirs = 0;
   try {
     std::string reply = co_await Client.call(
-        peer, ExchangePath, makeMessage(given), Options.CallTimeout);
+        peer, ExchangePath,
+        makeMessage(before.Failed ? 0 : before.News, before.Failed),
+        Options.CallTimeout);
     wire::Message in = wire::decode(reply);
     theirs = in.Generation;
+    Given &given = GivenTo[peer];
+    given.meet(in.Incarnation);
+    given.Failed = false;
+    // A process that was started anew heard only the newest of the news.
+    bool sameProcess = before.Failed || before.Incarnation == in.Incarnation;
+    if (sameProcess)
+      given.News = std::max(given.News, upTo);
     takeMessage(std::move(in));
   } catch (const Error &e) {
+    log::debug(log::Category::Exchange, "exchange: {}", e.what());
     noteFailure(peer, true);
-    // A new process at the address must hear everything.
-    GivenTo[peer].News = 0;
+    GivenTo[peer].Failed = true;
     co_return;
   }
   noteFailure(peer, false);
-  GivenTo[peer].News = std::max(GivenTo[peer].News, upTo);
   noteConfirmed(MonoClock::now());
   if (theirs > State.generation())
     co_await fetchFrom(peer);
@@ -222,13 +238,15 @@
   wire::Message in = wire::decode(body);
   http::Endpoint from = in.From;
   bool isBehind = in.Generation > State.generation();
-  uint64_t given = in.WantAll ? 0 : GivenTo[from].News;
+  Given &given = GivenTo[from];
+  given.meet(in.Incarnation);
+  uint64_t newsAfter = in.WantAll ? 0 : given.News;
   takeMessage(std::move(in));
   noteConfirmed(MonoClock::now());
   GivenTo[from].News = News;
   if (isBehind)
     spawn(Io, "fetch", [this, from] { return fetchFrom(from); });
-  co_return makeMessage(given);
+  co_return makeMessage(newsAfter, false);
 }
 
 Awaitable<void> Exchange::fetchFrom(http::Endpoint peer) {
--- a/Source/Exchange/Wire.cpp
+++ b/Source/Exchange/Wire.cpp
@@ -49,6 +49,7 @@
   out.set_generation(m.Generation);
   out.set_from(http::toString(m.From));
   out.set_want_all(m.WantAll);
+  out.set_incarnation(m.Incarnation);
   for (const Member &it : m.Members)
     fill(*out.add_nodes(), it);
   for (const auto &it : m.Leaving) {
@@ -73,6 +74,7 @@
   m.Generation = in.generation();
   m.From = http::parseEndpoint(in.from());
   m.WantAll = in.want_all();
+  m.Incarnation = in.incarnation();
   for (const messages::NodeState &it : in.nodes())
     m.Members.push_back(toMember(it));
   for (const messages::LeavingMark &it : in.leaving())
--- a/Source/Exchange/Wire.h
+++ b/Source/Exchange/Wire.h
@@ -18,6 +18,7 @@
   uint64_t Generation = 0;
   http::Endpoint From;
   bool WantAll = false;
+  std::string Incarnation;
   std::vector<Member> Members;
   std::vector<LeavingMark> Leaving;
   std::vector<KnownHolder> Holders;
--- a/include/Sardineford/Exchange/Exchange.h
+++ b/include/Sardineford/Exchange/Exchange.h
@@ -95,9 +95,15 @@
     auto operator<=>(const LeavingKey &) const = default;
   };
 
-  /// How far the news was given to one peer.
+  /// How far the news was given to one incarnation of a peer.
   struct Given {
+    std::string Incarnation;
     uint64_t News = 0;
+    /// The last call failed: what was told in it may be lost on either side.
+    bool Failed = true;
+
+    /// Forgets what was given when the peer is a new process.
+    void meet(const std::string &incarnation);
   };
 
   Awaitable<void> loop();
@@ -105,7 +111,7 @@
   Awaitable<std::string> answerExchange(std::string body);
   Awaitable<std::string> answerFetch(std::string body);
   Awaitable<void> fetchFrom(http::Endpoint peer);
-  std::string makeMessage(uint64_t newsAfter);
+  std::string makeMessage(uint64_t newsAfter, bool wantAll);
   void takeMessage(wire::Message in);
   void spread();
   Member &self();
