Role change waits for the word of every entry process

A fixed waiting time cannot be right, since neither the age of a view nor the lag of a report has a bound. Ruled out: a shorter interval (only makes it rarer). Change: each entry tells the time of the view it has and the engines at which it has open attempts; a drain ends when every listed entry has taken over a view made after the mark and has nothing there, then the engine's own report is asked. An attempt is noted before anything is sent, and the decode engine is looked at again after a prefill. A holder that no entry reaches steps down.

--- a/Source/Controller/ControllerSettings.h
+++ b/Source/Controller/ControllerSettings.h
@@ -27,6 +27,14 @@
     "time between looks of a process that may take over"};
 inline const Setting<int64_t> Contenders{
     "plan.contenders", 3, 1, 100, "", "processes that may take over one lease"};
+inline const Setting<int64_t> StepDownAfter{
+    "plan.step_down_after_ms",
+    5'000,
+    100,
+    600'000,
+    "ms",
+    "time without a report of any entry process after which a holder gives "
+    "its lease up"};
 inline const Setting<int64_t> PollInterval{
     "plan.poll_ms", 200,  10,
     60'000,         "ms", "time between polls of a pool's engines"};
@@ -43,8 +51,7 @@
     10,
     60'000,
     "ms",
-    "time for a mark to reach every entry process and for the engine's report "
-    "to show it"};
+    "time for an engine's report to show what arrived last"};
 inline const Setting<int64_t> DrainLimit{
     "plan.drain_limit_ms",
     60'000,
--- a/Source/Controller/OrderRunner.cpp
+++ b/Source/Controller/OrderRunner.cpp
@@ -28,9 +28,10 @@
 } // namespace
 
 OrderRunner::OrderRunner(node::Node &node, engine::EngineClient &engines,
-                         PlanLease &lease, EngineTable &table, std::string pool)
+                         PlanLease &lease, EngineTable &table,
+                         std::string pool, IsReleased isReleased)
     : Node(node), Engines(engines), Lease(lease), Table(table),
-      Pool(std::move(pool)) {}
+      Pool(std::move(pool)), Released(std::move(isReleased)) {}
 
 void OrderRunner::record(EventKind kind, const Order &o, std::string detail) {
   Node.Recorder.record({.Kind = kind,
@@ -80,8 +81,8 @@
   co_await carryOut(std::move(order));
 }
 
-/// Marks the engine, waits until every entry process knows, then until the
-/// engine's work has ended.
+/// Marks the engine, waits until every entry process knows and has nothing
+/// there, then until the engine says so too.
 Awaitable<bool> OrderRunner::drain(std::string engine) {
   PlanLease::Change mark = [engine](PoolPlan p) {
     p.Engines[engine].Draining = true;
@@ -89,10 +90,24 @@
   };
   if (!co_await Lease.update(mark))
     co_return false;
+  timeline::HybridTime marked = Node.Recorder.clock().now();
+  if (!co_await waitUntilReleased(engine, marked))
+    co_return false;
   co_await sleepFor(Node.Options.milliseconds(DrainMark));
   co_return co_await waitUntilIdle(std::move(engine));
 }
 
+Awaitable<bool> OrderRunner::waitUntilReleased(std::string engine,
+                                               timeline::HybridTime marked) {
+  MonoTime limit = MonoClock::now() + Node.Options.milliseconds(DrainLimit);
+  while (MonoClock::now() < limit && Lease.mayAct()) {
+    if (Released(engine, marked))
+      co_return true;
+    co_await sleepFor(SettlePoll);
+  }
+  co_return false;
+}
+
 Awaitable<bool> OrderRunner::waitUntilIdle(std::string engine) {
   MonoTime begun = MonoClock::now();
   MonoTime limit = begun + Node.Options.milliseconds(DrainLimit);
@@ -305,8 +320,11 @@
     co_await end(mine, false);
     co_return;
   }
-  co_await waitUntilIdle(mine.Engine);
-  co_await carryOut(std::move(mine));
+  timeline::HybridTime marked = Node.Recorder.clock().now();
+  bool isFree = co_await waitUntilReleased(mine.Engine, marked) &&
+                co_await waitUntilIdle(mine.Engine);
+  if (isFree)
+    co_await carryOut(std::move(mine));
 }
 
 /// Waits until an order of a lost holder can have no effect any more.
--- a/Source/Controller/OrderRunner.h
+++ b/Source/Controller/OrderRunner.h
@@ -13,8 +13,13 @@
 /// are recorded in the plan before they are sent.
 class OrderRunner {
 public:
+  /// Tells whether every entry process has taken over a view made after a
+  /// time and has no attempt at the engine.
+  using IsReleased =
+      std::function<bool(const std::string &engine, timeline::HybridTime)>;
+
   OrderRunner(node::Node &node, engine::EngineClient &engines, PlanLease &lease,
-              EngineTable &table, std::string pool);
+              EngineTable &table, std::string pool, IsReleased isReleased);
 
   /// Starts a role change unless one is under way at the engine.
   void startChange(const std::string &engine, routing::EngineRole to);
@@ -46,6 +51,8 @@
 
   Awaitable<void> change(std::string engine, routing::EngineRole to);
   Awaitable<bool> drain(std::string engine);
+  Awaitable<bool> waitUntilReleased(std::string engine,
+                                    timeline::HybridTime marked);
   Awaitable<bool> waitUntilIdle(std::string engine);
   Awaitable<void> undrain(std::string engine);
   Awaitable<void> carryOut(plan::Order order);
@@ -72,6 +79,7 @@
   PlanLease &Lease;
   EngineTable &Table;
   std::string Pool;
+  IsReleased Released;
   std::set<std::string> Busy;
   std::map<std::string, Sending> Orders;
   /// When another incarnation was first seen at a lost holder's address.
--- a/Source/Controller/PlanLease.cpp
+++ b/Source/Controller/PlanLease.cpp
@@ -22,6 +22,8 @@
 
 /// Contenders wait for their turn, so that they do not all write at once.
 constexpr Milliseconds DelayPerRank{150};
+/// A holder that stepped down does not compete for so many lease times.
+constexpr int StandBackLeases = 10;
 
 plan::LeaseTimes leaseTimes(const settings::Settings &s) {
   plan::LeaseTimes t;
@@ -70,6 +72,11 @@
             Plan.Epoch);
 }
 
+void PlanLease::stepDown() {
+  lose();
+  StandBackUntil = MonoClock::now() + Times.Duration * StandBackLeases;
+}
+
 /// Place of this process among those that may take over this lease.
 std::optional<size_t> PlanLease::rank() const {
   uint64_t key = hash64(Name);
@@ -148,7 +155,7 @@
 
 Awaitable<void> PlanLease::observe() {
   std::optional<size_t> place = rank();
-  if (!place)
+  if (!place || MonoClock::now() < StandBackUntil)
     co_return;
   std::optional<store::Object> found = co_await Node.Store.get(Kind, Name);
   MonoTime now = MonoClock::now();
--- a/Source/Controller/PlanLease.h
+++ b/Source/Controller/PlanLease.h
@@ -29,6 +29,9 @@
   const plan::PoolPlan &plan() const { return Plan; }
   const plan::Holder &self() const { return Self; }
 
+  /// Gives the lease up and leaves it to others for a while.
+  void stepDown();
+
   using Change = std::function<plan::PoolPlan(plan::PoolPlan)>;
 
   /// Writes a changed plan. Returns false when it was not written: the lease
@@ -60,6 +63,8 @@
   bool Locked = false;
   boost::asio::steady_timer Unlocked;
   std::optional<MonoTime> AbsentSince;
+  /// Does not compete until then.
+  MonoTime StandBackUntil{};
 };
 
 } // namespace sardineford::controller
--- a/Source/Controller/PoolKeeper.cpp
+++ b/Source/Controller/PoolKeeper.cpp
@@ -87,7 +87,11 @@
 PoolKeeper::PoolKeeper(node::Node &node, engine::EngineClient &engines,
                        std::string pool)
     : Node(node), Pool(std::move(pool)), Lease(node, plan::PlanKind, Pool),
-      Table(node, engines, Pool), Orders(node, engines, Lease, Table, Pool) {}
+      Table(node, engines, Pool),
+      Orders(node, engines, Lease, Table, Pool,
+             [this](const std::string &engine, timeline::HybridTime since) {
+               return isReleased(engine, since);
+             }) {}
 
 void PoolKeeper::start() {
   spawn(Node.Io, "lease-" + Pool, [this] { return leaseLoop(); });
@@ -106,6 +110,8 @@
     co_await Lease.tick();
     if (Lease.isLastHolder() && Lease.plan().Epoch != KnownEpoch)
       onTakeOver();
+    if (Lease.isLastHolder() && isUnreachable())
+      Lease.stepDown();
     Milliseconds wait =
         Lease.isLastHolder()
             ? Node.Options.milliseconds(RenewInterval)
@@ -116,6 +122,7 @@
 
 void PoolKeeper::onTakeOver() {
   KnownEpoch = Lease.plan().Epoch;
+  HolderSince = MonoClock::now();
   Node.Exchange.noteHolder(
       {Pool, Node.Name, KnownEpoch, Node.Exchange.options().Address});
   Orders.settleLeftOvers();
@@ -275,6 +282,38 @@
       }));
 }
 
+/// An entry process that is listed must have taken over a view made since, and
+/// say that it has nothing at the engine. One that was lost is listed for a
+/// while, and the engine waits so long: a paused process may still send.
+bool PoolKeeper::isReleased(const std::string &engine,
+                            timeline::HybridTime since) const {
+  for (const membership::Instance &it : Node.instances()) {
+    if (it.Kind != membership::InstanceKind::Entry ||
+        it.State == membership::InstanceState::Gone)
+      continue;
+    auto known = Nodes.find(it.Name);
+    if (known == Nodes.end() || known->second.ViewTime < since ||
+        known->second.EnginesInUse.contains(engine))
+      return false;
+  }
+  return true;
+}
+
+bool PoolKeeper::isUnreachable() const {
+  Milliseconds patience = Node.Options.milliseconds(StepDownAfter);
+  if (MonoClock::now() - HolderSince < patience)
+    return false;
+  bool anyListed = std::any_of(
+      Node.instances().begin(), Node.instances().end(), [](const auto &it) {
+        return it.Kind == membership::InstanceKind::Entry &&
+               it.State == membership::InstanceState::Live;
+      });
+  return anyListed &&
+         std::none_of(Nodes.begin(), Nodes.end(), [&](const auto &it) {
+           return MonoClock::now() - it.second.LastReport < patience;
+         });
+}
+
 /// Only workspaces that take more than their share are told of, so that the
 /// view does not grow with the number of workspaces.
 void PoolKeeper::addRates(messages::PoolView &out) const {
@@ -322,7 +361,10 @@
 
 messages::PoolView PoolKeeper::report(const messages::LoadReport &in) {
   const messages::PoolDemand &d = in.demand();
-  Nodes[in.node()].LastReport = MonoClock::now();
+  EntryNode &node = Nodes[in.node()];
+  node.LastReport = MonoClock::now();
+  node.ViewTime.Value = in.view_time();
+  node.EnginesInUse = {in.engines_in_use().begin(), in.engines_in_use().end()};
   Pending.Requests += static_cast<double>(d.requests());
   Pending.PromptTokens += static_cast<double>(d.prompt_tokens());
   Pending.OutputTokens += static_cast<double>(d.output_tokens());
--- a/Source/Controller/PoolKeeper.h
+++ b/Source/Controller/PoolKeeper.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sardineford::controller {
@@ -30,8 +31,11 @@
   messages::PoolView view() const;
 
 private:
-  struct NodeDemand {
+  /// What an entry process told last.
+  struct EntryNode {
     MonoTime LastReport{};
+    timeline::HybridTime ViewTime;
+    std::set<std::string> EnginesInUse;
   };
 
   Awaitable<void> leaseLoop();
@@ -47,6 +51,9 @@
   roles::RoleView makeRoleView() const;
   void addRates(messages::PoolView &out) const;
   size_t reportingNodes() const;
+  bool isReleased(const std::string &engine, timeline::HybridTime since) const;
+  /// Whether entry processes are listed and none of them reaches this holder.
+  bool isUnreachable() const;
   const config::EnginePoolSpec *spec() const;
 
   node::Node &Node;
@@ -54,7 +61,7 @@
   PlanLease Lease;
   EngineTable Table;
   OrderRunner Orders;
-  std::map<std::string, NodeDemand> Nodes;
+  std::map<std::string, EntryNode> Nodes;
   roles::DemandSample Pending;
   MonoTime LastSample = MonoClock::now();
   roles::DemandEstimate Demand;
@@ -62,6 +69,7 @@
   std::map<std::string, double> WorkspaceRates;
   std::optional<MonoTime> LastChange;
   uint64_t KnownEpoch = 0;
+  MonoTime HolderSince{};
 };
 
 /// Speeds of a pool's engines, from its configuration.
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -45,7 +45,11 @@
     "ms",
     "wait for an engine to accept a request"};
 inline const Setting<int64_t> NoEngineWait{
-    "entry.no_engine_wait_ms", 3'000, 0, 600'000, "ms",
+    "entry.no_engine_wait_ms",
+    3'000,
+    0,
+    600'000,
+    "ms",
     "time that an accepted request waits while no engine takes new work"};
 inline const Setting<int64_t> OnceWriteTimeout{
     "entry.once_write_timeout_ms",
--- a/Source/Entry/ModelCall.cpp
+++ b/Source/Entry/ModelCall.cpp
@@ -133,6 +133,19 @@
   Outcome.Why = e.what();
 }
 
+routing::EngineView
+ModelCall::decodeEngine(const routing::EngineView &planned) {
+  routing::PoolView view = Pool.view(Tried);
+  for (const routing::EngineView &it : view.Engines)
+    if (it.Name == planned.Name && routing::takesWork(it))
+      return it;
+  std::optional<routing::Route> route =
+      routing::chooseRoute(view, Request.Shape, randomGenerator());
+  if (!route)
+    throw EngineError(EngineFailure::NotRun, "no engine takes new work");
+  return view.Engines[route->Decode];
+}
+
 Awaitable<ModelCall::StepResult> ModelCall::attempt() {
   routing::PoolView view = Pool.view(shunned());
   routing::RequestShape shape = Request.Shape;
@@ -147,26 +160,26 @@
   }
   NoEngineSince.reset();
   ++Attempts;
-  const routing::EngineView &decode = view.Engines[route->Decode];
+  routing::EngineView decode = view.Engines[route->Decode];
   const routing::EngineView &first = view.Engines[route->Prefill];
+  uint64_t missing = shape.PromptTokens - route->CachedTokens;
   engine::Attempt a = makeAttempt();
   std::string failing = first.Name;
+  // Noted before anything is sent, so that no drain overlooks it.
+  Own = Pool.begin(decode.Name, route->isSplit() ? 0 : missing);
   try {
-    std::shared_ptr<OwnAttempt> prefillWork;
     if (route->isSplit()) {
-      prefillWork =
-          Pool.begin(first.Name, shape.PromptTokens - route->CachedTokens);
+      std::shared_ptr<OwnAttempt> work = Pool.begin(first.Name, missing);
       a.Id += "-p";
       a.From = co_await Engines.prefill(first.Address, a,
                                         patience(route->FirstToken));
       a.Id = AttemptId;
-      prefillWork.reset();
+      decode = decodeEngine(decode);
+      Own = Pool.begin(decode.Name, 0);
     }
     failing = decode.Name;
     EngineName = decode.Name;
     EngineAddress = decode.Address;
-    uint64_t missing = shape.PromptTokens - route->CachedTokens;
-    Own = Pool.begin(decode.Name, route->isSplit() ? 0 : missing);
     record(EventKind::AttemptStarted, first.Name);
     Milliseconds timeout =
         std::min(Node.Options.milliseconds(HeadTimeout), timeLeft());
@@ -217,9 +230,9 @@
   int reconnects = 0;
   for (;;) {
     bool isFirst = Outcome.Tokens == atStart;
-    Milliseconds most =
-        isFirst ? patience(estimate)
-                : Node.Options.milliseconds(BetweenTokensTimeout);
+    Milliseconds most = isFirst
+                            ? patience(estimate)
+                            : Node.Options.milliseconds(BetweenTokensTimeout);
     std::optional<EngineFailure> failure;
     engine::TokenBatch batch;
     try {
--- a/Source/Entry/ModelCall.h
+++ b/Source/Entry/ModelCall.h
@@ -58,6 +58,9 @@
   enum class StepResult { Complete, TryElsewhere, GiveUp };
 
   Awaitable<StepResult> attempt();
+  /// Engine for the decode phase after a prefill: the planned one, or another
+  /// if that one takes no new work any more.
+  routing::EngineView decodeEngine(const routing::EngineView &planned);
   Awaitable<StepResult> resumeForCaller();
   Awaitable<StepResult> readStream(Seconds estimate);
   Awaitable<StepResult> readUntilEnd(Seconds estimate);
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -174,6 +174,13 @@
     w->set_workspace(name);
     w->set_tokens(tokens);
   }
+  out.set_view_time(ViewTime.Value);
+  std::set<std::string> inUse;
+  for (const std::weak_ptr<OwnAttempt> &it : Own)
+    if (std::shared_ptr<OwnAttempt> own = it.lock())
+      inUse.insert(own->Engine);
+  for (const std::string &it : inUse)
+    out.add_engines_in_use(it);
   return out.SerializeAsString();
 }
 
@@ -183,6 +190,7 @@
     return;
   Node.Recorder.clock().observe({in.time()});
   Epoch = in.epoch();
+  ViewTime.Value = in.time();
   Nodes = std::max<uint64_t>(1, in.reporting_nodes());
   Engines.clear();
   for (const messages::EngineLoad &it : in.engines())
--- a/Source/Entry/PoolTracker.h
+++ b/Source/Entry/PoolTracker.h
@@ -70,6 +70,8 @@
   uint64_t Nodes = 1;
   std::vector<routing::EngineView> Engines;
   MonoTime ViewTaken{};
+  /// The holder's time of the newest view.
+  timeline::HybridTime ViewTime;
   std::list<std::weak_ptr<OwnAttempt>> Own;
   retry::Ejector Ejections;
   PendingDemand Demand;
--- a/Source/Load/Run.cpp
+++ b/Source/Load/Run.cpp
@@ -30,14 +30,12 @@
   }
 
   double at(double q) const {
-    return Count == 0 ? 0
-                      : acc::quantile(Tail, acc::quantile_probability = q);
+    return Count == 0 ? 0 : acc::quantile(Tail, acc::quantile_probability = q);
   }
 
 private:
   size_t Count;
-  acc::accumulator_set<double,
-                       acc::stats<acc::tag::tail_quantile<acc::right>>>
+  acc::accumulator_set<double, acc::stats<acc::tag::tail_quantile<acc::right>>>
       Tail;
 };
 
@@ -241,7 +239,7 @@
   for (const RequestRecord &it : records) {
     int64_t i = std::min<int64_t>(Bins - 1, it.Planned.count() * Bins / length);
     Bin &b = bins[static_cast<size_t>(i)];
-    (isGood(it) ? b.Good
+    (isGood(it)                        ? b.Good
      : it.What == CallOutcome::Refused ? b.Refused
                                        : b.Failed) += 1;
     most = std::max(most, b.Good + b.Refused + b.Failed);
--- a/Source/Load/Run.h
+++ b/Source/Load/Run.h
@@ -55,9 +55,9 @@
   double RefusalMs99 = 0;
 
   double goodShare() const {
-    return Requests == 0 ? 0
-                         : static_cast<double>(Good) /
-                               static_cast<double>(Requests);
+    return Requests == 0
+               ? 0
+               : static_cast<double>(Good) / static_cast<double>(Requests);
   }
 };
 
@@ -70,8 +70,7 @@
 /// requests over time.
 std::string toJson(const Scenario &s,
                    const std::vector<RequestRecord> &records);
-std::string toSvg(const Scenario &s,
-                  const std::vector<RequestRecord> &records);
+std::string toSvg(const Scenario &s, const std::vector<RequestRecord> &records);
 
 /// The prompt of a planned request.
 std::string makePrompt(const RequestKind &kind, const PlannedRequest &r,
--- a/Source/Load/Scenario.cpp
+++ b/Source/Load/Scenario.cpp
@@ -26,8 +26,7 @@
   return json::value_to<std::string>(o.at(name));
 }
 
-Milliseconds timeOf(const json::object &o, const char *name,
-                    double byDefault) {
+Milliseconds timeOf(const json::object &o, const char *name, double byDefault) {
   return Milliseconds(static_cast<int64_t>(numberOf(o, name, byDefault)));
 }
 
@@ -140,8 +139,7 @@
     Moment m = momentAt(s, ms);
     std::exponential_distribution<double> gap(m.Rate / 1000);
     ms += gap(random);
-    std::discrete_distribution<size_t> kind(m.Weights.begin(),
-                                            m.Weights.end());
+    std::discrete_distribution<size_t> kind(m.Weights.begin(), m.Weights.end());
     PlannedRequest r;
     r.At = Milliseconds(static_cast<int64_t>(ms));
     r.Kind = kind(random);
--- a/Source/Programs/sardineford-faults.cpp
+++ b/Source/Programs/sardineford-faults.cpp
@@ -153,17 +153,17 @@
   json::object violations;
   for (const auto &[name, n] : t.Violations)
     violations[name] = n;
-  return json::serialize(json::object{
-      {"runs", t.Runs},
-      {"not_made", t.Broken},
-      {"answers", t.Counts.Answers},
-      {"whole", t.Counts.Whole},
-      {"filings", t.Counts.Filings},
-      {"filed", t.Counts.FiledOnce},
-      {"takeover_ms_most", quantile(t.Takeovers, 1)},
-      {"in_force_ms_99", quantile(t.InForce, 0.99)},
-      {"faults", std::move(faults)},
-      {"violations", std::move(violations)}});
+  return json::serialize(
+      json::object{{"runs", t.Runs},
+                   {"not_made", t.Broken},
+                   {"answers", t.Counts.Answers},
+                   {"whole", t.Counts.Whole},
+                   {"filings", t.Counts.Filings},
+                   {"filed", t.Counts.FiledOnce},
+                   {"takeover_ms_most", quantile(t.Takeovers, 1)},
+                   {"in_force_ms_99", quantile(t.InForce, 0.99)},
+                   {"faults", std::move(faults)},
+                   {"violations", std::move(violations)}});
 }
 
 } // namespace
--- a/StandIns/Proof/Checkers.cpp
+++ b/StandIns/Proof/Checkers.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> PointNames = {
-    "whole-answer",         "at-most-once",      "not-run-is-true",
+    "whole-answer",          "at-most-once",         "not-run-is-true",
     "no-conflicting-orders", "no-effect-after-loss", "no-work-after-leaving",
-    "nothing-cut",          "graceful-stop",     "generation-in-force"};
+    "nothing-cut",           "graceful-stop",        "generation-in-force"};
 
 int64_t toUs(Milliseconds d) {
   return std::chrono::duration_cast<Microseconds>(d).count();
@@ -61,10 +61,10 @@
 
 const std::vector<Point> &allPoints() {
   static const std::vector<Point> points = {
-      Point::WholeAnswer,         Point::AtMostOnce,
-      Point::NotRunIsTrue,        Point::NoConflictingOrders,
-      Point::NoEffectAfterLoss,   Point::NoWorkAfterLeaving,
-      Point::NothingCut,          Point::GracefulStop,
+      Point::WholeAnswer,       Point::AtMostOnce,
+      Point::NotRunIsTrue,      Point::NoConflictingOrders,
+      Point::NoEffectAfterLoss, Point::NoWorkAfterLeaving,
+      Point::NothingCut,        Point::GracefulStop,
       Point::GenerationInForce};
   return points;
 }
@@ -95,8 +95,8 @@
   std::vector<Violation> out;
   for (const auto &[key, k] : byKey(h))
     if (k.Ran.size() > 1)
-      out.push_back({Point::AtMostOnce, fmt::format("key {} ran {} times",
-                                                    key, k.Ran.size())});
+      out.push_back({Point::AtMostOnce,
+                     fmt::format("key {} ran {} times", key, k.Ran.size())});
   return out;
 }
 
@@ -183,9 +183,9 @@
   std::vector<Violation> out;
   for (const HistoryEvent &e : h)
     if (e.is(EventKind::EngineCut))
-      out.push_back({Point::NothingCut,
-                     fmt::format("engine {} cut request {} for {}", e.Engine,
-                                 e.Request, e.Detail)});
+      out.push_back(
+          {Point::NothingCut, fmt::format("engine {} cut request {} for {}",
+                                          e.Engine, e.Request, e.Detail)});
   return out;
 }
 
@@ -258,9 +258,9 @@
 void checkAcceptedStay(const History &h, std::vector<Violation> &out) {
   for (const HistoryEvent &e : h)
     if (e.is(EventKind::ObjectAccepted) && e.Detail == "lost")
-      out.push_back({Point::GenerationInForce,
-                     fmt::format("accepted edit {} is not in force at the end",
-                                 e.Key)});
+      out.push_back(
+          {Point::GenerationInForce,
+           fmt::format("accepted edit {} is not in force at the end", e.Key)});
 }
 
 } // namespace
--- a/StandIns/Proof/Checkers.h
+++ b/StandIns/Proof/Checkers.h
@@ -59,8 +59,7 @@
 std::vector<Violation> checkGracefulStops(const History &h);
 /// Generations of a process only grow; each is in force everywhere in time,
 /// counted from the end of the last fault; accepted edits stay.
-std::vector<Violation> checkGenerations(const History &h,
-                                        const CheckBounds &b);
+std::vector<Violation> checkGenerations(const History &h, const CheckBounds &b);
 
 /// All of them.
 std::vector<Violation> checkAll(const History &h, const CheckBounds &b = {});
--- a/StandIns/Proof/FaultRun.cpp
+++ b/StandIns/Proof/FaultRun.cpp
@@ -24,7 +24,8 @@
           {"plan.observe_ms", "80"},
           {"plan.poll_ms", "40"},
           {"plan.poll_timeout_ms", "300"},
-          {"plan.drain_mark_ms", "250"},
+          {"plan.drain_mark_ms", "100"},
+          {"plan.step_down_after_ms", "1000"},
           {"plan.drain_limit_ms", "3000"},
           {"plan.order_timeout_ms", "3000"},
           {"plan.gone_quarantine_ms", "3000"},
@@ -116,15 +117,25 @@
 } // namespace
 
 Scene nilebridge() {
-  return {"nilebridge", "scribe-llm",   "scribe",
-          "filing-api", "/filings",     "notary-cairo",
-          {"eg-north-1", "eg-north-2", "eg-north-3"}, true};
+  return {"nilebridge",
+          "scribe-llm",
+          "scribe",
+          "filing-api",
+          "/filings",
+          "notary-cairo",
+          {"eg-north-1", "eg-north-2", "eg-north-3"},
+          true};
 }
 
 Scene trinacria() {
-  return {"trinacria",   "concierge-llm", "concierge",
-          "ticket-desk", "/tickets",      "guests",
-          {"catania", "palermo", "siracusa"}, false};
+  return {"trinacria",
+          "concierge-llm",
+          "concierge",
+          "ticket-desk",
+          "/tickets",
+          "guests",
+          {"catania", "palermo", "siracusa"},
+          false};
 }
 
 FaultRunResult runFaults(const FaultRunOptions &options) {
--- a/StandIns/Proof/Faults.cpp
+++ b/StandIns/Proof/Faults.cpp
@@ -17,13 +17,13 @@
 namespace {
 
 constexpr std::array<std::string_view, FaultKinds> KindNames = {
-    "kill-entry",       "kill-holder",     "kill-engine",
-    "kill-service",     "pause-entry",     "pause-holder",
-    "stop-entry",       "stop-controller", "cut-engine",
-    "silence-engine",   "slow-engine-link", "cut-controller",
-    "cut-from-store",   "store-down",      "store-slow",
-    "store-loses-replies", "crash-in-order", "stale-reports",
-    "engine-leaves",    "late-order"};
+    "kill-entry",          "kill-holder",      "kill-engine",
+    "kill-service",        "pause-entry",      "pause-holder",
+    "stop-entry",          "stop-controller",  "cut-engine",
+    "silence-engine",      "slow-engine-link", "cut-controller",
+    "cut-from-store",      "store-down",       "store-slow",
+    "store-loses-replies", "crash-in-order",   "stale-reports",
+    "engine-leaves",       "late-order"};
 
 constexpr Milliseconds StatusTimeout{500};
 constexpr int StopLimitMs = 6'000;
@@ -225,10 +225,9 @@
   }
 
   void note(const Fault &f, const std::string &name, const char *when) {
-    Recorder.record(
-        {.Kind = timeline::EventKind::FaultBrought,
-         .Engine = name,
-         .Detail = std::string(toString(f.Kind)) + " " + when});
+    Recorder.record({.Kind = timeline::EventKind::FaultBrought,
+                     .Engine = name,
+                     .Detail = std::string(toString(f.Kind)) + " " + when});
   }
 
   Deployment &System;
@@ -274,14 +273,14 @@
 std::string describe(const FaultSchedule &s) {
   std::string out;
   for (const Fault &it : s)
-    out += fmt::format("{}{}#{}@{}+{}", out.empty() ? "" : " ",
-                       toString(it.Kind), it.Target, it.At.count(),
-                       it.Length.count());
+    out +=
+        fmt::format("{}{}#{}@{}+{}", out.empty() ? "" : " ", toString(it.Kind),
+                    it.Target, it.At.count(), it.Length.count());
   return out;
 }
 
-void bringFaults(Deployment &d, const FaultSchedule &s,
-                 const std::string &pool, timeline::Recorder &recorder) {
+void bringFaults(Deployment &d, const FaultSchedule &s, const std::string &pool,
+                 timeline::Recorder &recorder) {
   struct Step {
     Milliseconds At;
     size_t Fault;
--- a/StandIns/Proof/Faults.h
+++ b/StandIns/Proof/Faults.h
@@ -54,7 +54,7 @@
 std::string describe(const FaultSchedule &s);
 
 /// Brings the faults of a schedule, in time, on the calling thread.
-void bringFaults(Deployment &d, const FaultSchedule &s,
-                 const std::string &pool, timeline::Recorder &recorder);
+void bringFaults(Deployment &d, const FaultSchedule &s, const std::string &pool,
+                 timeline::Recorder &recorder);
 
 } // namespace sardineford::standins
--- a/StandIns/Proof/Workload.cpp
+++ b/StandIns/Proof/Workload.cpp
@@ -62,8 +62,8 @@
 }
 
 size_t Workload::pickEntry() {
-  return std::uniform_int_distribution<size_t>(0, EntryNames.size() - 1)(
-      Random);
+  return std::uniform_int_distribution<size_t>(0,
+                                               EntryNames.size() - 1)(Random);
 }
 
 Awaitable<void> Workload::reader(int number) {
@@ -119,11 +119,11 @@
   Counts.Whole += isWhole && isRight ? 1 : 0;
   Counts.Refused += !isWhole && !accepted ? 1 : 0;
   Counts.Late += !isWhole && accepted && passed ? 1 : 0;
-  std::string detail = isWhole && isRight      ? "whole"
-                       : isWhole               ? "wrong"
-                       : accepted && !passed   ? "lost"
-                       : accepted              ? "late"
-                                               : "refused";
+  std::string detail = isWhole && isRight    ? "whole"
+                       : isWhole             ? "wrong"
+                       : accepted && !passed ? "lost"
+                       : accepted            ? "late"
+                                             : "refused";
   record({.Kind = EventKind::AnswerReceived, .Request = id, .Detail = detail});
 }
 
@@ -147,8 +147,7 @@
   http::CallOptions options;
   options.Timeout = FilingTimeout;
   try {
-    http::Response r =
-        co_await Client.call(entry, std::move(request), options);
+    http::Response r = co_await Client.call(entry, std::move(request), options);
     out.Status = r.Status;
     if (r.Status != 200)
       load::readProblem(r, r.Body, out);
