Late orders brought to the engine; leaving marks bound to an incarnation

Cause: slowing the link to an engine also stopped its reports, so the holder never sent the order that was to be late. The stand-in engine now holds orders back, as bytes on their way would be. Ruled out: shorter windows on the link. Plain services tell no incarnation, so their own word ejects them for a time instead of marking them for good.

--- a/Source/Controller/OrderRunner.cpp
+++ b/Source/Controller/OrderRunner.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 OrderRunner::OrderRunner(node::Node &node, engine::EngineClient &engines,
-                         PlanLease &lease, EngineTable &table,
-                         std::string pool, IsReleased isReleased)
+                         PlanLease &lease, EngineTable &table, std::string pool,
+                         IsReleased isReleased)
     : Node(node), Engines(engines), Lease(lease), Table(table),
       Pool(std::move(pool)), Released(std::move(isReleased)) {}
 
--- a/Source/Entry/ServiceCall.cpp
+++ b/Source/Entry/ServiceCall.cpp
@@ -105,8 +105,7 @@
     ++all;
     bool tried =
         std::find(without.begin(), without.end(), it.Name) != without.end();
-    if (it.State == InstanceState::Live && !tried &&
-        !Node.Exchange.isLeaving(it.Name, http::toString(it.Address)))
+    if (it.State == InstanceState::Live && !tried)
       able.push_back(&it);
   }
   std::vector<const Instance *> healthy;
@@ -140,8 +139,7 @@
     bool leaving = answer.Status == StatusUnavailable &&
                    answer.Body.find("\"run\":\"no\"") != std::string::npos;
     if (leaving) {
-      Node.Exchange.markLeaving(target.Instance,
-                                http::toString(target.Address));
+      Ejections.eject(target.Instance, MonoClock::now());
       r = notRunResult("the backend server is leaving");
     } else {
       r.Run = RunState::Yes;
--- a/Source/Programs/sardineford-faults.cpp
+++ b/Source/Programs/sardineford-faults.cpp
@@ -18,6 +18,7 @@
 DEFINE_string(scene, "both", "nilebridge, trinacria or both");
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_int32(runs, 10, "number of seeds");
+DEFINE_int32(length_ms, 5000, "length of one run's faults, ms");
 DEFINE_int32(parallel, 3, "runs at a time");
 DEFINE_string(off, "", "settings that switch mechanisms off: key=value,...");
 DEFINE_string(only, "", "bring only this kind of fault");
@@ -83,6 +84,7 @@
   o.Where = job.Where;
   o.Seed = job.Seed;
   o.Off = parseOff();
+  o.Length = Milliseconds(FLAGS_length_ms);
   if (!FLAGS_only.empty())
     o.Schedule = onlyKind(job.Seed, o.Length);
   return runFaults(o);
--- a/Source/Retry/Retry.cpp
+++ b/Source/Retry/Retry.cpp
@@ -29,9 +29,12 @@
 void Ejector::succeeded(const std::string &engine) { States.erase(engine); }
 
 void Ejector::failed(const std::string &engine, MonoTime now) {
+  if (++States[engine].Failures >= FailuresToEject)
+    eject(engine, now);
+}
+
+void Ejector::eject(const std::string &engine, MonoTime now) {
   State &s = States[engine];
-  if (++s.Failures < FailuresToEject)
-    return;
   // The next failure after its return ejects it again at once.
   s.Failures = FailuresToEject - 1;
   s.Until =
--- a/StandIns/Engine/Engine.cpp
+++ b/StandIns/Engine/Engine.cpp
@@ -92,6 +92,7 @@
 
 void Engine::start() {
   Listener.start();
+  Recorder.record({.Kind = EventKind::ProcessStarted, .Detail = Incarnation});
   spawn(Io, "snapshots", [this] { return takeSnapshots(); });
 }
 
@@ -308,6 +309,8 @@
 
 Awaitable<http::Response> Engine::order(const http::Request &request) {
   json::object body = json::parse(request.Body).as_object();
+  if (OrderDelay.count() > 0)
+    co_await sleepFor(OrderDelay);
   std::string id = textOf(body, "id");
   std::string kind = textOf(body, "kind");
   uint64_t epoch = numberOf(body, "epoch");
@@ -409,10 +412,14 @@
     Work.Slowdown = body.at("slowdown").to_number<double>();
   if (body.contains("crash_in_order"))
     CrashInOrder = body.at("crash_in_order").as_bool();
+  if (body.contains("order_delay_ms"))
+    OrderDelay = Milliseconds(numberOf(body, "order_delay_ms"));
   if (body.contains("report_lag_ms"))
     Options.ReportLag = Milliseconds(numberOf(body, "report_lag_ms"));
   if (Leaving)
-    Recorder.record({.Kind = EventKind::EngineLeaving, .Engine = Options.Name});
+    Recorder.record({.Kind = EventKind::EngineLeaving,
+                     .Engine = Options.Name,
+                     .Detail = Incarnation});
   return answer(200, {});
 }
 
--- a/StandIns/Engine/Engine.h
+++ b/StandIns/Engine/Engine.h
@@ -80,6 +80,9 @@
   std::deque<std::string> EndedOrders;
   bool Leaving = false;
   bool CrashInOrder = false;
+  /// Orders that arrive now act only after this time, as if they had been on
+  /// the way for so long.
+  Milliseconds OrderDelay{0};
 };
 
 /// Names of roles on the wire.
--- a/StandIns/Proof/Checkers.cpp
+++ b/StandIns/Proof/Checkers.cpp
@@ -159,12 +159,15 @@
 
 std::vector<Violation> checkLeaving(const History &h, const CheckBounds &b) {
   std::vector<Violation> out;
+  std::map<std::string, std::string> incarnation;
   std::map<std::string, int64_t> leavingSince;
   for (const HistoryEvent &e : h) {
-    // A restarted backend server is another incarnation.
-    if (e.is(EventKind::ProcessStarted))
+    if (e.is(EventKind::ProcessStarted)) {
+      incarnation[e.Process] = e.Detail;
       leavingSince.erase(e.Process);
-    if (e.is(EventKind::EngineLeaving))
+    }
+    // Word of an earlier incarnation may still spread after a restart.
+    if (e.is(EventKind::EngineLeaving) && incarnation[e.Engine] == e.Detail)
       leavingSince.try_emplace(e.Engine, e.AtUs);
     bool isWork = e.is(EventKind::AttemptStarted) ||
                   e.is(EventKind::EngineAccepted) ||
--- a/StandIns/Proof/Faults.cpp
+++ b/StandIns/Proof/Faults.cpp
@@ -106,7 +106,7 @@
       System.setInstance(name, InstanceState::Leaving);
       break;
     case FaultKind::LateOrder:
-      beginLateOrder(name);
+      beginLateOrder();
       break;
     }
     return name;
@@ -162,36 +162,39 @@
   }
 
 private:
-  /// Slows the link to the engine, waits until the holder has given an order
-  /// to it, then kills the holder and makes the link fast again: the order
-  /// arrives late, behind whatever a successor sends.
-  void beginLateOrder(const std::string &engine) {
-    System.setLink(engine, R"({"delay_ms":1500})");
+  /// Lets the holder's next order be late on its way and kills the holder once
+  /// the order is given to the socket: it arrives behind whatever a successor
+  /// sends.
+  void beginLateOrder() {
     std::string holder = holderOf(System, Pool);
     std::string file = System.options().Folder + "/" + holder + ".history";
-    size_t before = countSent(file, engine);
+    size_t before = countSent(file);
+    delayOrders(R"({"order_delay_ms":2000})");
     MonoTime end = MonoClock::now() + OrderWait;
     bool sent = false;
     while (!sent && MonoClock::now() < end) {
       std::this_thread::sleep_for(OrderPoll);
-      sent = countSent(file, engine) > before;
+      sent = countSent(file) > before;
     }
     if (sent) {
+      std::this_thread::sleep_for(OrderPoll);
       System.process(holder).kill();
       KilledHolder = holder;
     }
-    System.setLink(engine, R"({"delay_ms":0})");
+    delayOrders(R"({"order_delay_ms":0})");
+  }
+
+  void delayOrders(const char *json) {
+    for (const std::string &it : System.engines())
+      System.admin(it, json);
   }
 
-  /// Orders to an engine that a history file shows as sent.
-  static size_t countSent(const std::string &file, const std::string &engine) {
+  /// Orders that a history file shows as sent.
+  static size_t countSent(const std::string &file) {
     std::ifstream in(file);
     size_t n = 0;
     for (std::string line; std::getline(in, line);)
-      n += line.find("\"order-sent\"") != std::string::npos &&
-                   line.find("\"" + engine + "\"") != std::string::npos
-               ? 1
-               : 0;
+      n += line.find("\"order-sent\"") != std::string::npos ? 1 : 0;
     return n;
   }
 
--- a/include/Sardineford/Retry/Retry.h
+++ b/include/Sardineford/Retry/Retry.h
@@ -28,6 +28,8 @@
   void succeeded(const std::string &engine);
   /// The engine refused or failed an attempt.
   void failed(const std::string &engine, MonoTime now);
+  /// The engine says that it takes no work: leaves it out at once.
+  void eject(const std::string &engine, MonoTime now);
   /// Whether the engine is left out at the moment. At most half of a pool is.
   bool isEjected(const std::string &engine, MonoTime now,
                  size_t poolSize) const;
