--- a/StandIns/Proof/Faults.cpp
+++ b/StandIns/Proof/Faults.cpp
@@ -169,7 +169,7 @@
     std::string holder = holderOf(System, Pool);
     std::string file = System.options().Folder + "/" + holder + ".history";
     size_t before = countSent(file);
-    delayOrders(R"({"order_delay_ms":2000})");
+    delayOrders(R"({"order_delay_ms":2800})");
     MonoTime end = MonoClock::now() + OrderWait;
     bool sent = false;
     while (!sent && MonoClock::now() < end) {
