Routing: equal engines are chosen by affinity, not by their order

Cause, found by a new test: among engines with equal estimates the one with the lowest index won; 46 of 60 nodes chose the same engine. Ruled out: the random candidates (they were drawn evenly). Change: candidates are looked at in order of affinity, and a later one must be clearly better.

--- /dev/null
+++ b/Source/Programs/sardineford-mix.cpp
@@ -0,0 +1,144 @@
+#include "Sardineford/Common/Log.h"
+#include "StandIns/Bench/MixBench.h"
+
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(programs, ".", "folder of the built programs");
+DEFINE_string(examples, "examples", "folder of the examples");
+DEFINE_string(folder, "/tmp/sardineford-mix", "folder for the runs");
+DEFINE_string(scene, "both", "nilebridge, trinacria or both");
+DEFINE_string(scenario, "", "scenario file instead of the built-in ones");
+DEFINE_string(only, "",
+              "built-in scenarios to run, with commas; empty for all");
+DEFINE_string(policies, "goodput,fixed,threshold", "policies to compare");
+DEFINE_uint64(seed, 1, "first seed");
+DEFINE_int32(seeds, 1, "number of seeds");
+DEFINE_double(time_scale, 5, "how many times faster than real time");
+DEFINE_string(out, "", "file for the result, JSON");
+
+using namespace sardineford;
+using namespace sardineford::standins;
+namespace json = boost::json;
+
+namespace {
+
+std::vector<std::string> split(const std::string &text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string one; std::getline(in, one, ',');)
+    out.push_back(one);
+  return out;
+}
+
+std::string readFile(const std::string &name) {
+  std::ifstream in(name);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+/// A scenario and whether its roles are worth comparing at a utilisation.
+std::vector<load::Scenario> makeScenarios(const Scene &where, int engines) {
+  if (!FLAGS_scenario.empty())
+    return {load::parseScenario(readFile(FLAGS_scenario), FLAGS_scenario)};
+  auto make = [&](const char *name, std::vector<double> shares,
+                  double utilisation, bool step) {
+    return swingScenario(where, name, shares, utilisation, engines,
+                         FLAGS_time_scale, step);
+  };
+  std::vector<double> swing = {0.25, 0.65, 0.25, 0.65, 0.25};
+  return {make("swing-70", swing, 0.7, false),
+          make("swing-90", swing, 0.9, false),
+          make("step-90", {0.25, 0.25, 0.65, 0.65, 0.65}, 0.9, true),
+          make("rush-130", swing, 1.3, false)};
+}
+
+bool isWanted(const std::string &name) {
+  std::vector<std::string> only = split(FLAGS_only);
+  return only.empty() ||
+         std::find(only.begin(), only.end(), name) != only.end();
+}
+
+json::object runOne(const Scene &where, const load::Scenario &s, int engines,
+                    const std::string &policy, uint64_t seed) {
+  MixRunOptions o;
+  o.Programs = FLAGS_programs;
+  o.Examples = FLAGS_examples;
+  o.Folder = fmt::format("{}/{}-{}-{}-{}", FLAGS_folder, where.Name, s.Name,
+                         policy, seed);
+  o.Where = where;
+  o.Policy = policy;
+  o.Engines = engines;
+  o.InitialPrefill = bestFixedPrefill(s, engines, FLAGS_time_scale);
+  o.TimeScale = FLAGS_time_scale;
+  o.Seed = seed;
+  o.Plan = s;
+  MixRunResult r = runMix(o);
+  double bound = hindsightBound(s, engines, FLAGS_time_scale);
+  const load::Summary &a = r.All;
+  std::cout << fmt::format(
+                   "{:10} {:9} {:9} seed {} good {:6.2f}% of {} (bound "
+                   "{:.1f}%) refused {} late {} failed {} wrong {} changes {} "
+                   "first95 {:.0f} ms between95 {:.1f} ms refusal99 {:.0f} ms"
+                   " {}",
+                   where.Name, s.Name, policy, seed, a.goodShare() * 100,
+                   a.Requests, bound * 100, a.Refused, a.Late, a.Failed,
+                   a.Wrong, r.RoleChanges, a.FirstTokenMs95 * FLAGS_time_scale,
+                   a.BetweenTokensMs95 * FLAGS_time_scale, a.RefusalMs99,
+                   r.Failure)
+            << std::endl;
+  for (const auto &[name, k] : r.Kinds)
+    std::cout << fmt::format("    {:10} good {:6.2f}% of {} refused {} late {}"
+                             " failed {} first95 {:.0f} ms\n",
+                             name, k.goodShare() * 100, k.Requests, k.Refused,
+                             k.Late, k.Failed,
+                             k.FirstTokenMs95 * FLAGS_time_scale);
+  return {{"scene", where.Name},
+          {"scenario", s.Name},
+          {"policy", policy},
+          {"seed", seed},
+          {"requests", a.Requests},
+          {"good_share", a.goodShare()},
+          {"bound", bound},
+          {"refused", a.Refused},
+          {"late", a.Late},
+          {"failed", a.Failed},
+          {"wrong", a.Wrong},
+          {"role_changes", r.RoleChanges},
+          {"first_token_ms_95", a.FirstTokenMs95 * FLAGS_time_scale},
+          {"between_tokens_ms_95", a.BetweenTokensMs95 * FLAGS_time_scale},
+          {"refusal_ms_99", a.RefusalMs99},
+          {"failure", r.Failure}};
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage(
+      "Goodput and role changes while the mix shifts, policy by policy.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  log::start({.DefaultLevel = log::Level::Error, .Process = "mix"});
+  json::array results;
+  std::vector<Scene> scenes;
+  if (FLAGS_scene != "trinacria")
+    scenes.push_back(nilebridge());
+  if (FLAGS_scene != "nilebridge")
+    scenes.push_back(trinacria());
+  for (const Scene &where : scenes) {
+    int engines = where.Name == "nilebridge" ? 9 : 12;
+    for (const load::Scenario &s : makeScenarios(where, engines))
+      for (int n = 0; n < FLAGS_seeds && isWanted(s.Name); ++n)
+        for (const std::string &policy : split(FLAGS_policies))
+          results.push_back(runOne(where, s, engines, policy,
+                                   FLAGS_seed + static_cast<uint64_t>(n)));
+  }
+  if (!FLAGS_out.empty())
+    std::ofstream(FLAGS_out) << json::serialize(results);
+  return 0;
+}
--- a/Source/Routing/Route.cpp
+++ b/Source/Routing/Route.cpp
@@ -3,7 +3,6 @@
 #include "Sardineford/Common/Random.h"
 
 #include <algorithm>
-#include <set>
 
 namespace sardineford::routing {
 
@@ -13,8 +12,17 @@
 constexpr size_t RandomCandidates = 2;
 /// Weight of a step that shares the engine with a prefill.
 constexpr double InterferenceShare = 0.5;
+constexpr double ClearlyBetter = 0.97;
 
-using Indices = std::set<size_t>;
+/// Candidates without repeats, the preferred ones first.
+struct Candidates {
+  std::vector<size_t> Order;
+
+  void add(size_t i) {
+    if (std::find(Order.begin(), Order.end(), i) == Order.end())
+      Order.push_back(i);
+  }
+};
 
 std::vector<size_t> workers(const PoolView &view) {
   std::vector<size_t> out;
@@ -34,24 +42,25 @@
   return out;
 }
 
-void addRandom(Indices &to, const std::vector<size_t> &from, size_t n,
+void addRandom(Candidates &to, const std::vector<size_t> &from, size_t n,
                std::mt19937_64 &random) {
   if (from.empty())
     return;
   std::uniform_int_distribution<size_t> pick(0, from.size() - 1);
   for (size_t i = 0; i < n; ++i)
-    to.insert(from[pick(random)]);
+    to.add(from[pick(random)]);
 }
 
-void addByAffinity(Indices &to, const PoolView &view, std::vector<size_t> from,
-                   uint64_t affinity) {
+void addByAffinity(Candidates &to, const PoolView &view,
+                   std::vector<size_t> from, uint64_t affinity) {
   auto score = [&](size_t i) {
     return rendezvousScore(affinity, view.Engines[i].Name);
   };
   std::sort(from.begin(), from.end(),
             [&](size_t a, size_t b) { return score(a) > score(b); });
   from.resize(std::min(from.size(), AffinityCandidates));
-  to.insert(from.begin(), from.end());
+  for (size_t i : from)
+    to.add(i);
 }
 
 uint64_t cachedTokens(const PoolView &view, size_t i,
@@ -113,31 +122,36 @@
 
 /// The engines that may decode: those not in the prefill role while any is
 /// there, few of them at random beside those that prefill.
-Indices decodeCandidates(const PoolView &view, const std::vector<size_t> &all,
-                         std::mt19937_64 &random) {
+Candidates decodeCandidates(const PoolView &view,
+                            const std::vector<size_t> &all,
+                            std::mt19937_64 &random) {
   std::vector<size_t> decoders = withRole(view, all, EngineRole::Prefill);
-  Indices out;
+  Candidates out;
   addRandom(out, decoders.empty() ? all : decoders, RandomCandidates + 1,
             random);
   return out;
 }
 
-Indices prefillCandidates(const PoolView &view, const std::vector<size_t> &all,
-                          const RequestShape &shape, std::mt19937_64 &random) {
+Candidates prefillCandidates(const PoolView &view,
+                             const std::vector<size_t> &all,
+                             const RequestShape &shape,
+                             std::mt19937_64 &random) {
   std::vector<size_t> prefillers = withRole(view, all, EngineRole::Decode);
   const std::vector<size_t> &from = prefillers.empty() ? all : prefillers;
-  Indices out;
-  addRandom(out, from, RandomCandidates, random);
+  Candidates out;
   addByAffinity(out, view, from, shape.Affinity);
   for (size_t i : all)
     if (cachedTokens(view, i, shape) > 0)
-      out.insert(i);
+      out.add(i);
+  addRandom(out, from, RandomCandidates, random);
   return out;
 }
 
-/// Splitting pays only when the answer comes sooner; the move has a cost.
+/// A later candidate must be clearly better. Without that, equal engines would
+/// always lose to the first of them, and all nodes would choose the same one.
 bool isBetter(const Route &a, const Route &b) {
-  return a.WholeAnswer + a.FirstToken < b.WholeAnswer + b.FirstToken;
+  return a.WholeAnswer + a.FirstToken <
+         (b.WholeAnswer + b.FirstToken) * ClearlyBetter;
 }
 
 } // namespace
@@ -188,21 +202,21 @@
   std::vector<size_t> all = workers(view);
   if (all.empty())
     return std::nullopt;
-  Indices decoders = decodeCandidates(view, all, random);
-  Indices prefillers = prefillCandidates(view, all, shape, random);
+  Candidates decoders = decodeCandidates(view, all, random);
+  Candidates prefillers = prefillCandidates(view, all, shape, random);
   std::optional<Route> best;
   auto consider = [&](size_t prefill, size_t decode) {
     Route r = estimate(view, prefill, decode, shape);
     if (!best || isBetter(r, *best))
       best = r;
   };
-  for (size_t decode : decoders) {
+  for (size_t prefill : prefillers.Order)
+    consider(prefill, prefill);
+  for (size_t decode : decoders.Order) {
     consider(decode, decode);
-    for (size_t prefill : prefillers)
+    for (size_t prefill : prefillers.Order)
       consider(prefill, decode);
   }
-  for (size_t prefill : prefillers)
-    consider(prefill, prefill);
   return best;
 }
 
--- /dev/null
+++ b/Tests/Roles/RolePolicyTest.cpp
@@ -0,0 +1,112 @@
+#include "Sardineford/Roles/RolePolicy.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace sardineford;
+using namespace sardineford::roles;
+using routing::EngineRole;
+using routing::EngineState;
+
+namespace {
+
+RoleView makeView(int prefill, int decode) {
+  RoleView v;
+  v.Spec.Engines = prefill + decode;
+  v.Now = MonoTime{std::chrono::seconds(1'000)};
+  for (int i = 0; i < prefill + decode; ++i) {
+    routing::EngineView e;
+    e.Name = "e" + std::to_string(i);
+    e.Role = i < prefill ? EngineRole::Prefill : EngineRole::Decode;
+    v.Pool.Engines.push_back(e);
+  }
+  return v;
+}
+
+void setDemand(RoleView &v, double requests, double prompt, double output) {
+  v.Work.Fast = v.Work.Slow = {requests, prompt, output};
+  v.Work.HasSamples = true;
+}
+
+} // namespace
+
+TEST_CASE("no change while every answer is served") {
+  RoleView v = makeView(3, 6);
+  setDemand(v, 5, 10'000, 1'000);
+  REQUIRE_FALSE(decideRoles(v));
+}
+
+TEST_CASE("a lack of prefill takes an engine from decode") {
+  RoleView v = makeView(1, 8);
+  setDemand(v, 40, 60'000, 1'000);
+  std::optional<RoleChange> change = decideRoles(v);
+  REQUIRE(change);
+  REQUIRE(change->To == EngineRole::Prefill);
+  REQUIRE(change->Gain > change->Cost);
+}
+
+TEST_CASE("a greater weight of changes keeps the roles") {
+  RoleView v = makeView(1, 8);
+  setDemand(v, 40, 60'000, 1'000);
+  v.Spec.ChangeWeight = 1'000;
+  REQUIRE_FALSE(decideRoles(v));
+}
+
+TEST_CASE("no change while an engine is away, or soon after a change") {
+  RoleView v = makeView(1, 8);
+  setDemand(v, 40, 60'000, 1'000);
+  SECTION("away") { v.Pool.Engines[4].State = EngineState::Changing; }
+  SECTION("soon") { v.LastChange = v.Now - Milliseconds(100); }
+  SECTION("fixed") { v.Spec.Policy = config::RolePolicy::Fixed; }
+  SECTION("no samples") { v.Work.HasSamples = false; }
+  REQUIRE_FALSE(decideRoles(v));
+}
+
+TEST_CASE("the threshold policy acts on utilisation alone") {
+  RoleView v = makeView(1, 8);
+  v.Spec.Policy = config::RolePolicy::Threshold;
+  setDemand(v, 1, 9'000, 100);
+  REQUIRE(decideRoles(v)->To == EngineRole::Prefill);
+}
+
+TEST_CASE("decisions never take the last engine of a role or a frozen one") {
+  bool held = rc::check([] {
+    RoleView v = makeView(*rc::gen::inRange(0, 5), *rc::gen::inRange(0, 5));
+    auto amount = [] {
+      return static_cast<double>(*rc::gen::inRange(0, 200'000));
+    };
+    setDemand(v, amount() / 100, amount(), amount() / 10);
+    v.Work.Slow = {amount() / 100, amount(), amount() / 10};
+    v.Spec.ChangeWeight = *rc::gen::inRange(0, 20);
+    v.Spec.Policy = *rc::gen::element(config::RolePolicy::Goodput,
+                                      config::RolePolicy::Threshold);
+    for (routing::EngineView &it : v.Pool.Engines)
+      it.Frozen = *rc::gen::inRange(0, 4) == 0;
+    std::optional<RoleChange> change = decideRoles(v);
+    if (!change)
+      return;
+    int ofSource = 0;
+    for (const routing::EngineView &it : v.Pool.Engines) {
+      ofSource += it.Role != change->To ? 1 : 0;
+      if (it.Name == change->Engine)
+        RC_ASSERT(!it.Frozen && it.Role != change->To);
+    }
+    RC_ASSERT(ofSource > 1);
+  });
+  REQUIRE(held);
+}
+
+TEST_CASE("the served share falls with demand and never leaves 0 to 1") {
+  bool held = rc::check([] {
+    routing::EngineSpeeds s;
+    Split split{static_cast<double>(*rc::gen::inRange(0, 10)),
+                static_cast<double>(*rc::gen::inRange(0, 10))};
+    Demand d{1, static_cast<double>(*rc::gen::inRange(1, 300'000)),
+             static_cast<double>(*rc::gen::inRange(1, 30'000))};
+    Demand more{1, d.PromptTokens * 1.5, d.OutputTokens * 1.5};
+    double share = servedShare(split, d, s);
+    RC_ASSERT(share >= 0 && share <= 1);
+    RC_ASSERT(servedShare(split, more, s) <= share + 1e-6);
+  });
+  REQUIRE(held);
+}
