--- /dev/null
+++ b/StandIns/Bench/ProcessFigures.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Sardineford/Http/Message.h"
+
+#include <sys/types.h>
+
+#include <map>
+#include <string>
+
+namespace sardineford::standins {
+
+/// What the system tells of a process.
+struct ProcessFigures {
+  /// Processor time used since its start, in seconds.
+  double ProcessorSeconds = 0;
+  double ResidentMegabytes = 0;
+};
+
+ProcessFigures readFigures(pid_t id);
+
+/// Figures of a process's /metrics page by name and labels as written.
+std::map<std::string, double> readMetrics(const http::Endpoint &at);
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/Tests/Process/EndToEndTest.cpp
@@ -0,0 +1,250 @@
+#include "Load/Caller.h"
+#include "StandIns/Deployment/Deployment.h"
+#include "StandIns/Deployment/Objects.h"
+#include "StandIns/Engine/Text.h"
+#include "StandIns/Proof/FaultRun.h"
+#include "Timeline/Collect.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+
+using namespace sardineford;
+using namespace sardineford::standins;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Milliseconds CallTimeout{10'000};
+
+std::string makeFolder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "sardineford-XXXXXX").string();
+  return mkdtemp(pattern.data());
+}
+
+DeploymentOptions smallDeployment(const std::string &folder) {
+  writeScaledObjects(std::string(SARDINEFORD_EXAMPLES) +
+                         "/nilebridge/objects.json",
+                     folder + "/objects.json", 10, {});
+  DeploymentOptions o;
+  o.Programs = SARDINEFORD_PROGRAMS;
+  o.Folder = folder + "/run";
+  o.ObjectsFile = folder + "/objects.json";
+  o.Engines = {{"scribe-llm", 3}};
+  o.Services = {{"filing-api", 1}};
+  o.TimeScale = 10;
+  o.Settings["shutdown.balancer_wait_ms"] = "100";
+  return o;
+}
+
+http::Request post(const std::string &target, const std::string &body) {
+  http::Request r;
+  r.Method = "POST";
+  r.Target = target;
+  r.Fields.add("X-Workspace", "notary-cairo");
+  r.Body = body;
+  return r;
+}
+
+/// Sends a request that must be refused; returns its problem document.
+json::object refusedBy(const http::Endpoint &entry, http::Request request,
+                       unsigned status) {
+  http::Response r = callNow(entry, std::move(request), CallTimeout);
+  CHECK(r.Status == status);
+  json::object body = json::parse(r.Body).as_object();
+  CHECK(body.at("run").as_string() == "no");
+  CHECK_FALSE(body.at("remedy").as_string().empty());
+  return body;
+}
+
+void runSchedule(const Scene &where, FaultSchedule schedule, uint64_t seed) {
+  FaultRunOptions o;
+  o.Programs = SARDINEFORD_PROGRAMS;
+  o.Examples = SARDINEFORD_EXAMPLES;
+  o.Folder = makeFolder();
+  o.Where = where;
+  o.Seed = seed;
+  o.Schedule = std::move(schedule);
+  FaultRunResult r = runFaults(o);
+  INFO("folder " << o.Folder << ", schedule " << describe(r.Schedule));
+  REQUIRE(r.Failure.empty());
+  for (const Violation &it : r.Violations)
+    FAIL_CHECK(toString(it.What) << ": " << it.Text);
+  CHECK(r.Counts.Whole > 0);
+  CHECK(r.Counts.FiledOnce > 0);
+  std::filesystem::remove_all(o.Folder);
+}
+
+} // namespace
+
+TEST_CASE("bad input gets a clear error and is not run", "[process]") {
+  std::string folder = makeFolder();
+  Deployment d(smallDeployment(folder));
+  d.start();
+  http::Endpoint entry = d.httpOf("entry-0");
+  refusedBy(entry, post("/v1/completions", "{"), 400);
+  refusedBy(entry, post("/v1/completions", R"({"model":"scribe"})"), 400);
+  refusedBy(entry, post("/v1/completions", R"({"model":"none","prompt":"x"})"),
+            404);
+  refusedBy(entry,
+            post("/v1/completions",
+                 R"({"model":"scribe","prompt":"x","max_tokens":-1})"),
+            400);
+  refusedBy(entry, post("/v1/none", "{}"), 404);
+  refusedBy(entry, post("/services/filing-api/filings", "{}"), 400);
+  refusedBy(entry, post("/services/none/x", "{}"), 404);
+  http::Request noWorkspace = post("/v1/completions", "{}");
+  noWorkspace.Fields.Fields.clear();
+  refusedBy(entry, noWorkspace, 404);
+  http::Request badDeadline = post("/v1/completions", "{}");
+  badDeadline.Fields.add("X-Deadline-Ms", "soon");
+  refusedBy(entry, badDeadline, 400);
+  http::Request tooLarge = post("/v1/completions", "");
+  tooLarge.Body.assign(5 * 1024 * 1024, 'x');
+  CHECK(callNow(entry, tooLarge, CallTimeout).Status != 200);
+  http::Request impossible =
+      post("/v1/completions",
+           R"({"model":"scribe","prompt":"x","max_tokens":1000})");
+  impossible.Fields.add("X-Deadline-Ms", "20");
+  json::object late = refusedBy(entry, impossible, 503);
+  CHECK(late.at("retry_after_ms").to_number<int64_t>() > 0);
+  d.stop();
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("a broken stream is taken up at another entry", "[process]") {
+  std::string folder = makeFolder();
+  Deployment d(smallDeployment(folder));
+  d.start();
+  IoContext io(1);
+  http::Client client(io);
+  load::CompletionCall call;
+  call.RequestId = "long";
+  call.Workspace = "notary-cairo";
+  call.Model = "scribe";
+  call.Prompt = "a long deed";
+  call.MaxTokens = 600;
+  load::CallResult first;
+  load::CallResult second;
+  spawn(io, "call", [&]() -> Awaitable<void> {
+    first = co_await load::callCompletion(client, d.httpOf("entry-0"), call);
+    call.ResumeToken = first.ResumeToken;
+    call.Delivered = first.Tokens;
+    second = co_await load::callCompletion(client, d.httpOf("entry-1"), call);
+  });
+  spawn(io, "kill", [&]() -> Awaitable<void> {
+    co_await sleepFor(Milliseconds(400));
+    d.process("entry-0").kill();
+  });
+  io.run();
+  CHECK(first.What == load::CallOutcome::Broken);
+  CHECK(first.Tokens > 0);
+  CHECK(second.What == load::CallOutcome::Whole);
+  CHECK(first.Text + second.Text ==
+        expectedAnswer(call.Model, call.Prompt, call.MaxTokens));
+  d.stop();
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("a filing is answered again from its record", "[process]") {
+  std::string folder = makeFolder();
+  Deployment d(smallDeployment(folder));
+  d.start();
+  http::Request filing = post("/services/filing-api/filings", "{\"a\":1}");
+  filing.Fields.add("Idempotency-Key", "key-1");
+  http::Response first = callNow(d.httpOf("entry-0"), filing, CallTimeout);
+  http::Response again = callNow(d.httpOf("entry-1"), filing, CallTimeout);
+  CHECK(first.Status == 200);
+  CHECK(again.Body == first.Body);
+  CHECK(again.Fields.find("X-Replayed") == "true");
+  filing.Body = "{\"a\":2}";
+  CHECK(callNow(d.httpOf("entry-1"), filing, CallTimeout).Status == 422);
+  SECTION("with the store down a new one is refused as not run") {
+    d.setStore(R"({"down":true})");
+    http::Request other = post("/services/filing-api/filings", "{}");
+    other.Fields.add("Idempotency-Key", "key-2");
+    http::Response r = callNow(d.httpOf("entry-0"), other, CallTimeout);
+    CHECK(r.Status == 503);
+    CHECK(r.Body.find("\"run\":\"no\"") != std::string::npos);
+    CHECK(r.Fields.find("Retry-After"));
+    d.setStore(R"({"down":false})");
+  }
+  d.stop();
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("the time line gathers every process and names silent ones",
+          "[process]") {
+  std::string folder = makeFolder();
+  Deployment d(smallDeployment(folder));
+  d.start();
+  callNow(d.httpOf("entry-0"),
+          post("/v1/completions",
+               R"({"model":"scribe","prompt":"x","max_tokens":8})"),
+          CallTimeout);
+  std::vector<http::Endpoint> all = {d.httpOf("entry-0"), d.httpOf("entry-1"),
+                                     d.httpOf("controller-0"), freeEndpoint()};
+  timeline::Collection c = timeline::collect(all, {});
+  CHECK(c.Silent.size() == 1);
+  std::set<std::string> seen;
+  for (const timeline::CollectedEvent &it : c.Events)
+    seen.insert(it.Process);
+  CHECK(seen.size() == 3);
+  CHECK(timeline::toText(c).find("request-done") != std::string::npos);
+  CHECK(timeline::toSvg(c).find("</svg>") != std::string::npos);
+  d.stop();
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("the points hold while the holder of a pool is killed", "[process]") {
+  runSchedule(
+      nilebridge(),
+      {{FaultKind::KillHolder, 0, Milliseconds(500), Milliseconds(1'500)}}, 1);
+}
+
+TEST_CASE("the points hold when an order of a lost holder arrives late",
+          "[process]") {
+  runSchedule(
+      trinacria(),
+      {{FaultKind::LateOrder, 0, Milliseconds(500), Milliseconds(1'500)}}, 2);
+}
+
+TEST_CASE("the points hold while a store loses replies and an entry is paused",
+          "[process]") {
+  runSchedule(
+      nilebridge(),
+      {{FaultKind::StoreLosesReplies, 0, Milliseconds(300),
+        Milliseconds(1'500)},
+       {FaultKind::PauseEntry, 1, Milliseconds(700), Milliseconds(1'500)}},
+      3);
+}
+
+TEST_CASE("the points hold with stale reports and a holder that is cut off",
+          "[process]") {
+  runSchedule(
+      trinacria(),
+      {{FaultKind::StaleReports, 1, Milliseconds(200), Milliseconds(2'500)},
+       {FaultKind::CutController, 1, Milliseconds(400), Milliseconds(2'000)}},
+      4);
+}
+
+TEST_CASE("the points hold while engines leave and an entry is stopped",
+          "[process]") {
+  runSchedule(
+      nilebridge(),
+      {{FaultKind::EngineLeaves, 2, Milliseconds(300), Milliseconds(2'500)},
+       {FaultKind::StopEntry, 0, Milliseconds(600), Milliseconds(1'200)}},
+      5);
+}
+
+TEST_CASE("the points hold while connections fall silent and a service dies",
+          "[process]") {
+  runSchedule(
+      trinacria(),
+      {{FaultKind::SilenceEngine, 0, Milliseconds(300), Milliseconds(1'500)},
+       {FaultKind::KillService, 0, Milliseconds(500), Milliseconds(1'000)},
+       {FaultKind::StoreDown, 0, Milliseconds(900), Milliseconds(1'200)}},
+      6);
+}
