Say 'not run' only of keys that cannot have run; end kept connections at a stop

Ruled out: (a) a second run (the service ran once); (b) a stream that the drain overlooked (the request came after the stop began). Change: (a) while the store cannot be asked, 'not run' is said only when the caller says that the key is new (X-First-Attempt), else 'unknown'; (b) answers sent during a stop close their connections, and the process ends after 100 ms without open requests.

--- a/Source/Entry/ModelCall.cpp
+++ b/Source/Entry/ModelCall.cpp
@@ -169,6 +169,7 @@
   Own = Pool.begin(decode.Name, route->isSplit() ? 0 : missing);
   try {
     if (route->isSplit()) {
+      Own->Pending = true;
       std::shared_ptr<OwnAttempt> work = Pool.begin(first.Name, missing);
       a.Id += "-p";
       a.From = co_await Engines.prefill(first.Address, a,
--- a/Source/Entry/OnceCalls.cpp
+++ b/Source/Entry/OnceCalls.cpp
@@ -26,9 +26,11 @@
 constexpr Milliseconds RememberEnded{60'000};
 constexpr Milliseconds JoinSlack{500};
 
-OnceResult notRun(std::string why) {
+OnceResult notRun(std::string why,
+                  OnceResult::Earlier before = OnceResult::Earlier::None) {
   OnceResult r;
   r.What = OnceResult::Kind::NotRun;
+  r.Before = before;
   r.Why = std::move(why);
   return r;
 }
@@ -123,7 +125,7 @@
                               deadline);
   } catch (const std::exception &e) {
     // Nothing below throws once the call has begun to run.
-    r = notRun(e.what());
+    r = notRun(e.what(), OnceResult::Earlier::Seen);
   }
   entry->Result = r;
   entry->Ended = true;
@@ -140,20 +142,22 @@
   MonoTime writeDeadline = std::min(
       deadline, MonoClock::now() + Node.Options.milliseconds(OnceWriteTimeout));
   std::optional<uint64_t> version;
-  bool exists = false;
+  std::optional<Failure> failure;
+  std::string why;
   try {
     version = co_await Store.write(key, record, 0, writeDeadline);
   } catch (const StoreError &e) {
-    if (e.Reason != Failure::VersionConflict)
-      throw;
-    exists = true;
+    failure = e.Reason;
+    why = e.what();
   }
   if (version)
     co_return co_await runRecorded(key, record, *version, std::move(run));
-  (void)exists;
+  if (failure != Failure::VersionConflict)
+    co_return notRun(why, OnceResult::Earlier::NotKnown);
   std::optional<once::VersionedRecord> found = co_await Store.read(key);
   if (!found)
-    co_return notRun("the record of the call changed meanwhile");
+    co_return notRun("the record of the call changed meanwhile",
+                     OnceResult::Earlier::Seen);
   co_return co_await fromRecord(key, std::move(*found), requestHash,
                                 std::move(run), deadline);
 }
@@ -241,7 +245,9 @@
       reply.set_body(r.Answer.Body);
       break;
     case OnceResult::Kind::NotRun:
-      reply.set_state(messages::NEVER_RUN);
+      reply.set_state(r.Before == OnceResult::Earlier::Seen
+                          ? messages::OUTCOME_UNKNOWN
+                          : messages::NEVER_RUN);
       break;
     default:
       reply.set_state(messages::OUTCOME_UNKNOWN);
--- a/Source/Entry/OnceCalls.h
+++ b/Source/Entry/OnceCalls.h
@@ -24,7 +24,18 @@
 struct OnceResult {
   enum class Kind { Answered, Replayed, NotRun, Unknown, KeyReused };
 
+  /// What is known of earlier calls with the key, where this one was not run.
+  enum class Earlier {
+    /// There was none that ran.
+    None,
+    /// The store could not be asked.
+    NotKnown,
+    /// There was one, and what became of it is not known.
+    Seen,
+  };
+
   Kind What = Kind::NotRun;
+  Earlier Before = Earlier::None;
   once::KeptAnswer Answer;
   std::string Why;
 };
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -80,7 +80,8 @@
       ViewTaken - e.Age - Node.Options.milliseconds(ReportLag);
   for (const std::weak_ptr<OwnAttempt> &it : Own) {
     std::shared_ptr<OwnAttempt> own = it.lock();
-    if (!own || own->Engine != e.Name || own->Sent < reportMade)
+    bool isShown = own && !own->Pending && own->Sent < reportMade;
+    if (!own || own->Engine != e.Name || isShown)
       continue;
     e.OwnRunning += Nodes;
     if (!own->Prefilled)
--- a/Source/Entry/PoolTracker.h
+++ b/Source/Entry/PoolTracker.h
@@ -18,6 +18,8 @@
   uint64_t PrefillTokens = 0;
   MonoTime Sent{};
   bool Prefilled = false;
+  /// Not at the engine yet: its prefill runs elsewhere.
+  bool Pending = false;
 };
 
 /// Demand that this process saw since its last report.
--- a/Source/Entry/ServiceCall.cpp
+++ b/Source/Entry/ServiceCall.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::string_view Prefix = "/services/";
+/// Set to "true" by callers that have not sent this key before.
+constexpr std::string_view FirstAttemptHeader = "X-First-Attempt";
 constexpr int MaxAttempts = 4;
 constexpr unsigned StatusUnavailable = 503;
 constexpr Milliseconds NotRunRetryAfter{1'000};
@@ -195,7 +197,15 @@
   co_await out.send(std::move(answer));
 }
 
-Awaitable<void> ServiceCalls::answerOnce(OnceResult r,
+/// "Not run" is said only where no earlier call with the key can have run:
+/// the store says so, or, while it cannot be asked, the caller does.
+static RunState runStateOf(const OnceResult &r, bool isFirst) {
+  bool neverRan = r.Before == OnceResult::Earlier::None ||
+                  (r.Before == OnceResult::Earlier::NotKnown && isFirst);
+  return neverRan ? RunState::No : RunState::Unknown;
+}
+
+Awaitable<void> ServiceCalls::answerOnce(OnceResult r, bool isFirst,
                                          http::ResponseWriter &out) {
   http::Response answer;
   switch (r.What) {
@@ -207,7 +217,7 @@
     answer.Fields.add("X-Replayed", "true");
     break;
   case OnceResult::Kind::NotRun:
-    answer = failed(ErrorKind::StoreUnavailable, r.Why, RunState::No,
+    answer = failed(ErrorKind::StoreUnavailable, r.Why, runStateOf(r, isFirst),
                     NotRunRetryAfter);
     break;
   case OnceResult::Kind::Unknown:
@@ -274,7 +284,8 @@
   };
   OnceResult r =
       co_await Once.call(name, requestHash, std::move(run), deadline);
-  co_await answerOnce(std::move(r), out);
+  bool isFirst = request.Fields.find(FirstAttemptHeader) == "true";
+  co_await answerOnce(std::move(r), isFirst, out);
 }
 
 } // namespace sardineford::entry
--- a/Source/Entry/ServiceCall.h
+++ b/Source/Entry/ServiceCall.h
@@ -38,7 +38,8 @@
                                               std::string service,
                                               std::string path,
                                               MonoTime deadline, bool once);
-  Awaitable<void> answerOnce(OnceResult r, http::ResponseWriter &out);
+  Awaitable<void> answerOnce(OnceResult r, bool isFirst,
+                             http::ResponseWriter &out);
   Awaitable<void> answerPlain(BackendResult r, http::ResponseWriter &out);
 
   node::Node &Node;
--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -69,16 +69,18 @@
 
 class Writer : public ResponseWriter {
 public:
+  /// The function tells, when the head is sent, whether the connection is to
+  /// be kept.
   Writer(beast::tcp_stream &stream, const ServerOptions &options,
-         bool keepAlive)
-      : Stream(stream), Options(options), KeepAlive(keepAlive) {}
+         std::function<bool()> keepAlive)
+      : Stream(stream), Options(options), KeepAlive(std::move(keepAlive)) {}
 
   Awaitable<void> send(Response r) override {
     bhttp::response<bhttp::string_body> out;
     out.version(11);
     copyHead(r, out);
     out.body() = std::move(r.Body);
-    out.keep_alive(KeepAlive);
+    out.keep_alive(keepConnection());
     out.prepare_payload();
     Started = true;
     Stream.expires_after(Options.WriteTimeout);
@@ -91,7 +93,7 @@
     out.version(11);
     copyHead(head, out);
     out.chunked(true);
-    out.keep_alive(KeepAlive);
+    out.keep_alive(keepConnection());
     bhttp::response_serializer<bhttp::empty_body> serializer(out);
     Started = true;
     Stream.expires_after(Options.WriteTimeout);
@@ -147,13 +149,20 @@
     Stream.socket().cancel(ec);
   }
 
-  bool complete() const { return Complete; }
+  /// The answer is complete and the peer was told that it may send more.
+  bool mayServeMore() const { return Complete && Kept; }
 
 private:
+  bool keepConnection() {
+    Kept = KeepAlive();
+    return Kept;
+  }
+
   beast::tcp_stream &Stream;
   const ServerOptions &Options;
   std::shared_ptr<PeerWatch> Watch = std::make_shared<PeerWatch>();
-  bool KeepAlive;
+  std::function<bool()> KeepAlive;
+  bool Kept = false;
   bool Started = false;
   bool Complete = false;
 };
@@ -170,6 +179,8 @@
   ServerOptions Options;
   Handler Handle;
   size_t Open = 0;
+  /// Connections end with the answers that are sent from now on.
+  bool Draining = false;
 
   void bind() {
     tcp::endpoint at(asio::ip::make_address(Options.Listen.Host),
@@ -220,13 +231,16 @@
                                               asio::as_tuple(use_awaitable));
     if (ec) {
       std::optional<Response> answer = answerForReadError(ec);
-      if (answer && (n > 0 || buf.size() > 0 || parser.got_some()))
-        co_await Writer(stream, Options, false).send(std::move(*answer));
+      if (answer && (n > 0 || buf.size() > 0 || parser.got_some())) {
+        Writer writer(stream, Options, [] { return false; });
+        co_await writer.send(std::move(*answer));
+      }
       co_return false;
     }
     stream.expires_never();
-    bool keepAlive = parser.get().keep_alive();
-    Writer writer(stream, Options, keepAlive);
+    bool wantsMore = parser.get().keep_alive();
+    Writer writer(stream, Options,
+                  [this, wantsMore] { return wantsMore && !Draining; });
     Request request = toRequest(parser.release());
     ++Open;
     try {
@@ -238,7 +252,7 @@
     }
     --Open;
     writer.release();
-    co_return keepAlive &&writer.complete();
+    co_return writer.mayServeMore();
   }
 };
 
@@ -254,6 +268,7 @@
 }
 
 void Server::stopAccepting() {
+  Shared->Draining = true;
   beast::error_code ec;
   Shared->Acceptor.close(ec);
 }
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds LongestRetry{2'000};
 constexpr Milliseconds ReadinessEvery{50};
 constexpr Milliseconds DrainPoll{20};
+/// A stopping process ends after this time without an open request.
+constexpr Milliseconds QuietTime{100};
 /// A starting process asks its peers this often before it believes them.
 constexpr int PeerRounds = 3;
 
@@ -227,8 +229,12 @@
   co_await sleepFor(Options.milliseconds(BalancerWait));
   HttpServer->stopAccepting();
   MonoTime end = MonoClock::now() + Options.milliseconds(DrainLimit);
-  while (HttpServer->openRequests() > 0 && MonoClock::now() < end)
+  MonoTime quietSince = MonoClock::now();
+  while (MonoClock::now() < end && MonoClock::now() - quietSince < QuietTime) {
     co_await sleepFor(DrainPoll);
+    if (HttpServer->openRequests() > 0)
+      quietSince = MonoClock::now();
+  }
   Recorder.record({.Kind = timeline::EventKind::ProcessStopped});
   Io.stop();
 }
--- a/Source/Routing/Route.cpp
+++ b/Source/Routing/Route.cpp
@@ -10,8 +10,8 @@
 
 constexpr size_t AffinityCandidates = 2;
 constexpr size_t RandomCandidates = 2;
-/// Weight of a step that shares the engine with a prefill.
-constexpr double InterferenceShare = 0.5;
+/// Weight of the delay that a prefill causes to one running sequence.
+constexpr double DelayOfOthers = 0.1;
 constexpr double ClearlyBetter = 0.97;
 
 /// Candidates without repeats, the preferred ones first.
@@ -99,9 +99,24 @@
   const EngineView &e = view.Engines[i];
   auto limit = static_cast<double>(batchLimit(view.Speeds, e.Role));
   auto load = static_cast<double>(e.Running + e.OwnRunning + 1);
-  Seconds step = stepTime(view.Speeds, std::min(load, limit));
-  bool prefills = e.QueuedPrefillTokens + e.OwnPrefillTokens > 0;
-  return prefills ? step * (1 + InterferenceShare) : step;
+  return stepTime(view.Speeds, std::min(load, limit));
+}
+
+/// Time that prefills queued at an engine add to a sequence that decodes there.
+Seconds interference(const PoolView &view, size_t i) {
+  const EngineView &e = view.Engines[i];
+  auto queued = static_cast<double>(e.QueuedPrefillTokens + e.OwnPrefillTokens);
+  return Seconds(queued / prefillRate(view.Speeds, e.Role));
+}
+
+/// Delay, in sum, of the sequences that run where a prompt is prefilled.
+Seconds delayOfOthers(const PoolView &view, size_t i,
+                      const RequestShape &shape) {
+  const EngineView &e = view.Engines[i];
+  auto missing =
+      static_cast<double>(shape.PromptTokens - cachedTokens(view, i, shape));
+  auto running = static_cast<double>(e.Running + e.OwnRunning);
+  return Seconds(missing / prefillRate(view.Speeds, e.Role) * running);
 }
 
 Route estimate(const PoolView &view, size_t prefill, size_t decode,
@@ -117,6 +132,11 @@
   Seconds step = decodeStep(view, decode);
   r.FirstToken += slotWait(view, decode, shape.ExpectedOutputTokens) + step;
   r.WholeAnswer = r.FirstToken + step * shape.ExpectedOutputTokens;
+  if (r.isSplit())
+    r.WholeAnswer += interference(view, decode);
+  r.Score = r.WholeAnswer + r.FirstToken;
+  if (view.Engines[prefill].Role != EngineRole::Prefill)
+    r.Score += delayOfOthers(view, prefill, shape) * DelayOfOthers;
   return r;
 }
 
@@ -150,8 +170,7 @@
 /// A later candidate must be clearly better. Without that, equal engines would
 /// always lose to the first of them, and all nodes would choose the same one.
 bool isBetter(const Route &a, const Route &b) {
-  return a.WholeAnswer + a.FirstToken <
-         (b.WholeAnswer + b.FirstToken) * ClearlyBetter;
+  return a.Score < b.Score * ClearlyBetter;
 }
 
 } // namespace
--- a/StandIns/Bench/MixBench.cpp
+++ b/StandIns/Bench/MixBench.cpp
@@ -23,9 +23,9 @@
   Milliseconds Deadline;
 };
 
-constexpr KindShape LongPrompt{"case-file", 6'000, 60, Milliseconds(6'000)};
-constexpr KindShape LongOutput{"draft", 500, 400, Milliseconds(20'000)};
-constexpr KindShape Question{"question", 150, 40, Milliseconds(3'000)};
+constexpr KindShape LongPrompt{"case-file", 6'000, 60, Milliseconds(10'000)};
+constexpr KindShape LongOutput{"draft", 500, 400, Milliseconds(30'000)};
+constexpr KindShape Question{"question", 150, 40, Milliseconds(5'000)};
 /// Weight of short questions among all requests.
 constexpr double QuestionWeight = 0.3;
 /// Answers have three quarters of max_tokens on average.
--- a/StandIns/Proof/Workload.cpp
+++ b/StandIns/Proof/Workload.cpp
@@ -142,6 +142,8 @@
   request.Fields.add("X-Workspace", Options.Workspace);
   request.Fields.add("X-Request-Id", id);
   request.Fields.add("Idempotency-Key", key);
+  if (id == key + "-0")
+    request.Fields.add("X-First-Attempt", "true");
   request.Body = "{\"filing\":\"" + key + "\"}";
   CallResult out;
   http::CallOptions options;
--- a/Tests/Process/EndToEndTest.cpp
+++ b/Tests/Process/EndToEndTest.cpp
@@ -159,16 +159,20 @@
   CHECK(first.Status == 200);
   CHECK(again.Body == first.Body);
   CHECK(again.Fields.find("X-Replayed") == "true");
+  // The same key for another request.
   filing.Body = "{\"a\":2}";
   CHECK(callNow(d.httpOf("entry-1"), filing, CallTimeout).Status == 422);
-  SECTION("with the store down a new one is refused as not run") {
+  SECTION("with the store down 'not run' is said only of a first attempt") {
     d.setStore(R"({"down":true})");
     http::Request other = post("/services/filing-api/filings", "{}");
     other.Fields.add("Idempotency-Key", "key-2");
     http::Response r = callNow(d.httpOf("entry-0"), other, CallTimeout);
+    CHECK(r.Body.find("\"run\":\"unknown\"") != std::string::npos);
+    CHECK(r.Fields.find("Retry-After"));
+    other.Fields.add("X-First-Attempt", "true");
+    r = callNow(d.httpOf("entry-0"), other, CallTimeout);
     CHECK(r.Status == 503);
     CHECK(r.Body.find("\"run\":\"no\"") != std::string::npos);
-    CHECK(r.Fields.find("Retry-After"));
     d.setStore(R"({"down":false})");
   }
   d.stop();
--- a/include/Sardineford/Http/Server.h
+++ b/include/Sardineford/Http/Server.h
@@ -50,7 +50,8 @@
 
   /// Binds and accepts. Throws when the address cannot be bound.
   void start();
-  /// Closes the listening socket; open requests go on.
+  /// Closes the listening socket. Open requests go on; kept connections end
+  /// with their next answer.
   void stopAccepting();
   /// Number of requests whose answer is not complete.
   size_t openRequests() const;
--- a/include/Sardineford/Routing/Route.h
+++ b/include/Sardineford/Routing/Route.h
@@ -24,6 +24,8 @@
   size_t Decode = 0;
   Seconds FirstToken{0};
   Seconds WholeAnswer{0};
+  /// What routes are compared by: own times and the delay of others.
+  Seconds Score{0};
   uint64_t CachedTokens = 0;
 
   bool isSplit() const { return Prefill != Decode; }
