Fault bench: of two overlapping stops one restart is enough

Cause: a second stop of a process that had been restarted waited for an end that was never asked for, and then killed the new process; its broken connections were blamed on the stop. Ruled out by the history: the entry wrote no second 'process-stopping'. The check itself is unchanged.

--- a/StandIns/Proof/Faults.cpp
+++ b/StandIns/Proof/Faults.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <fstream>
+#include <set>
 #include <thread>
 
 namespace sardineford::standins {
@@ -72,6 +73,7 @@
     case FaultKind::StopEntry:
     case FaultKind::StopController:
       p->terminate();
+      Stopping.insert(name);
       break;
     case FaultKind::CutEngine:
     case FaultKind::CutController:
@@ -127,6 +129,10 @@
       break;
     case FaultKind::StopEntry:
     case FaultKind::StopController:
+      // Of two stops that overlap, one restart is enough; the new process
+      // was never asked to stop.
+      if (Stopping.erase(name) == 0)
+        break;
       System.process(name).wait(StopLimitMs);
       System.restart(name);
       break;
@@ -237,6 +243,7 @@
   std::string Pool;
   timeline::Recorder &Recorder;
   std::string KilledHolder;
+  std::set<std::string> Stopping;
 };
 
 rc::Gen<Fault> faultGen(Milliseconds length) {
