Move running streams off an engine that is emptied; short requests go first

Cause: a drain waited for drafts of 15 s to end while the engine's places stood empty; and a short question was refused for prompts that it would overtake. Change: an entry exports a stream's key-value cache and goes on elsewhere when its engine is emptied; estimates for short requests count only what the engine has begun.

--- a/Source/Entry/Entry.cpp
+++ b/Source/Entry/Entry.cpp
@@ -216,8 +216,10 @@
   for (size_t end = pieceBytes; end <= prompt.size(); end += pieceBytes)
     r.Shape.PrefixHashes.push_back(hash64(prompt.substr(0, end)));
   r.Shape.Affinity = hash64(c.Workspace, hash64(prompt.substr(0, pieceBytes)));
-  r.Priority = static_cast<int>(
-      admission::classify(r.Shape.PromptTokens, r.What.MaxTokens));
+  admission::RequestClass size =
+      admission::classify(r.Shape.PromptTokens, r.What.MaxTokens);
+  r.Priority = static_cast<int>(size);
+  r.Shape.GoesFirst = size == admission::RequestClass::Short;
   return r;
 }
 
--- a/Source/Entry/ModelCall.cpp
+++ b/Source/Entry/ModelCall.cpp
@@ -15,6 +15,8 @@
 constexpr int MaxAttempts = 8;
 constexpr int MaxReconnects = 2;
 constexpr Milliseconds PauseBetweenAttempts{20};
+/// An answer that is nearer to its end is not moved.
+constexpr double MinTokensToMove = 8;
 /// An answer may take this much longer than estimated before its engine is
 /// suspected.
 constexpr double EstimateSlack = 3;
@@ -237,6 +239,10 @@
     std::optional<EngineFailure> failure;
     engine::TokenBatch batch;
     try {
+      bool shouldMove = !isFirst && Pool.isEmptying(EngineName) &&
+                        MonoClock::now() >= NextMove;
+      if (shouldMove)
+        co_await moveStream();
       batch = co_await Stream->read(std::min(most, timeLeft()));
     } catch (const EngineError &e) {
       failure = e.Failure;
@@ -267,6 +273,44 @@
   }
 }
 
+Awaitable<void> ModelCall::moveStream() {
+  NextMove = MonoClock::now() + Node.Options.milliseconds(ViewInterval);
+  routing::RequestShape shape = Request.Shape;
+  shape.ExpectedOutputTokens -= static_cast<double>(Outcome.Tokens);
+  if (shape.ExpectedOutputTokens < MinTokensToMove)
+    co_return;
+  std::vector<std::string> without = {EngineName};
+  routing::PoolView view = Pool.view(without);
+  std::optional<routing::Route> route =
+      routing::chooseRoute(view, shape, randomGenerator());
+  if (!route)
+    co_return;
+  routing::EngineView to = view.Engines[route->Decode];
+  Milliseconds timeout =
+      std::min(Node.Options.milliseconds(HeadTimeout), timeLeft());
+  std::shared_ptr<OwnAttempt> own = Pool.begin(to.Name, 0);
+  std::optional<engine::KvHandle> cache;
+  try {
+    cache = co_await Engines.exportStream(EngineAddress, AttemptId, timeout);
+  } catch (const EngineError &e) {
+    log::debug(log::Category::Entry, "move: {}", e.what());
+  }
+  // Not exported: it has ended there, and its last tokens are on the way.
+  if (!cache)
+    co_return;
+  record(EventKind::AttemptEnded, "moved");
+  Stream->close();
+  AttemptId = makeId();
+  engine::Attempt a = makeAttempt();
+  a.From = cache;
+  EngineName = to.Name;
+  EngineAddress = to.Address;
+  Own = own;
+  record(EventKind::AttemptStarted, "moved");
+  Stream = co_await Engines.generate(to.Address, std::move(a), timeout);
+  Sink.attemptStarted(EngineAddress, AttemptId);
+}
+
 Awaitable<bool> ModelCall::reconnect() {
   try {
     Milliseconds timeout =
--- a/Source/Entry/ModelCall.h
+++ b/Source/Entry/ModelCall.h
@@ -65,6 +65,10 @@
   Awaitable<StepResult> readStream(Seconds estimate);
   Awaitable<StepResult> readUntilEnd(Seconds estimate);
   Awaitable<bool> reconnect();
+  /// Takes the stream to another engine, with its key-value cache. Leaves it
+  /// where it is when there is no room elsewhere or it is about to end. Throws
+  /// EngineError when the move broke it.
+  Awaitable<void> moveStream();
   Awaitable<bool> takeBatch(engine::TokenBatch batch);
   engine::Attempt makeAttempt() const;
   std::vector<std::string> shunned();
@@ -91,6 +95,8 @@
   ModelOutcome Outcome;
   int Attempts = 0;
   bool CallerLeft = false;
+  /// A move that was tried is not tried again for a while.
+  MonoTime NextMove{};
   /// Since when no engine has taken new work.
   std::optional<MonoTime> NoEngineSince;
 };
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -138,6 +138,13 @@
   return it == WorkspaceRates.end() ? 0 : it->second;
 }
 
+bool PoolTracker::isEmptying(const std::string &engine) const {
+  return std::any_of(Engines.begin(), Engines.end(), [&](const EngineView &e) {
+    return e.Name == engine && (e.State == EngineState::Draining ||
+                                e.State == EngineState::Leaving);
+  });
+}
+
 void PoolTracker::engineFailed(const std::string &engine) {
   Ejections.failed(engine, MonoClock::now());
 }
--- a/Source/Entry/PoolTracker.h
+++ b/Source/Entry/PoolTracker.h
@@ -50,6 +50,8 @@
   /// Tokens a second of one workspace on all nodes.
   double workspaceRate(const std::string &workspace) const;
 
+  /// Whether an engine is being emptied, so that its streams should move.
+  bool isEmptying(const std::string &engine) const;
   void engineFailed(const std::string &engine);
   void engineSucceeded(const std::string &engine);
   void engineIsLeaving(const std::string &engine);
--- a/Source/Routing/Route.cpp
+++ b/Source/Routing/Route.cpp
@@ -12,6 +12,8 @@
 constexpr size_t RandomCandidates = 2;
 /// Weight of the delay that a prefill causes to one running sequence.
 constexpr double DelayOfOthers = 0.1;
+/// Prefill that an engine has begun when a request that goes first arrives.
+constexpr uint64_t TokensAtHand = 4'096;
 constexpr double ClearlyBetter = 0.97;
 
 /// Candidates without repeats, the preferred ones first.
@@ -77,22 +79,25 @@
 
 Seconds prefillWait(const PoolView &view, size_t i, const RequestShape &shape) {
   const EngineView &e = view.Engines[i];
-  auto queued = static_cast<double>(e.QueuedPrefillTokens + e.OwnPrefillTokens);
-  auto missing =
-      static_cast<double>(shape.PromptTokens - cachedTokens(view, i, shape));
-  return Seconds((queued + missing) / prefillRate(view.Speeds, e.Role));
+  uint64_t queued = e.QueuedPrefillTokens + e.OwnPrefillTokens;
+  if (shape.GoesFirst)
+    queued = std::min(queued, TokensAtHand);
+  uint64_t missing = shape.PromptTokens - cachedTokens(view, i, shape);
+  return Seconds(static_cast<double>(queued + missing) /
+                 prefillRate(view.Speeds, e.Role));
 }
 
 /// Time until the engine has a place in its batch for one more sequence.
-Seconds slotWait(const PoolView &view, size_t i, double outputTokens) {
+Seconds slotWait(const PoolView &view, size_t i, const RequestShape &shape) {
   const EngineView &e = view.Engines[i];
   auto limit = static_cast<double>(batchLimit(view.Speeds, e.Role));
   auto load = static_cast<double>(e.Running + e.Waiting + e.OwnRunning);
   if (load < limit)
     return Seconds(0);
   // Sequences end evenly over the time that one takes.
-  Seconds each = stepTime(view.Speeds, limit) * outputTokens / limit;
-  return each * (load - limit + 1);
+  Seconds each =
+      stepTime(view.Speeds, limit) * shape.ExpectedOutputTokens / limit;
+  return shape.GoesFirst ? each : each * (load - limit + 1);
 }
 
 Seconds decodeStep(const PoolView &view, size_t i) {
@@ -130,7 +135,7 @@
     r.FirstToken +=
         view.Speeds.MoveTimePerToken * static_cast<double>(shape.PromptTokens);
   Seconds step = decodeStep(view, decode);
-  r.FirstToken += slotWait(view, decode, shape.ExpectedOutputTokens) + step;
+  r.FirstToken += slotWait(view, decode, shape) + step;
   r.WholeAnswer = r.FirstToken + step * shape.ExpectedOutputTokens;
   if (r.isSplit())
     r.WholeAnswer += interference(view, decode);
--- a/include/Sardineford/Routing/Route.h
+++ b/include/Sardineford/Routing/Route.h
@@ -13,6 +13,8 @@
   double ExpectedOutputTokens = 0;
   /// Hashes of the prompt's prefixes, piece by piece.
   std::vector<uint64_t> PrefixHashes;
+  /// Goes ahead of what waits at an engine, but for the work at hand.
+  bool GoesFirst = false;
   /// Hash of workspace and first prefix; the same on every node.
   uint64_t Affinity = 0;
 };
