Estimates count what runs beside a prefill; shares bind only among those who ask

Cause, from the refusals' log: (a) one workspace that asked alone was held to its share of 0.4 while the pool was not short; (b) with that gone, admission took too much: a prefill beside 30 running sequences gets a third of the rate that the estimate used, and an answer that decodes where prompts are queued takes longer than its steps. Ruled out: the slots (waiting 0 in most lines). Change: the holder tells of a workspace only while demand exceeds capacity and limits it to its share among the workspaces that ask now; the prefill rate counts the steps between its chunks, and half of an answer's steps count as shared where prompts are queued.

--- a/Source/Admission/Admission.cpp
+++ b/Source/Admission/Admission.cpp
@@ -24,12 +24,13 @@
       static_cast<int64_t>(static_cast<double>(d.count()) * factor(random)));
 }
 
+/// Refuses the part of a workspace's requests that is over its allowance.
 bool isOverShare(const ShareView &s, std::mt19937_64 &random) {
-  double allowed = s.Share * s.PoolTokensPerSecond;
-  if (s.WorkspaceTokensPerSecond <= allowed || allowed <= 0)
+  if (s.AllowedTokensPerSecond <= 0 ||
+      s.WorkspaceTokensPerSecond <= s.AllowedTokensPerSecond)
     return false;
   std::uniform_real_distribution<double> chance(0, 1);
-  return chance(random) > allowed / s.WorkspaceTokensPerSecond;
+  return chance(random) > s.AllowedTokensPerSecond / s.WorkspaceTokensPerSecond;
 }
 
 } // namespace
--- a/Source/Controller/PoolKeeper.cpp
+++ b/Source/Controller/PoolKeeper.cpp
@@ -314,8 +314,9 @@
          });
 }
 
-/// Only workspaces that take more than their share are told of, so that the
-/// view does not grow with the number of workspaces.
+/// While the pool is short, tells of the workspaces that take more than their
+/// share comes to among those that ask for work now. Others are not told of,
+/// so that the view does not grow with the number of workspaces.
 void PoolKeeper::addRates(messages::PoolView &out) const {
   const config::EnginePoolSpec *s = spec();
   if (!s)
@@ -325,14 +326,28 @@
   pool.Engines.resize(Table.all().size());
   double capacity = admission::poolCapacity(pool);
   const config::Catalog &c = Node.Exchange.config().catalog();
+  double demand = 0;
+  double shares = 0;
   for (const auto &[name, rate] : WorkspaceRates) {
     auto account = c.Workspaces.find(name);
-    if (account == c.Workspaces.end() ||
-        rate <= account->second.Share * capacity)
+    if (account == c.Workspaces.end())
+      continue;
+    demand += rate;
+    shares += account->second.Share;
+  }
+  if (demand <= capacity || shares <= 0)
+    return;
+  for (const auto &[name, rate] : WorkspaceRates) {
+    auto account = c.Workspaces.find(name);
+    if (account == c.Workspaces.end())
+      continue;
+    double allowed = capacity * account->second.Share / shares;
+    if (rate <= allowed)
       continue;
     messages::WorkspaceRate *r = out.add_rates();
     r->set_workspace(name);
     r->set_tokens_per_second(rate);
+    r->set_allowed_per_second(allowed);
   }
 }
 
--- a/Source/Entry/Entry.cpp
+++ b/Source/Entry/Entry.cpp
@@ -223,6 +223,24 @@
   return r;
 }
 
+/// What the estimate rested on, for whoever asks why a request was refused.
+void Entry::logRefusal(const routing::PoolView &view,
+                       const std::optional<routing::Route> &route,
+                       const ModelRequest &r) const {
+  if (!route || !log::enabled(log::Category::Routing, log::Level::Debug))
+    return;
+  const routing::EngineView &p = view.Engines[route->Prefill];
+  const routing::EngineView &d = view.Engines[route->Decode];
+  log::debug(log::Category::Routing,
+             "request {} of {}+{:.0f} tokens refused: first {:.3f} s, whole "
+             "{:.3f} s; prefill {} queued {}+{}; decode {} {} running {}+{} "
+             "waiting {}",
+             r.Id, r.Shape.PromptTokens, r.Shape.ExpectedOutputTokens,
+             route->FirstToken.count(), route->WholeAnswer.count(), p.Name,
+             p.QueuedPrefillTokens, p.OwnPrefillTokens, d.Name,
+             routing::toString(d.Role), d.Running, d.OwnRunning, d.Waiting);
+}
+
 admission::Decision Entry::admit(const ModelRequest &r, PoolTracker &pool,
                                  const Context &c) {
   routing::PoolView view = pool.view({});
@@ -233,12 +251,13 @@
                                      r.Shape.ExpectedOutputTokens);
   pool.noteDemand(c.Workspace, r.Shape.PromptTokens,
                   r.Shape.ExpectedOutputTokens, cost);
-  admission::ShareView share;
-  share.PoolTokensPerSecond = admission::poolCapacity(view);
-  share.WorkspaceTokensPerSecond = pool.workspaceRate(c.Workspace);
-  share.Share = c.Account.Share;
-  return admission::decide(route, Seconds(toSeconds(c.Deadline - c.Start)),
-                           share, randomGenerator());
+  admission::ShareView share = pool.shareOf(c.Workspace);
+  admission::Decision d =
+      admission::decide(route, Seconds(toSeconds(c.Deadline - c.Start)), share,
+                        randomGenerator());
+  if (!d.accepted())
+    logRefusal(view, route, r);
+  return d;
 }
 
 void Entry::noteEnd(const ModelRequest &r, const Context &c,
--- a/Source/Entry/Entry.h
+++ b/Source/Entry/Entry.h
@@ -43,6 +43,9 @@
   http::Response listModels(const Context &c) const;
   PoolTracker &poolOf(const std::string &model);
   void startTrackers();
+  void logRefusal(const routing::PoolView &view,
+                  const std::optional<routing::Route> &route,
+                  const ModelRequest &r) const;
   admission::Decision admit(const ModelRequest &r, PoolTracker &pool,
                             const Context &c);
   double expectedOutput(const std::string &model, uint64_t maxTokens) const;
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -133,9 +133,9 @@
   Retries.deposit();
 }
 
-double PoolTracker::workspaceRate(const std::string &workspace) const {
-  auto it = WorkspaceRates.find(workspace);
-  return it == WorkspaceRates.end() ? 0 : it->second;
+admission::ShareView PoolTracker::shareOf(const std::string &workspace) const {
+  auto it = Shares.find(workspace);
+  return it == Shares.end() ? admission::ShareView() : it->second;
 }
 
 bool PoolTracker::isEmptying(const std::string &engine) const {
@@ -203,9 +203,9 @@
   Engines.clear();
   for (const messages::EngineLoad &it : in.engines())
     Engines.push_back(toView(it));
-  WorkspaceRates.clear();
+  Shares.clear();
   for (const messages::WorkspaceRate &it : in.rates())
-    WorkspaceRates[it.workspace()] = it.tokens_per_second();
+    Shares[it.workspace()] = {it.tokens_per_second(), it.allowed_per_second()};
   ViewTaken = MonoClock::now();
 }
 
--- a/Source/Entry/PoolTracker.h
+++ b/Source/Entry/PoolTracker.h
@@ -47,8 +47,8 @@
   std::shared_ptr<OwnAttempt> begin(std::string engine, uint64_t tokens);
   void noteDemand(const std::string &workspace, uint64_t promptTokens,
                   double outputTokens, double cost);
-  /// Tokens a second of one workspace on all nodes.
-  double workspaceRate(const std::string &workspace) const;
+  /// The limit of a workspace while the pool is short.
+  admission::ShareView shareOf(const std::string &workspace) const;
 
   /// Whether an engine is being emptied, so that its streams should move.
   bool isEmptying(const std::string &engine) const;
@@ -79,7 +79,7 @@
   std::list<std::weak_ptr<OwnAttempt>> Own;
   retry::Ejector Ejections;
   PendingDemand Demand;
-  std::map<std::string, double> WorkspaceRates;
+  std::map<std::string, admission::ShareView> Shares;
 };
 
 } // namespace sardineford::entry
--- a/Source/Routing/Route.cpp
+++ b/Source/Routing/Route.cpp
@@ -14,6 +14,8 @@
 constexpr double DelayOfOthers = 0.1;
 /// Prefill that an engine has begun when a request that goes first arrives.
 constexpr uint64_t TokensAtHand = 4'096;
+/// Share of an answer's steps that share the engine with prefills to come.
+constexpr double StepsWithLaterPrefill = 0.5;
 constexpr double ClearlyBetter = 0.97;
 
 /// Candidates without repeats, the preferred ones first.
@@ -77,14 +79,26 @@
   return std::min(pieces * view.Speeds.TokensPerPiece, shape.PromptTokens);
 }
 
+/// Prompt tokens a second beside the sequences that run at the engine: each
+/// step prefills one chunk and generates a token for every sequence.
+double rateBeside(const PoolView &view, size_t i) {
+  const EngineView &e = view.Engines[i];
+  double rate = prefillRate(view.Speeds, e.Role);
+  auto running = static_cast<double>(e.Running + e.OwnRunning);
+  if (e.Role == EngineRole::Prefill || running == 0)
+    return rate;
+  auto chunk = static_cast<double>(chunkTokens(view.Speeds, e.Role));
+  Seconds step = stepTime(view.Speeds, running);
+  return chunk / (chunk / rate + step.count());
+}
+
 Seconds prefillWait(const PoolView &view, size_t i, const RequestShape &shape) {
   const EngineView &e = view.Engines[i];
   uint64_t queued = e.QueuedPrefillTokens + e.OwnPrefillTokens;
   if (shape.GoesFirst)
     queued = std::min(queued, TokensAtHand);
   uint64_t missing = shape.PromptTokens - cachedTokens(view, i, shape);
-  return Seconds(static_cast<double>(queued + missing) /
-                 prefillRate(view.Speeds, e.Role));
+  return Seconds(static_cast<double>(queued + missing) / rateBeside(view, i));
 }
 
 /// Time until the engine has a place in its batch for one more sequence.
@@ -107,11 +121,17 @@
   return stepTime(view.Speeds, std::min(load, limit));
 }
 
-/// Time that prefills queued at an engine add to a sequence that decodes there.
-Seconds interference(const PoolView &view, size_t i) {
+/// Time that prefills at an engine add to a sequence that decodes there. Where
+/// some are queued now, more will come while the sequence runs.
+Seconds interference(const PoolView &view, size_t i, double outputTokens) {
   const EngineView &e = view.Engines[i];
   auto queued = static_cast<double>(e.QueuedPrefillTokens + e.OwnPrefillTokens);
-  return Seconds(queued / prefillRate(view.Speeds, e.Role));
+  if (queued == 0)
+    return Seconds(0);
+  auto chunk = static_cast<double>(chunkTokens(view.Speeds, e.Role));
+  double steps = std::min(
+      outputTokens, queued / chunk + outputTokens * StepsWithLaterPrefill);
+  return Seconds(steps * chunk / prefillRate(view.Speeds, e.Role));
 }
 
 /// Delay, in sum, of the sequences that run where a prompt is prefilled.
@@ -137,8 +157,7 @@
   Seconds step = decodeStep(view, decode);
   r.FirstToken += slotWait(view, decode, shape) + step;
   r.WholeAnswer = r.FirstToken + step * shape.ExpectedOutputTokens;
-  if (r.isSplit())
-    r.WholeAnswer += interference(view, decode);
+  r.WholeAnswer += interference(view, decode, shape.ExpectedOutputTokens);
   r.Score = r.WholeAnswer + r.FirstToken;
   if (view.Engines[prefill].Role != EngineRole::Prefill)
     r.Score += delayOfOthers(view, prefill, shape) * DelayOfOthers;
@@ -204,6 +223,10 @@
   return s.PrefillTokensPerSecond * s.PrefillShareInDecode;
 }
 
+uint64_t chunkTokens(const EngineSpeeds &s, EngineRole r) {
+  return r == EngineRole::Prefill ? s.ChunkPrefill : s.ChunkDecode;
+}
+
 Seconds stepTime(const EngineSpeeds &s, double running) {
   return s.DecodeStep + s.DecodeStepPerSequence * running;
 }
--- a/StandIns/Bench/MixBench.cpp
+++ b/StandIns/Bench/MixBench.cpp
@@ -142,7 +142,7 @@
           {"entry.view_interval_ms", ms(250)},
           {"entry.report_lag_ms", ms(200)},
           {"shutdown.balancer_wait_ms", "100"},
-          {"log.level", "\"info\""}};
+          {"log.level", "\"debug\""}};
 }
 
 uint64_t countChanges(const std::string &folder) {
--- a/Tests/Routing/RouteTest.cpp
+++ b/Tests/Routing/RouteTest.cpp
@@ -89,7 +89,7 @@
   std::mt19937_64 random(1);
   Route r;
   r.WholeAnswer = Seconds(7);
-  admission::ShareView share{1'000, 2'000, 0.5};
+  admission::ShareView share{2'000, 500};
   int accepted = 0;
   for (int n = 0; n < 1'000; ++n)
     accepted +=
--- a/include/Sardineford/Admission/Admission.h
+++ b/include/Sardineford/Admission/Admission.h
@@ -16,14 +16,13 @@
 
 std::string_view toString(RequestClass c);
 
-/// What is known of the demand on a pool and of one workspace's part.
+/// A workspace's part of the demand on a pool that is short.
 struct ShareView {
-  /// Tokens a second that the pool can do, prompt tokens weighed.
-  double PoolTokensPerSecond = 0;
   /// Tokens a second that the workspace asks for on all nodes.
   double WorkspaceTokensPerSecond = 0;
-  /// Share that the workspace has when the pool is short.
-  double Share = 1;
+  /// What its share comes to among the workspaces that ask for work now; 0
+  /// when it is not limited.
+  double AllowedTokensPerSecond = 0;
 };
 
 enum class Refusal { None, NoEngine, DeadlineTooShort, OverShare };
--- a/include/Sardineford/Routing/View.h
+++ b/include/Sardineford/Routing/View.h
@@ -26,6 +26,9 @@
   uint64_t MaxBatch = 32;
   uint64_t MaxBatchPrefill = 4;
   uint64_t TokensPerPiece = 2'000;
+  /// Prompt tokens that one step prefills beside running sequences.
+  uint64_t ChunkPrefill = 2'048;
+  uint64_t ChunkDecode = 256;
   Seconds MoveTimePerToken{2e-6};
 };
 
@@ -66,6 +69,9 @@
 /// Prompt tokens that an engine prefills a second in its role.
 double prefillRate(const EngineSpeeds &s, EngineRole r);
 
+/// Prompt tokens that one step prefills in a role.
+uint64_t chunkTokens(const EngineSpeeds &s, EngineRole r);
+
 /// Time between tokens with a number of sequences running.
 Seconds stepTime(const EngineSpeeds &s, double running);
 
