--- a/Source/Controller/PlanLease.cpp
+++ b/Source/Controller/PlanLease.cpp
@@ -45,6 +45,12 @@
   Plan.Pool = Name;
 }
 
+Milliseconds PlanLease::pauseBetweenTicks() const {
+  if (IsHolder)
+    return Times.RenewEvery;
+  return jittered(Node.Options.milliseconds(ObserveInterval));
+}
+
 bool PlanLease::mayAct() const {
   return IsHolder && Held.isValid(MonoClock::now());
 }
--- a/Source/Controller/PlanLease.h
+++ b/Source/Controller/PlanLease.h
@@ -20,6 +20,9 @@
   /// Renews the lease, or looks whether it can be taken.
   Awaitable<void> tick();
 
+  /// Time until the next tick: even for a holder, spread for the others.
+  Milliseconds pauseBetweenTicks() const;
+
   /// This process may act: its lease holds by its own clock.
   bool mayAct() const;
   /// This process is the last holder it knows of; during an outage of the
--- a/Source/Controller/PoolKeeper.cpp
+++ b/Source/Controller/PoolKeeper.cpp
@@ -3,7 +3,7 @@
 #include "Controller/ControllerSettings.h"
 #include "Sardineford/Admission/Admission.h"
 #include "Sardineford/Common/Log.h"
-#include "Sardineford/Common/Random.h"
+#include "Sardineford/Routing/Speeds.h"
 
 #include <algorithm>
 
@@ -17,9 +17,6 @@
 
 /// An entry process counts as reporting for this long.
 constexpr Milliseconds ReportFresh{3'000};
-constexpr double RateWeight = 0.3;
-/// Rates below this are forgotten, in tokens a second.
-constexpr double MinRate = 0.5;
 
 messages::EngineState toMessage(EngineState s) {
   switch (s) {
@@ -73,17 +70,6 @@
 
 } // namespace
 
-routing::EngineSpeeds speedsOf(const config::EnginePoolSpec &s) {
-  routing::EngineSpeeds out;
-  out.PrefillTokensPerSecond = s.PrefillTokensPerSecond;
-  out.PrefillShareInDecode = s.PrefillShareInDecode;
-  out.DecodeStep = Seconds(s.DecodeStepMs / 1000);
-  out.DecodeStepPerSequence = Seconds(s.DecodeStepPerSequenceMs / 1000);
-  out.MaxBatch = static_cast<uint64_t>(s.MaxBatch);
-  out.MaxBatchPrefill = static_cast<uint64_t>(s.MaxBatchPrefill);
-  return out;
-}
-
 PoolKeeper::PoolKeeper(node::Node &node, engine::EngineClient &engines,
                        std::string pool)
     : Node(node), Pool(std::move(pool)), Lease(node, plan::PlanKind, Pool),
@@ -112,11 +98,7 @@
       onTakeOver();
     if (Lease.isLastHolder() && isUnreachable())
       Lease.stepDown();
-    Milliseconds wait =
-        Lease.isLastHolder()
-            ? Node.Options.milliseconds(RenewInterval)
-            : jittered(Node.Options.milliseconds(ObserveInterval));
-    co_await sleepFor(wait);
+    co_await sleepFor(Lease.pauseBetweenTicks());
   }
 }
 
@@ -182,7 +164,7 @@
   MonoTime now = MonoClock::now();
   Pending.Interval = Seconds(toSeconds(now - LastSample));
   LastSample = now;
-  double interval = Pending.Interval.count();
+  Seconds interval = Pending.Interval;
   roles::EstimatorTimes times;
   times.Fast = Seconds(toSeconds(Node.Options.milliseconds(FastEstimate)));
   times.Slow = Seconds(toSeconds(Node.Options.milliseconds(SlowEstimate)));
@@ -190,13 +172,7 @@
   if (reportingNodes() > 0)
     roles::addSample(Demand, Pending, times);
   Pending = roles::DemandSample();
-  for (auto &[name, rate] : WorkspaceRates)
-    rate *= 1 - RateWeight;
-  for (const auto &[name, tokens] : PendingWorkspaces)
-    WorkspaceRates[name] += RateWeight * static_cast<double>(tokens) / interval;
-  PendingWorkspaces.clear();
-  std::erase_if(WorkspaceRates,
-                [](const auto &it) { return it.second < MinRate; });
+  Workspaces.sample(interval);
 }
 
 bool PoolKeeper::isPinned(const std::string &engine) const {
@@ -234,7 +210,7 @@
   roles::RoleView v;
   v.Spec = *spec();
   v.Pool.Pool = Pool;
-  v.Pool.Speeds = speedsOf(v.Spec);
+  v.Pool.Speeds = routing::speedsOf(v.Spec);
   const PoolPlan &p = Lease.plan();
   for (const auto &[name, e] : Table.all()) {
     routing::EngineView engine = toRoleView(e, Table.stateOf(e, p));
@@ -314,41 +290,14 @@
          });
 }
 
-/// While the pool is short, tells of the workspaces that take more than their
-/// share comes to among those that ask for work now. Others are not told of,
-/// so that the view does not grow with the number of workspaces.
 void PoolKeeper::addRates(messages::PoolView &out) const {
-  const config::EnginePoolSpec *s = spec();
-  if (!s)
+  if (!spec())
     return;
   routing::PoolView pool;
-  pool.Speeds = speedsOf(*s);
+  pool.Speeds = routing::speedsOf(*spec());
   pool.Engines.resize(Table.all().size());
-  double capacity = admission::poolCapacity(pool);
-  const config::Catalog &c = Node.Exchange.config().catalog();
-  double demand = 0;
-  double shares = 0;
-  for (const auto &[name, rate] : WorkspaceRates) {
-    auto account = c.Workspaces.find(name);
-    if (account == c.Workspaces.end())
-      continue;
-    demand += rate;
-    shares += account->second.Share;
-  }
-  if (demand <= capacity || shares <= 0)
-    return;
-  for (const auto &[name, rate] : WorkspaceRates) {
-    auto account = c.Workspaces.find(name);
-    if (account == c.Workspaces.end())
-      continue;
-    double allowed = capacity * account->second.Share / shares;
-    if (rate <= allowed)
-      continue;
-    messages::WorkspaceRate *r = out.add_rates();
-    r->set_workspace(name);
-    r->set_tokens_per_second(rate);
-    r->set_allowed_per_second(allowed);
-  }
+  Workspaces.addOverShare(out, Node.Exchange.config().catalog(),
+                          admission::poolCapacity(pool));
 }
 
 messages::PoolView PoolKeeper::view() const {
@@ -384,7 +333,7 @@
   Pending.PromptTokens += static_cast<double>(d.prompt_tokens());
   Pending.OutputTokens += static_cast<double>(d.output_tokens());
   for (const messages::WorkspaceDemand &it : d.workspaces())
-    PendingWorkspaces[it.workspace()] += it.tokens();
+    Workspaces.add(it.workspace(), it.tokens());
   return view();
 }
 
--- a/Source/Controller/PoolKeeper.h
+++ b/Source/Controller/PoolKeeper.h
@@ -3,6 +3,7 @@
 #include "Controller/EngineTable.h"
 #include "Controller/OrderRunner.h"
 #include "Controller/PlanLease.h"
+#include "Controller/WorkspaceRates.h"
 #include "Messages/Messages.pb.h"
 #include "Sardineford/Roles/RolePolicy.h"
 
@@ -65,14 +66,10 @@
   roles::DemandSample Pending;
   MonoTime LastSample = MonoClock::now();
   roles::DemandEstimate Demand;
-  std::map<std::string, uint64_t> PendingWorkspaces;
-  std::map<std::string, double> WorkspaceRates;
+  WorkspaceRates Workspaces;
   std::optional<MonoTime> LastChange;
   uint64_t KnownEpoch = 0;
   MonoTime HolderSince{};
 };
 
-/// Speeds of a pool's engines, from its configuration.
-routing::EngineSpeeds speedsOf(const config::EnginePoolSpec &s);
-
 } // namespace sardineford::controller
--- a/Source/Controller/Publisher.cpp
+++ b/Source/Controller/Publisher.cpp
@@ -42,11 +42,7 @@
       Pending = true;
       Edited.cancel();
     }
-    Milliseconds wait =
-        Lease.isLastHolder()
-            ? Node.Options.milliseconds(RenewInterval)
-            : jittered(Node.Options.milliseconds(ObserveInterval));
-    co_await sleepFor(wait);
+    co_await sleepFor(Lease.pauseBetweenTicks());
   }
 }
 
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -4,6 +4,7 @@
 #include "Messages/Messages.pb.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Routing/Speeds.h"
 
 #include <algorithm>
 
@@ -59,18 +60,10 @@
     : Node(node), Pool(std::move(pool)) {}
 
 routing::EngineSpeeds PoolTracker::speeds() const {
-  routing::EngineSpeeds s;
   const config::Catalog &c = Node.Exchange.config().catalog();
   auto it = c.Pools.find(Pool);
-  if (it == c.Pools.end())
-    return s;
-  s.PrefillTokensPerSecond = it->second.PrefillTokensPerSecond;
-  s.PrefillShareInDecode = it->second.PrefillShareInDecode;
-  s.DecodeStep = Seconds(it->second.DecodeStepMs / 1000);
-  s.DecodeStepPerSequence = Seconds(it->second.DecodeStepPerSequenceMs / 1000);
-  s.MaxBatch = static_cast<uint64_t>(it->second.MaxBatch);
-  s.MaxBatchPrefill = static_cast<uint64_t>(it->second.MaxBatchPrefill);
-  return s;
+  return it == c.Pools.end() ? routing::EngineSpeeds()
+                             : routing::speedsOf(it->second);
 }
 
 /// Adds this process's attempts that began after the report was made. Other
--- a/StandIns/Deployment/Deployment.cpp
+++ b/StandIns/Deployment/Deployment.cpp
@@ -231,8 +231,7 @@
   return file;
 }
 
-void Deployment::registerInstance(const Node &n, int lag) {
-  (void)lag;
+void Deployment::registerInstance(const Node &n) {
   callNow(PlatformAddress,
           post("/admin/instance", membership::encodeInstance(n.Listed)),
           CallTimeout);
@@ -248,7 +247,7 @@
     while (callNow(PlatformAddress, probe, CallTimeout).Status == 0)
       std::this_thread::sleep_for(PollStep);
     for (const auto &[name, n] : Nodes)
-      registerInstance(n, 0);
+      registerInstance(n);
     applyObjects();
   }
   if (!waitReady(ReadyWaitMs))
@@ -354,7 +353,7 @@
 
 void Deployment::setInstance(const std::string &name, InstanceState state) {
   Nodes.at(name).Listed.State = state;
-  registerInstance(Nodes.at(name), 0);
+  registerInstance(Nodes.at(name));
 }
 
 void Deployment::setLink(const std::string &name, const std::string &json) {
--- a/StandIns/Deployment/Deployment.h
+++ b/StandIns/Deployment/Deployment.h
@@ -97,7 +97,7 @@
   std::string writeSettings(const std::string &name, const Node &n,
                             const http::Endpoint &platform);
   http::Endpoint addRelay(const std::string &name, const http::Endpoint &to);
-  void registerInstance(const Node &n, int lag);
+  void registerInstance(const Node &n);
   void applyObjects();
   std::vector<std::string> namesOf(membership::InstanceKind kind) const;
   const std::string &domainFor(size_t i) const;
