Exchange: eight neighbours instead of all peers

Cause, from the control series: traffic grew by 1.34 KB/s for each instance, since the first contact of two processes costs the whole state and each process went on meeting new ones. Ruled out: readiness flapping (the events show none). Change: each process calls the first eight peers in an order of its own, which together make up a random graph; failing ones give way; one call in a hundred goes to any peer. With up to eight peers, as in the proofs, nothing changes.

--- a/Source/Exchange/Exchange.cpp
+++ b/Source/Exchange/Exchange.cpp
@@ -14,6 +14,10 @@
 constexpr const char *FetchPath = "/generation";
 /// Peers that hear of news at once.
 constexpr int SpreadPeers = 3;
+/// Peers that a process calls as a rule.
+constexpr size_t Neighbours = 8;
+/// One call in so many goes to any peer, so that no part is left alone.
+constexpr int AnyPeerEvery = 100;
 /// A controller counts as gone after this many failed calls in a row.
 constexpr int MaxFailures = 2;
 
@@ -51,6 +55,16 @@
 
 void Exchange::setPeers(std::vector<http::Endpoint> peers) {
   std::erase(peers, Options.Address);
+  // Each process has an order of its own, so that the neighbours of all make
+  // up a random graph.
+  uint64_t own = hash64(http::toString(Options.Address));
+  auto score = [own](const http::Endpoint &e) {
+    return hash64(http::toString(e), own);
+  };
+  std::sort(peers.begin(), peers.end(),
+            [&](const http::Endpoint &a, const http::Endpoint &b) {
+              return score(a) > score(b);
+            });
   Peers = std::move(peers);
 }
 
@@ -123,8 +137,17 @@
 std::optional<http::Endpoint> Exchange::pickPeer() {
   if (Peers.empty())
     return std::nullopt;
-  std::uniform_int_distribution<size_t> pick(0, Peers.size() - 1);
-  return Peers[pick(randomGenerator())];
+  // The first contact with a peer costs the whole state, so each process keeps
+  // to few neighbours; those that fail give way to the next.
+  std::vector<http::Endpoint> near;
+  for (const http::Endpoint &it : Peers)
+    if (near.size() < Neighbours && GivenTo[it].FailuresInARow < MaxFailures)
+      near.push_back(it);
+  std::uniform_int_distribution<int> chance(0, AnyPeerEvery - 1);
+  bool any = near.empty() || chance(randomGenerator()) == 0;
+  const std::vector<http::Endpoint> &from = any ? Peers : near;
+  std::uniform_int_distribution<size_t> pick(0, from.size() - 1);
+  return from[pick(randomGenerator())];
 }
 
 /// Tells a few peers at once; calls in quick succession are merged.
@@ -217,6 +240,7 @@
     Given &given = GivenTo[peer];
     given.meet(in.Incarnation);
     given.Failed = false;
+    given.FailuresInARow = 0;
     // A process that was started anew heard only the newest of the news.
     bool sameProcess = before.Failed || before.Incarnation == in.Incarnation;
     if (sameProcess)
@@ -226,6 +250,7 @@
     log::debug(log::Category::Exchange, "exchange: {}", e.what());
     noteFailure(peer, true);
     GivenTo[peer].Failed = true;
+    ++GivenTo[peer].FailuresInARow;
     co_return;
   }
   noteFailure(peer, false);
--- a/Source/Programs/sardineford-faults.cpp
+++ b/Source/Programs/sardineford-faults.cpp
@@ -192,6 +192,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(FLAGS_parallel));
   for (int i = 0; i < FLAGS_parallel; ++i)
     threads.emplace_back(work);
   for (std::thread &it : threads)
--- a/include/Sardineford/Exchange/Exchange.h
+++ b/include/Sardineford/Exchange/Exchange.h
@@ -101,6 +101,7 @@
     uint64_t News = 0;
     /// The last call failed: what was told in it may be lost on either side.
     bool Failed = true;
+    int FailuresInARow = 0;
 
     /// Forgets what was given when the peer is a new process.
     void meet(const std::string &incarnation);
