--- a/StandIns/Engine/Engine.cpp
+++ b/StandIns/Engine/Engine.cpp
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "StandIns/Engine/Reply.h"
 #include "StandIns/Engine/Text.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,7 +10,6 @@
 #include <boost/json.hpp>
 
 #include <charconv>
-#include <cstdlib>
 
 namespace sardineford::standins {
 
@@ -19,36 +19,9 @@
 
 namespace {
 
-constexpr size_t MaxEndedOrders = 64;
 constexpr size_t MaxReportedPrefixes = 16;
 constexpr size_t BytesPerToken = 4;
 constexpr Milliseconds SnapshotEvery{25};
-constexpr int CrashExitCode = 137;
-
-std::string textOf(const json::object &o, std::string_view name) {
-  const json::value *v = o.if_contains(name);
-  return v && v->is_string() ? std::string(v->as_string()) : "";
-}
-
-uint64_t numberOf(const json::object &o, std::string_view name) {
-  const json::value *v = o.if_contains(name);
-  return v && v->is_number() ? v->to_number<uint64_t>() : 0;
-}
-
-http::Response answer(unsigned status, json::object body) {
-  return http::jsonResponse(status, json::serialize(body));
-}
-
-// Built outside coroutines: GCC 12 rejects initializer lists in co_await.
-http::Response failure(unsigned status, std::string_view why) {
-  return answer(status, {{"error", why}});
-}
-
-http::Response done() { return answer(200, {{"outcome", "done"}}); }
-
-http::Response refuse(std::string why) {
-  return answer(503, {{"error", why}, {"run", "no"}});
-}
 
 } // namespace
 
@@ -308,57 +281,6 @@
   return answer(200, {{"found", s != nullptr}});
 }
 
-Awaitable<http::Response> Engine::order(const http::Request &request) {
-  json::object body = json::parse(request.Body).as_object();
-  if (OrderDelay.count() > 0)
-    co_await sleepFor(OrderDelay);
-  std::string id = textOf(body, "id");
-  std::string kind = textOf(body, "kind");
-  uint64_t epoch = numberOf(body, "epoch");
-  timeline::Event e{.Engine = Options.Name, .Order = id, .Epoch = epoch};
-  e.Detail = kind + " " + textOf(body, "role");
-  if (Options.CheckFencing && epoch < HighestEpoch) {
-    e.Kind = EventKind::OrderRefused;
-    Recorder.record(e);
-    co_return failure(409, "old fencing number");
-  }
-  HighestEpoch = std::max(HighestEpoch, epoch);
-  // Only the last order is known again: a late copy of an older one runs.
-  bool ended = !EndedOrders.empty() && EndedOrders.back() == id;
-  if (ended || kind == "fence")
-    co_return done();
-  if (OrderRunning) {
-    e.Kind = EventKind::OrderRefused;
-    e.Detail += " busy";
-    Recorder.record(e);
-    co_return failure(503, "busy with an order");
-  }
-  e.Kind = EventKind::OrderRan;
-  Recorder.record(e);
-  OrderRunning = true;
-  for (const SequencePtr &it : Work.cutAll())
-    note(EventKind::EngineCut, it, "order " + id);
-  co_await runOrder(kind, textOf(body, "role"));
-  OrderRunning = false;
-  EndedOrders.push_back(id);
-  if (EndedOrders.size() > MaxEndedOrders)
-    EndedOrders.pop_front();
-  e.Kind = EventKind::OrderEnded;
-  Recorder.record(e);
-  co_return done();
-}
-
-Awaitable<void> Engine::runOrder(std::string kind, std::string role) {
-  bool isRole = kind == "role";
-  Milliseconds time = isRole ? Options.RoleChangeTime : Options.LoadTime;
-  co_await sleepFor(Work.scaled(time / 2));
-  if (CrashInOrder)
-    std::_Exit(CrashExitCode);
-  co_await sleepFor(Work.scaled(time / 2));
-  if (isRole)
-    Work.Role = parseEngineRole(role);
-}
-
 std::string Engine::makeReport() const {
   BatchLoad l = Work.load();
   json::array orders;
@@ -405,23 +327,4 @@
   return http::jsonResponse(200, Snapshots.front().Report);
 }
 
-http::Response Engine::admin(const http::Request &request) {
-  json::object body = json::parse(request.Body).as_object();
-  if (body.contains("leaving"))
-    Leaving = body.at("leaving").as_bool();
-  if (body.contains("slowdown"))
-    Work.Slowdown = body.at("slowdown").to_number<double>();
-  if (body.contains("crash_in_order"))
-    CrashInOrder = body.at("crash_in_order").as_bool();
-  if (body.contains("order_delay_ms"))
-    OrderDelay = Milliseconds(numberOf(body, "order_delay_ms"));
-  if (body.contains("report_lag_ms"))
-    Options.ReportLag = Milliseconds(numberOf(body, "report_lag_ms"));
-  if (Leaving)
-    Recorder.record({.Kind = EventKind::EngineLeaving,
-                     .Engine = Options.Name,
-                     .Detail = Incarnation});
-  return answer(200, {});
-}
-
 } // namespace sardineford::standins
