An entry is not ready before it knows instances of every pool and service

Change: readiness waits for an instance of each configured pool and service, at most 5 s after the start, so that a service without instances holds up nothing. Before, a pool without engines held readiness up for ever.

--- a/Source/Entry/Entry.cpp
+++ b/Source/Entry/Entry.cpp
@@ -75,11 +75,26 @@
       Once(node, OnceStore), Services(node, Once) {
   Node.Exchange.onGeneration([this] { startTrackers(); });
   Node.addReadiness([this] {
-    return std::all_of(Pools.begin(), Pools.end(),
-                       [](const auto &it) { return it.second->hasEngines(); });
+    Milliseconds wait = Node.Options.milliseconds(StartWait);
+    return knowsBackends() || MonoClock::now() - Started > wait;
   });
 }
 
+bool Entry::knowsBackends() const {
+  const config::Catalog &c = Node.Exchange.config().catalog();
+  bool pools = std::all_of(Pools.begin(), Pools.end(), [](const auto &it) {
+    return it.second->hasEngines();
+  });
+  auto isListed = [this](const auto &service) {
+    return std::any_of(Node.instances().begin(), Node.instances().end(),
+                       [&](const membership::Instance &it) {
+                         return it.Kind == membership::InstanceKind::Service &&
+                                it.Group == service.first;
+                       });
+  };
+  return pools && std::all_of(c.Services.begin(), c.Services.end(), isListed);
+}
+
 void Entry::start() {
   Node.serve([this](http::Request &request,
                     http::ResponseWriter &out) { return handle(request, out); },
--- a/Source/Entry/Entry.h
+++ b/Source/Entry/Entry.h
@@ -43,6 +43,9 @@
   http::Response listModels(const Context &c) const;
   PoolTracker &poolOf(const std::string &model);
   void startTrackers();
+  /// Whether every pool and service has a known instance. The list of
+  /// instances lags, so a process that has just started may know none.
+  bool knowsBackends() const;
   void logRefusal(const routing::PoolView &view,
                   const std::optional<routing::Route> &route,
                   const ModelRequest &r) const;
@@ -55,6 +58,7 @@
                const std::string &outcome);
 
   node::Node &Node;
+  MonoTime Started = MonoClock::now();
   engine::HttpEngineClient Engines;
   once::ObjectPerKey OnceStore;
   OnceCalls Once;
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -49,6 +49,14 @@
     600'000,
     "ms",
     "wait for an engine to accept a request"};
+inline const Setting<int64_t> StartWait{
+    "entry.start_wait_ms",
+    5'000,
+    0,
+    600'000,
+    "ms",
+    "longest time after its start that an entry is not ready because a pool or "
+    "a service has no known instance"};
 inline const Setting<int64_t> NoEngineWait{
     "entry.no_engine_wait_ms",
     3'000,
