--- a/Source/Engine/HttpEngineClient.cpp
+++ b/Source/Engine/HttpEngineClient.cpp
@@ -60,7 +60,7 @@
                            : routing::EngineState::Serving;
 }
 
-/// Finds a member of a flat JSON line that the engine wrote.
+/// Tokens of an attempt, one line of JSON each.
 class LineStream : public TokenStream {
 public:
   explicit LineStream(std::unique_ptr<http::ResponseStream> body)
--- a/Source/Programs/sardineford-mix.cpp
+++ b/Source/Programs/sardineford-mix.cpp
@@ -43,7 +43,7 @@
   return text.str();
 }
 
-/// A scenario and whether its roles are worth comparing at a utilisation.
+/// The built-in scenarios, or the one of --scenario.
 std::vector<load::Scenario> makeScenarios(const Scene &where, int engines) {
   if (!FLAGS_scenario.empty())
     return {load::parseScenario(readFile(FLAGS_scenario), FLAGS_scenario)};
