--- /dev/null
+++ b/Source/Admission/StreamAdmission.cpp
@@ -0,0 +1,35 @@
+#include "Sardineford/Admission/StreamAdmission.h"
+
+#include <algorithm>
+
+namespace sardineford::admission {
+
+namespace {
+
+/// Part of the objective that the estimate may fill: estimates err both ways.
+constexpr double UrgentShare = 0.9;
+/// Part of the callers' patience that the estimate of late work may fill.
+constexpr double BackgroundShare = 0.8;
+constexpr Milliseconds LeastRetryAfter{150};
+constexpr Milliseconds MostRetryAfter{2'000};
+/// Without any engine, the time in which one may be back.
+constexpr Milliseconds NoEngineRetryAfter{500};
+
+} // namespace
+
+StreamDecision decideStream(const StreamOutlook &o) {
+  using fleet::WorkRank;
+  if (!o.Urgent || !o.Background)
+    return {std::nullopt, NoEngineRetryAfter};
+  Seconds objective = Seconds(o.Objective) * UrgentShare - Seconds(o.Elapsed);
+  if (*o.Urgent <= objective)
+    return {WorkRank::Urgent, {}};
+  Seconds patience =
+      std::min(Seconds(o.Patience) * BackgroundShare, Seconds(o.Left));
+  if (*o.Background <= patience)
+    return {WorkRank::Background, {}};
+  Milliseconds backlog = toMilliseconds(*o.Background - Seconds(o.Objective));
+  return {std::nullopt, std::clamp(backlog, LeastRetryAfter, MostRetryAfter)};
+}
+
+} // namespace sardineford::admission
--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -55,10 +55,11 @@
 
 } // namespace
 
-EngineView viewEngines(const State &s, const Call &c,
+EngineView viewEngines(State &s, const Call &c, fleet::WorkRank rank,
                        const std::vector<std::string> &leftOut) {
   EngineView v;
   MonoTime now = MonoClock::now();
+  Seconds typicalStream = s.service(c.Service).TypicalStream;
   for (const fleet::ServerPtr &it : s.Servers.ofService(c.Service)) {
     if (std::find(leftOut.begin(), leftOut.end(), it->Entry.Id) !=
         leftOut.end())
@@ -66,10 +67,11 @@
     routing::EngineCandidate e;
     e.Role = it->Entry.Role.value_or(routing::EngineRole::Decode);
     e.SameDomain = it->Entry.FailureDomain == s.FailureDomain;
-    e.PromptTokensAhead =
-        std::max(0.0, it->Own.PromptTokens) + it->Others.PromptTokens;
-    e.Requests = it->Own.Requests + it->Others.Requests;
+    e.PromptTokensAhead = it->tokensAhead(rank);
+    e.Requests = it->requests();
     e.Slots = it->Entry.Slots;
+    if (e.Requests >= e.Slots)
+      e.SlotWait = typicalStream * (e.Requests - e.Slots + 1.0) / e.Slots;
     e.CachedTokens = knownCached(*it, c.Request);
     e.Slowness = it->Slowness;
     e.FailureShare = it->Faults.failureShare();
--- a/Source/Gateway/EngineView.h
+++ b/Source/Gateway/EngineView.h
@@ -11,7 +11,7 @@
 };
 
 /// Servers that were tried without success are left out.
-EngineView viewEngines(const State &s, const Call &c,
+EngineView viewEngines(State &s, const Call &c, fleet::WorkRank rank,
                        const std::vector<std::string> &leftOut);
 
 /// Remembers that the parts of a prompt are cached at a server from now on.
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -35,7 +35,7 @@
     if (tried.contains(it->Entry.Id))
       continue;
     candidates.push_back({it->Entry.FailureDomain == s.FailureDomain,
-                          it->Own.Requests + it->Others.Requests,
+                          it->requests(),
                           it->Entry.Slots, it->Faults.failureShare(),
                           it->Faults.isHeldOff(now)});
     servers.push_back(it);
@@ -151,7 +151,7 @@
     MonoTime start = MonoClock::now();
     Answer a;
     {
-      Reservation inFlight(server, 0);
+      Reservation inFlight(server, fleet::WorkRank::Urgent, 0);
       a = co_await ask(s, c, server, timeout);
     }
     c.Record.close(send, a.Outcome);
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -31,10 +31,11 @@
   return it->second;
 }
 
-Reservation::Reservation(fleet::ServerPtr server, double promptTokens)
-    : Server(std::move(server)), PromptTokens(promptTokens) {
+Reservation::Reservation(fleet::ServerPtr server, fleet::WorkRank rank,
+                         double promptTokens)
+    : Server(std::move(server)), Rank(rank), PromptTokens(promptTokens) {
   ++Server->Own.Requests;
-  Server->Own.PromptTokens += PromptTokens;
+  Server->Own.tokens(Rank) += PromptTokens;
 }
 
 Reservation::~Reservation() {
@@ -43,7 +44,7 @@
 }
 
 void Reservation::promptDone() {
-  Server->Own.PromptTokens -= PromptTokens;
+  Server->Own.tokens(Rank) -= PromptTokens;
   PromptTokens = 0;
 }
 
@@ -131,8 +132,9 @@
               {"server", server.Entry.Id},
               {"own_requests", server.Own.Requests},
               {"others_requests", server.Others.Requests},
-              {"prompt_tokens_ahead",
-               server.Own.PromptTokens + server.Others.PromptTokens},
+              {"urgent_tokens_ahead",
+               server.tokensAhead(fleet::WorkRank::Urgent)},
+              {"tokens_ahead", server.tokensAhead(fleet::WorkRank::Background)},
               {"estimate_ms", toMilliseconds(estimate).count()},
               {"took_ms", took.count()},
               {"left_ms", c.left().count()},
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -24,6 +24,8 @@
   routing::EngineSpeedModels Speeds;
   /// Mean time to a plain answer, late ones count more.
   Seconds TypicalAnswer{0.1};
+  /// Mean time from the first event of a stream to its last.
+  Seconds TypicalStream{1.0};
 };
 
 /// What the calls of one process share.
@@ -77,7 +79,8 @@
 /// Counts a request at a backend server as in flight while it exists.
 class Reservation {
 public:
-  Reservation(fleet::ServerPtr server, double promptTokens);
+  Reservation(fleet::ServerPtr server, fleet::WorkRank rank,
+              double promptTokens);
   ~Reservation();
   Reservation(const Reservation &) = delete;
   Reservation &operator=(const Reservation &) = delete;
@@ -87,6 +90,7 @@
 
 private:
   fleet::ServerPtr Server;
+  fleet::WorkRank Rank;
   double PromptTokens;
 };
 
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/EngineView.h"
 #include "Gateway/EventSplitter.h"
+#include "Sardineford/Admission/StreamAdmission.h"
 #include "Sardineford/Common/Log.h"
 
 #include <algorithm>
@@ -25,9 +26,11 @@
 constexpr double SlownessWeight = 0.1;
 constexpr double MostSlowness = 8;
 constexpr double LeastSlowness = 0.5;
-/// Ranks at the engine below the most urgent are left for what is moved.
-constexpr int FirstUrgency = 2;
-constexpr int LastUrgency = 9;
+/// Ranks at the engine: what is prefilled already goes first.
+constexpr int FetchUrgency = 1;
+constexpr int UrgentUrgency = 3;
+constexpr int BackgroundUrgency = 7;
+constexpr double NewestStreamWeight = 0.05;
 
 enum class RunEnd {
   /// The caller has the whole answer.
@@ -45,18 +48,18 @@
   EventSplitter Events;
   std::vector<std::string> Tried;
   int PrefillTries = 0;
+  fleet::WorkRank Rank = fleet::WorkRank::Urgent;
+  std::optional<Milliseconds> RetryAfter;
   std::string Detail = "no engine is known";
 };
 
-int urgencyOf(const Call &c) {
-  return std::clamp(FirstUrgency + c.Route->Priority, 0, LastUrgency);
-}
-
-SendOptions sendOptions(const Call &c, const ServerPtr &server) {
+SendOptions sendOptions(const Call &c, const Progress &p,
+                        const ServerPtr &server) {
   SendOptions o;
   o.ServerId = server->Entry.Id;
   o.TimeLeft = c.left();
-  o.Urgency = urgencyOf(c);
+  o.Urgency = p.Rank == fleet::WorkRank::Urgent ? UrgentUrgency
+                                                : BackgroundUrgency;
   return o;
 }
 
@@ -100,10 +103,9 @@
 Awaitable<std::optional<KvHandle>> prefill(State &s, Call &c, Progress &p,
                                            ServerPtr server, double tokens,
                                            Seconds estimate) {
-  double ahead = std::max(0.0, server->Own.PromptTokens) +
-                 server->Others.PromptTokens;
-  Reservation inFlight(server, tokens);
-  SendOptions send = sendOptions(c, server);
+  double ahead = server->tokensAhead(p.Rank);
+  Reservation inFlight(server, p.Rank, tokens);
+  SendOptions send = sendOptions(c, p, server);
   http::Request request = s.Protocol.prefillCall(c.Request, send);
   Milliseconds patience =
       std::max(LeastFirstEventPatience,
@@ -206,9 +208,11 @@
   Seconds Estimate{0};
 };
 
-Milliseconds firstEventPatience(const Call &c, const RunPlan &plan) {
-  bool mayMove = c.Route->Resumable &&
-                 static_cast<int>(c.Record.sends()) < c.Route->MaxAttempts;
+Milliseconds firstEventPatience(State &s, const Call &c, const RunPlan &plan) {
+  bool mayMove =
+      c.Route->Resumable &&
+      static_cast<int>(c.Record.sends()) + 1 < c.Route->MaxAttempts &&
+      s.service(c.Service).Budget.left(MonoClock::now()) >= 1;
   if (!mayMove)
     return c.left();
   Milliseconds patience =
@@ -253,17 +257,18 @@
 /// One run at one engine.
 Awaitable<RunEnd> run(State &s, Call &c, Progress &p, RunPlan plan) {
   const ServerPtr &server = plan.Server;
-  double ahead = std::max(0.0, server->Own.PromptTokens) +
-                 server->Others.PromptTokens;
-  Reservation inFlight(server, plan.Handle ? 0 : plan.Tokens);
-  SendOptions send = sendOptions(c, server);
+  double ahead = server->tokensAhead(p.Rank);
+  Reservation inFlight(server, p.Rank, plan.Handle ? 0 : plan.Tokens);
+  SendOptions send = sendOptions(c, p, server);
   send.From = plan.Handle;
+  if (plan.Handle)
+    send.Urgency = FetchUrgency;
   send.ResumeAfter = c.Request.ResumeAfter;
   if (p.Events.lastId())
     send.ResumeAfter = p.Events.lastId();
   http::Request request = s.Protocol.runCall(c.Request, send);
   http::CallOptions options = callOptions(c, !c.Route->mayRepeat(),
-                                          firstEventPatience(c, plan));
+                                          firstEventPatience(s, c, plan));
   size_t record = c.Record.open(server->Entry.Id);
   MonoTime start = MonoClock::now();
   RunEnd end = RunEnd::Broken;
@@ -289,6 +294,9 @@
       learnFirstEvent(s, c, plan, ahead, first);
       end = co_await useAnswer(s, c, p, *stream, *server);
       if (end == RunEnd::Complete) {
+        Seconds &typical = s.service(c.Service).TypicalStream;
+        typical += (Seconds(MonoClock::now() - start) - first - typical) *
+                   NewestStreamWeight;
         outcome = SendOutcome::Answered;
         server->Faults.succeeded(MonoClock::now());
       } else {
@@ -327,28 +335,85 @@
   return choice ? std::optional<size_t>(choice->Decode) : std::nullopt;
 }
 
+/// Engines that may take the request, and the best place among them.
+struct Placing {
+  EngineView Engines;
+  std::optional<routing::PlacementChoice> Choice;
+};
+
+Placing place(State &s, const Call &c, const Progress &p,
+              fleet::WorkRank rank) {
+  Placing out{viewEngines(s, c, rank, p.Tried), std::nullopt};
+  EngineView &v = out.Engines;
+  if (p.PrefillTries >= MostPrefillTries)
+    for (size_t i = v.Servers.size(); i-- > 0;)
+      if (v.Candidates[i].Role == routing::EngineRole::Prefill) {
+        v.Servers.erase(v.Servers.begin() + static_cast<ptrdiff_t>(i));
+        v.Candidates.erase(v.Candidates.begin() + static_cast<ptrdiff_t>(i));
+      }
+  out.Choice = routing::placeRequest(
+      v.Candidates, {c.Request.PromptTokens},
+      s.service(c.Service).Speeds, s.Random);
+  return out;
+}
+
+/// Decides whether and with what rank the request is served, and where.
+/// Empty when it is refused.
+std::optional<Placing> admit(State &s, const Call &c, Progress &p) {
+  Placing urgent = place(s, c, p, fleet::WorkRank::Urgent);
+  Placing background = place(s, c, p, fleet::WorkRank::Background);
+  admission::StreamOutlook o;
+  if (urgent.Choice)
+    o.Urgent = urgent.Choice->FirstEvent;
+  if (background.Choice)
+    o.Background = background.Choice->FirstEvent;
+  o.Elapsed = c.elapsed();
+  o.Objective = c.Route->Objective;
+  o.Patience = c.Route->Patience;
+  o.Left = c.left();
+  admission::StreamDecision d = admission::decideStream(o);
+  log::event(log::Category::Gateway, log::Level::Info, "admission",
+             {{"request", c.Request.Id},
+              {"urgent_estimate_ms",
+               o.Urgent ? toMilliseconds(*o.Urgent).count() : -1},
+              {"background_estimate_ms",
+               o.Background ? toMilliseconds(*o.Background).count() : -1},
+              {"objective_ms", o.Objective.count()},
+              {"elapsed_ms", o.Elapsed.count()},
+              {"engines", urgent.Engines.Servers.size()},
+              {"outcome", !d.Rank ? "refused"
+                          : *d.Rank == fleet::WorkRank::Urgent ? "urgent"
+                                                               : "background"}});
+  if (!d.Rank) {
+    p.Detail = urgent.Choice ? "no engine can begin it while its caller waits"
+                             : "no engine is known that takes it";
+    p.RetryAfter = d.RetryAfter;
+    return std::nullopt;
+  }
+  p.Rank = *d.Rank;
+  return p.Rank == fleet::WorkRank::Urgent ? std::move(urgent)
+                                           : std::move(background);
+}
+
 /// Places the request and, where that is sooner, has its prompt prefilled
 /// apart. Empty when no engine can take it.
 Awaitable<std::optional<RunPlan>> plan(State &s, Call &c, Progress &p) {
   routing::PromptDemand demand{c.Request.PromptTokens};
   for (;;) {
-    EngineView v = viewEngines(s, c, p.Tried);
-    if (p.PrefillTries >= MostPrefillTries) {
-      for (size_t i = v.Servers.size(); i-- > 0;)
-        if (v.Candidates[i].Role == routing::EngineRole::Prefill) {
-          v.Servers.erase(v.Servers.begin() + static_cast<ptrdiff_t>(i));
-          v.Candidates.erase(v.Candidates.begin() + static_cast<ptrdiff_t>(i));
-        }
-    }
-    std::optional<routing::PlacementChoice> choice = routing::placeRequest(
-        v.Candidates, demand, s.service(c.Service).Speeds, s.Random);
-    if (!choice)
+    std::optional<Placing> placing;
+    if (c.Record.sends() == 0 && p.PrefillTries == 0)
+      placing = admit(s, c, p);
+    else
+      placing = place(s, c, p, p.Rank);
+    if (!placing || !placing->Choice)
       co_return std::nullopt;
-    if (!choice->Prefill) {
-      size_t d = choice->Decode;
+    const EngineView &v = placing->Engines;
+    routing::PlacementChoice choice = *placing->Choice;
+    if (!choice.Prefill) {
+      size_t d = choice.Decode;
       co_return RunPlan{v.Servers[d], std::nullopt,
                         tokensToPrefill(v.Candidates[d], c.Request),
-                        choice->FirstEvent};
+                        choice.FirstEvent};
     }
     // The first prefill is no further attempt; each later one is.
     bool allowed =
@@ -359,17 +424,17 @@
       p.PrefillTries = MostPrefillTries;
       continue;
     }
-    size_t at = *choice->Prefill;
+    size_t at = *choice.Prefill;
     double tokens = tokensToPrefill(v.Candidates[at], c.Request);
     std::optional<KvHandle> handle = co_await prefill(
-        s, c, p, v.Servers[at], tokens, choice->FirstEvent);
+        s, c, p, v.Servers[at], tokens, choice.FirstEvent);
     if (c.CallerGone)
       co_return std::nullopt;
     if (!handle) {
       p.Tried.push_back(v.Servers[at]->Entry.Id);
       continue;
     }
-    EngineView now = viewEngines(s, c, p.Tried);
+    EngineView now = viewEngines(s, c, p.Rank, p.Tried);
     std::optional<size_t> d = placeFetch(s, now, demand);
     if (!d) {
       freeHandle(s, *handle);
@@ -423,7 +488,7 @@
     cause = GiveUpCause::Failed;
   }
   std::string detail = p.Detail;
-  co_await giveUp(s, c, cause, std::move(detail), std::nullopt);
+  co_await giveUp(s, c, cause, std::move(detail), p.RetryAfter);
 }
 
 } // namespace sardineford::gateway
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -35,6 +35,10 @@
 constexpr int PartRepeats = 2;
 constexpr size_t MaxDatagram = 60 * 1024;
 
+uint32_t wholeTokens(double n) {
+  return static_cast<uint32_t>(std::max(0.0, n));
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(IoContext &io, store::ObjectStore &store,
@@ -122,8 +126,8 @@
       return;
     messages::ServerShare *share = out.add_servers();
     share->set_server(s.Entry.Id);
-    share->set_prompt_tokens(
-        static_cast<uint32_t>(std::max(0.0, s.Own.PromptTokens)));
+    share->set_urgent_tokens(wholeTokens(s.Own.UrgentTokens));
+    share->set_background_tokens(wholeTokens(s.Own.BackgroundTokens));
     share->set_requests(s.Own.Requests);
   });
   for (PartUse &it : Parts) {
@@ -177,7 +181,8 @@
   }
   PeerReport report{in.node(), in.incarnation(), in.sequence(), {}};
   for (const messages::ServerShare &it : in.servers())
-    report.Servers[it.server()] = {static_cast<double>(it.prompt_tokens()),
+    report.Servers[it.server()] = {static_cast<double>(it.urgent_tokens()),
+                                   static_cast<double>(it.background_tokens()),
                                    it.requests()};
   MonoTime now = MonoClock::now();
   for (const messages::PartUse &it : in.parts())
@@ -188,12 +193,10 @@
 }
 
 void LoadExchange::applyTotals() {
-  std::map<std::string, ServerShare> total = View.total();
+  std::map<std::string, fleet::WorkInFlight> total = View.total();
   Servers.forEach([&](fleet::Server &s) {
     auto it = total.find(s.Entry.Id);
-    s.Others = {};
-    if (it != total.end())
-      s.Others = {it->second.PromptTokens, it->second.Requests};
+    s.Others = it == total.end() ? fleet::WorkInFlight{} : it->second;
   });
 }
 
--- a/Source/Peers/LoadView.cpp
+++ b/Source/Peers/LoadView.cpp
@@ -26,14 +26,11 @@
   });
 }
 
-std::map<std::string, ServerShare> LoadView::total() const {
-  std::map<std::string, ServerShare> out;
+std::map<std::string, fleet::WorkInFlight> LoadView::total() const {
+  std::map<std::string, fleet::WorkInFlight> out;
   for (const auto &[node, known] : Reports)
-    for (const auto &[server, share] : known.Report.Servers) {
-      ServerShare &sum = out[server];
-      sum.PromptTokens += share.PromptTokens;
-      sum.Requests += share.Requests;
-    }
+    for (const auto &[server, share] : known.Report.Servers)
+      out[server] += share;
   return out;
 }
 
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -36,8 +36,6 @@
 /// Prefill at a decode engine delays the events of each running sequence; a
 /// delay of another's events counts this share of one's own first event.
 constexpr double RunningDelayWeight = 0.02;
-/// Waiting for one of the slots of a full engine.
-constexpr Seconds FullCost{1.0};
 constexpr Seconds HeldOffCost{5.0};
 
 Seconds penalty(const EngineCandidate &e) {
@@ -46,9 +44,6 @@
     cost += OtherDomainCost;
   if (e.HeldOff)
     cost += HeldOffCost;
-  if (e.Requests >= e.Slots)
-    cost += FullCost * (1.0 + static_cast<double>(e.Requests - e.Slots) /
-                                  std::max(1U, e.Slots));
   return cost;
 }
 
@@ -59,7 +54,8 @@
 
 Seconds prefillTime(const EngineCandidate &e, const PromptDemand &d,
                     const SpeedModel &m) {
-  return m.estimate(e.PromptTokensAhead + uncached(e, d)) * e.Slowness;
+  return m.estimate(e.PromptTokensAhead + uncached(e, d)) * e.Slowness +
+         e.SlotWait;
 }
 
 /// What placing there costs others.
@@ -122,7 +118,8 @@
     alone.offer(i, t,
                 t * spread(random) + penalty(e) + delayed +
                     readAgainCost(e, speeds.Alone));
-    t = speeds.Fetch.estimate(tokens) * e.Slowness + runningCost(e);
+    t = speeds.Fetch.estimate(tokens) * e.Slowness + runningCost(e) +
+        e.SlotWait;
     fetch.offer(i, t, t * spread(random) + penalty(e));
   }
   if (!alone.Index)
--- /dev/null
+++ b/include/Sardineford/Admission/StreamAdmission.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Sardineford/Common/Time.h"
+#include "Sardineford/Fleet/WorkInFlight.h"
+
+#include <optional>
+
+namespace sardineford::admission {
+
+/// What is known when a stream asks for a place.
+struct StreamOutlook {
+  /// Estimated time to the first event as urgent work; empty when no engine
+  /// takes any.
+  std::optional<Seconds> Urgent;
+  /// The same behind all urgent work.
+  std::optional<Seconds> Background;
+  Milliseconds Elapsed{0};
+  Milliseconds Objective{0};
+  /// Callers leave when nothing has come for this long.
+  Milliseconds Patience{0};
+  /// Time left until the caller's deadline.
+  Milliseconds Left{0};
+};
+
+struct StreamDecision {
+  /// Empty when the request is refused.
+  std::optional<fleet::WorkRank> Rank;
+  /// When room is expected, for a refused one.
+  Milliseconds RetryAfter{0};
+};
+
+/// Decides at once whether a stream is served in time, late, or not at all.
+/// Answers loads above what the engines can prefill: work that can be in time
+/// goes first and its queue stays short enough for that; late work takes what
+/// is left, up to what callers wait for; the rest is refused while its refusal
+/// is still of use, instead of being prefilled for callers who have left.
+StreamDecision decideStream(const StreamOutlook &o);
+
+} // namespace sardineford::admission
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -45,6 +45,8 @@
   Milliseconds Objective{1'000};
   /// Longest pause between events that callers ask for; 0 if not told.
   Milliseconds GapObjective{0};
+  /// Callers leave a stream when nothing has come for this long.
+  Milliseconds Patience{2'000};
   /// Rank among the routes of a service; 0 goes first.
   int Priority = 0;
   /// Backend servers that one request may be sent to.
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -3,6 +3,7 @@
 #include "Sardineford/Fleet/Configuration.h"
 #include "Sardineford/Fleet/Health.h"
 #include "Sardineford/Fleet/PartCache.h"
+#include "Sardineford/Fleet/WorkInFlight.h"
 #include "Sardineford/Http/Message.h"
 #include "Sardineford/Routing/View.h"
 
@@ -32,13 +33,6 @@
   bool operator==(const ServerEntry &) const = default;
 };
 
-/// Work that is in flight at a backend server, as one process knows it.
-struct WorkInFlight {
-  /// Prompt tokens that are sent and not prefilled.
-  double PromptTokens = 0;
-  unsigned Requests = 0;
-};
-
 /// One run of a backend server and what this process knows of it.
 struct Server {
   ServerEntry Entry;
@@ -52,6 +46,16 @@
   bool Leaving = false;
   /// Prompt parts that are cached there, as far as is known.
   PartCache Parts;
+
+  /// Prompt tokens of all processes that go before new work of a rank.
+  double tokensAhead(WorkRank r) const {
+    double n = Own.UrgentTokens + Others.UrgentTokens;
+    if (r == WorkRank::Background)
+      n += Own.BackgroundTokens + Others.BackgroundTokens;
+    return n < 0 ? 0 : n;
+  }
+  unsigned requests() const { return Own.Requests + Others.Requests; }
+
   /// Any byte came from it at this time.
   MonoTime LastHeard{};
 };
--- a/include/Sardineford/Peers/LoadView.h
+++ b/include/Sardineford/Peers/LoadView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Common/Time.h"
+#include "Sardineford/Fleet/WorkInFlight.h"
 
 #include <cstdint>
 #include <map>
@@ -9,18 +10,12 @@
 
 namespace sardineford::peers {
 
-/// Work in flight of one process at one backend server.
-struct ServerShare {
-  double PromptTokens = 0;
-  unsigned Requests = 0;
-};
-
 /// What one process told last.
 struct PeerReport {
   std::string Node;
   std::string Incarnation;
   uint64_t Sequence = 0;
-  std::map<std::string, ServerShare> Servers;
+  std::map<std::string, fleet::WorkInFlight> Servers;
 };
 
 /// The newest report of each peer. A peer that is silent for some time counts
@@ -32,7 +27,7 @@
   /// Forgets peers that have been silent too long.
   void forget(MonoTime now);
   /// Sum over all peers, by backend server.
-  std::map<std::string, ServerShare> total() const;
+  std::map<std::string, fleet::WorkInFlight> total() const;
   size_t peers() const { return Reports.size(); }
 
 private:
--- a/include/Sardineford/Routing/Placement.h
+++ b/include/Sardineford/Routing/Placement.h
@@ -20,6 +20,8 @@
   /// Requests in flight there, of all processes.
   unsigned Requests = 0;
   unsigned Slots = 1;
+  /// Expected wait until a slot is free; 0 unless all are taken.
+  Seconds SlotWait{0};
   /// Tokens of this request's prompt that are cached there.
   uint64_t CachedTokens = 0;
   /// Tokens of the parts shared with other requests that are not.
@@ -63,8 +65,8 @@
 
 /// Chooses by the least estimated time to the first event. Answers loads in
 /// which long prompts and many short ones swing within seconds: each request
-/// goes where its phase is free, prefill apart or not. Engines that are full,
-/// slow or failing are chosen last. Empty when no engine can take it.
+/// goes where its phase is free, prefill apart or not. Engines that are slow
+/// or failing are chosen last. Empty when no engine can take it.
 std::optional<PlacementChoice>
 placeRequest(const std::vector<EngineCandidate> &engines,
              const PromptDemand &demand, const EngineSpeedModels &speeds,
