--- a/Source/Admission/StreamAdmission.cpp
+++ b/Source/Admission/StreamAdmission.cpp
@@ -9,7 +9,9 @@
 /// Part of the objective that the estimate may fill: estimates err both ways.
 constexpr double UrgentShare = 0.9;
 /// Part of the callers' patience that the estimate of late work may fill.
-constexpr double BackgroundShare = 0.8;
+constexpr double BackgroundShare = 0.85;
+/// Part of it that may be spent waiting; the rest is for the prompt itself.
+constexpr double WaitShare = 0.45;
 constexpr Milliseconds LeastRetryAfter{150};
 constexpr Milliseconds MostRetryAfter{2'000};
 /// Without any engine, the time in which one may be back.
@@ -26,7 +28,8 @@
     return {WorkRank::Urgent, {}};
   Seconds patience =
       std::min(Seconds(o.Patience) * BackgroundShare, Seconds(o.Left));
-  if (*o.Background <= patience)
+  Seconds wait = *o.Background - o.OwnWork;
+  if (*o.Background <= patience && wait <= Seconds(o.Patience) * WaitShare)
     return {WorkRank::Background, {}};
   Milliseconds backlog = toMilliseconds(*o.Background - Seconds(o.Objective));
   return {std::nullopt, std::clamp(backlog, LeastRetryAfter, MostRetryAfter)};
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -258,6 +258,8 @@
               {"service", c.Service},
               {"kind", fleet::toString(c.Route->Kind)},
               {"prompt_tokens", c.Request.PromptTokens},
+              {"most_output_tokens", c.Request.MaxOutputTokens},
+              {"events", c.Events},
               {"status", c.Status},
               {"outcome", outcome},
               {"first_byte_ms", c.FirstByte.count()},
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -67,6 +67,7 @@
   unsigned Status = 0;
   std::string Outcome;
   Milliseconds FirstByte{-1};
+  uint64_t Events = 0;
 
   Milliseconds left() const {
     return toMilliseconds(Deadline - MonoClock::now());
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -165,6 +165,7 @@
     std::string whole = p.Events.push(piece);
     if (whole.empty())
       continue;
+    c.Events = p.Events.events();
     if (c.FirstByte < Milliseconds(0))
       c.FirstByte = c.elapsed();
     try {
@@ -365,8 +366,10 @@
   admission::StreamOutlook o;
   if (urgent.Choice)
     o.Urgent = urgent.Choice->FirstEvent;
-  if (background.Choice)
+  if (background.Choice) {
     o.Background = background.Choice->FirstEvent;
+    o.OwnWork = background.Choice->OwnWork;
+  }
   o.Elapsed = c.elapsed();
   o.Objective = c.Route->Objective;
   o.Patience = c.Route->Patience;
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -35,7 +35,7 @@
 constexpr Seconds HomeBonus{0.030};
 /// Prefill at a decode engine delays the events of each running sequence; a
 /// delay of another's events counts this share of one's own first event.
-constexpr double RunningDelayWeight = 0.02;
+constexpr double RunningDelayWeight = 0.25;
 constexpr Seconds HeldOffCost{5.0};
 
 Seconds penalty(const EngineCandidate &e) {
@@ -74,13 +74,15 @@
 struct Best {
   std::optional<size_t> Index;
   Seconds Time{0};
+  Seconds Work{0};
   Seconds Score{0};
 
-  void offer(size_t i, Seconds time, Seconds score) {
+  void offer(size_t i, Seconds time, Seconds work, Seconds score) {
     if (Index && Score <= score)
       return;
     Index = i;
     Time = time;
+    Work = work;
     Score = score;
   }
 };
@@ -107,27 +109,29 @@
     const EngineCandidate &e = engines[i];
     if (e.Role == EngineRole::Prefill) {
       Seconds t = prefillTime(e, demand, speeds.Prefill);
-      prefill.offer(i, t,
+      prefill.offer(i, t, speeds.Prefill.perUnit() * uncached(e, demand),
                     t * spread(random) + penalty(e) +
                         readAgainCost(e, speeds.Prefill));
       continue;
     }
     Seconds t = prefillTime(e, demand, speeds.Alone) + runningCost(e);
-    Seconds delayed = speeds.Alone.perUnit() * uncached(e, demand) *
-                      static_cast<double>(e.Requests) * RunningDelayWeight;
-    alone.offer(i, t,
-                t * spread(random) + penalty(e) + delayed +
+    Seconds work = speeds.Alone.perUnit() * uncached(e, demand);
+    alone.offer(i, t, work,
+                t * spread(random) + penalty(e) +
+                    work * static_cast<double>(e.Requests) *
+                        RunningDelayWeight +
                     readAgainCost(e, speeds.Alone));
     t = speeds.Fetch.estimate(tokens) * e.Slowness + runningCost(e) +
         e.SlotWait;
-    fetch.offer(i, t, t * spread(random) + penalty(e));
+    fetch.offer(i, t, Seconds(0), t * spread(random) + penalty(e));
   }
   if (!alone.Index)
     return std::nullopt;
-  PlacementChoice choice{std::nullopt, *alone.Index, alone.Time};
+  PlacementChoice choice{std::nullopt, *alone.Index, alone.Time, alone.Work};
   if (prefill.Index &&
       prefill.Score + fetch.Score + MoveCost < alone.Score)
-    choice = {prefill.Index, *fetch.Index, prefill.Time + fetch.Time};
+    choice = {prefill.Index, *fetch.Index, prefill.Time + fetch.Time,
+              prefill.Work};
   return choice;
 }
 
--- a/include/Sardineford/Admission/StreamAdmission.h
+++ b/include/Sardineford/Admission/StreamAdmission.h
@@ -14,6 +14,8 @@
   std::optional<Seconds> Urgent;
   /// The same behind all urgent work.
   std::optional<Seconds> Background;
+  /// Part of the latter in which the request's own prompt is prefilled.
+  Seconds OwnWork{0};
   Milliseconds Elapsed{0};
   Milliseconds Objective{0};
   /// Callers leave when nothing has come for this long.
@@ -33,7 +35,9 @@
 /// Answers loads above what the engines can prefill: work that can be in time
 /// goes first and its queue stays short enough for that; late work takes what
 /// is left, up to what callers wait for; the rest is refused while its refusal
-/// is still of use, instead of being prefilled for callers who have left.
+/// is still of use, instead of being prefilled for callers who have left. Late
+/// work waits equally long whatever its size, so that small requests do not
+/// keep the queue too long for large ones.
 StreamDecision decideStream(const StreamOutlook &o);
 
 } // namespace sardineford::admission
--- a/include/Sardineford/Routing/Placement.h
+++ b/include/Sardineford/Routing/Placement.h
@@ -61,6 +61,8 @@
   std::optional<size_t> Prefill;
   size_t Decode = 0;
   Seconds FirstEvent{0};
+  /// Part of that time in which its own prompt is prefilled.
+  Seconds OwnWork{0};
 };
 
 /// Chooses by the least estimated time to the first event. Answers loads in
