--- a/Source/Admission/StreamAdmission.cpp
+++ b/Source/Admission/StreamAdmission.cpp
@@ -8,6 +8,8 @@
 
 /// Part of the objective that the estimate may fill: estimates err both ways.
 constexpr double UrgentShare = 0.9;
+/// A prompt that takes this part of the time it has cannot wait for others.
+constexpr double LongShare = 0.35;
 /// Part of the callers' patience that the estimate of late work may fill.
 constexpr double BackgroundShare = 0.85;
 /// Part of it that may be spent waiting; the rest is for the prompt itself.
@@ -21,9 +23,12 @@
 
 StreamDecision decideStream(const StreamOutlook &o) {
   using fleet::WorkRank;
-  if (!o.Urgent || !o.Background)
+  if (!o.First || !o.Urgent || !o.Background)
     return {std::nullopt, NoEngineRetryAfter};
   Seconds objective = Seconds(o.Objective) * UrgentShare - Seconds(o.Elapsed);
+  bool isLong = o.OwnWork >= objective * LongShare;
+  if (isLong && *o.First <= objective)
+    return {WorkRank::First, {}};
   if (*o.Urgent <= objective)
     return {WorkRank::Urgent, {}};
   Seconds patience =
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -19,7 +19,7 @@
 
 /// A stopping process takes new connections until the balancer has asked
 /// twice in vain, a second apart each, and a little longer.
-constexpr Milliseconds BalancerNotices{3'000};
+constexpr Milliseconds BalancerNotices{2'800};
 /// Left of the grace time for the end of the process itself.
 constexpr Milliseconds EndReserve{400};
 constexpr Milliseconds DrainPoll{20};
@@ -28,6 +28,8 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusBadRequest = 400;
 constexpr Milliseconds RetryAfterStart{500};
+/// Other processes can take a request at once.
+constexpr Milliseconds RetryAfterStop{50};
 
 retry::BudgetBounds boundsOf(const settings::Settings &s) {
   return {s.get(RetryRatio), s.get(RetrySlack),
@@ -141,6 +143,17 @@
                    l.IdleTimeout);
 }
 
+Milliseconds Gateway::grace() const {
+  return toMilliseconds(Seconds(Options.get(StopGrace)));
+}
+
+bool Gateway::endsBefore(const fleet::Route &route) const {
+  MonoTime now = MonoClock::now();
+  if (!Stopping || now < StopBegan + BalancerNotices)
+    return false;
+  return now + route.Timeout > StopBegan + grace() - EndReserve;
+}
+
 bool Gateway::isReady() const { return !Stopping && Watch.isKnown(); }
 
 Awaitable<void> Gateway::answerReadiness(http::Request &request,
@@ -181,7 +194,7 @@
               {"configuration_age_ms", Watch.configurationAge().count()}});
   std::optional<Milliseconds> comeBack;
   if (status == StatusUnavailable)
-    comeBack = jittered(RetryAfterStart);
+    comeBack = jittered(Stopping ? RetryAfterStop : RetryAfterStart);
   http::Response answer = Protocol.failure(status, r, detail, comeBack);
   co_await out.send(std::move(answer));
 }
@@ -217,6 +230,11 @@
                          "no route for this host and path");
     co_return;
   }
+  if (endsBefore(*route)) {
+    co_await refuseEarly(request, out, StatusUnavailable,
+                         "the process stops before an answer is complete");
+    co_return;
+  }
   MonoTime now = MonoClock::now();
   Milliseconds time = route->Timeout;
   if (request.TimeLeft)
@@ -281,12 +299,12 @@
   co_await signals.async_wait(boost::asio::use_awaitable);
   MonoTime start = MonoClock::now();
   Stopping = true;
+  StopBegan = start;
   Front->closeAfterAnswers();
   log::event(Category::Gateway, log::Level::Info, "stopping",
              {{"open_requests", Front->openRequests()}});
   co_await sleepFor(BalancerNotices);
-  MonoTime end = start + toMilliseconds(Seconds(Options.get(StopGrace))) -
-                 EndReserve;
+  MonoTime end = start + grace() - EndReserve;
   while (MonoClock::now() < end && Front->openRequests() > 0)
     co_await sleepFor(DrainPoll);
   Front->stopAccepting();
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -31,6 +31,9 @@
   Awaitable<void> reloadOnSignal();
   void applyLimits();
   bool isReady() const;
+  Milliseconds grace() const;
+  /// The process ends before an answer on the route may be complete.
+  bool endsBefore(const fleet::Route &route) const;
   void logRequest(const Call &c);
   void registerGauges();
   void noteServer(const fleet::Server &s, std::string_view change);
@@ -48,6 +51,7 @@
   std::unique_ptr<http::Server> Readiness;
   std::unique_ptr<http::Server> MetricsServer;
   bool Stopping = false;
+  MonoTime StopBegan{};
   bool WasReady = false;
 };
 
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -44,12 +44,16 @@
   return i ? servers[*i] : nullptr;
 }
 
-/// How long one try may take. Only what may be repeated is cut short.
-Milliseconds patience(State &s, const Call &c) {
+/// How long one try may take. Only what may be repeated, and has somewhere to
+/// go, is cut short.
+Milliseconds patience(State &s, const Call &c,
+                      const std::set<std::string> &tried) {
   Milliseconds left = c.left();
   bool mayTryAgain =
       c.Route->mayRepeat() &&
-      static_cast<int>(c.Record.sends()) < c.Route->MaxAttempts;
+      static_cast<int>(c.Record.sends()) + 1 < c.Route->MaxAttempts &&
+      s.Servers.ofService(c.Service).size() > tried.size() &&
+      s.service(c.Service).Budget.left(MonoClock::now()) >= 1;
   if (!mayTryAgain)
     return left;
   Milliseconds typical = toMilliseconds(s.service(c.Service).TypicalAnswer *
@@ -146,7 +150,7 @@
     if (!tried.empty() && !takeFurtherAttempt(s, c))
       break;
     tried.insert(server->Entry.Id);
-    Milliseconds timeout = patience(s, c);
+    Milliseconds timeout = patience(s, c, tried);
     size_t send = c.Record.open(server->Entry.Id);
     MonoTime start = MonoClock::now();
     Answer a;
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -4,6 +4,7 @@
 #include "Sardineford/Common/Log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace sardineford::gateway {
 
@@ -28,8 +29,7 @@
 constexpr double LeastSlowness = 0.5;
 /// Ranks at the engine: what is prefilled already goes first.
 constexpr int FetchUrgency = 1;
-constexpr int UrgentUrgency = 3;
-constexpr int BackgroundUrgency = 7;
+constexpr std::array<int, fleet::WorkRanks> UrgencyOfRank = {2, 4, 7};
 constexpr double NewestStreamWeight = 0.05;
 
 enum class RunEnd {
@@ -58,8 +58,7 @@
   SendOptions o;
   o.ServerId = server->Entry.Id;
   o.TimeLeft = c.left();
-  o.Urgency = p.Rank == fleet::WorkRank::Urgent ? UrgentUrgency
-                                                : BackgroundUrgency;
+  o.Urgency = UrgencyOfRank[static_cast<size_t>(p.Rank)];
   return o;
 }
 
@@ -358,18 +357,27 @@
   return out;
 }
 
+int64_t wholeMs(const std::optional<Seconds> &t) {
+  return t ? toMilliseconds(*t).count() : -1;
+}
+
 /// Decides whether and with what rank the request is served, and where.
 /// Empty when it is refused.
 std::optional<Placing> admit(State &s, const Call &c, Progress &p) {
-  Placing urgent = place(s, c, p, fleet::WorkRank::Urgent);
-  Placing background = place(s, c, p, fleet::WorkRank::Background);
+  std::array<Placing, fleet::WorkRanks> places;
+  for (size_t i = 0; i < fleet::WorkRanks; ++i)
+    places[i] = place(s, c, p, static_cast<fleet::WorkRank>(i));
+  auto firstEvent = [&](fleet::WorkRank r) {
+    const auto &choice = places[static_cast<size_t>(r)].Choice;
+    return choice ? std::optional<Seconds>(choice->FirstEvent) : std::nullopt;
+  };
   admission::StreamOutlook o;
-  if (urgent.Choice)
-    o.Urgent = urgent.Choice->FirstEvent;
-  if (background.Choice) {
-    o.Background = background.Choice->FirstEvent;
-    o.OwnWork = background.Choice->OwnWork;
-  }
+  o.First = firstEvent(fleet::WorkRank::First);
+  o.Urgent = firstEvent(fleet::WorkRank::Urgent);
+  o.Background = firstEvent(fleet::WorkRank::Background);
+  const Placing &last = places.back();
+  if (last.Choice)
+    o.OwnWork = last.Choice->OwnWork;
   o.Elapsed = c.elapsed();
   o.Objective = c.Route->Objective;
   o.Patience = c.Route->Patience;
@@ -377,25 +385,22 @@
   admission::StreamDecision d = admission::decideStream(o);
   log::event(log::Category::Gateway, log::Level::Info, "admission",
              {{"request", c.Request.Id},
-              {"urgent_estimate_ms",
-               o.Urgent ? toMilliseconds(*o.Urgent).count() : -1},
-              {"background_estimate_ms",
-               o.Background ? toMilliseconds(*o.Background).count() : -1},
+              {"first_estimate_ms", wholeMs(o.First)},
+              {"urgent_estimate_ms", wholeMs(o.Urgent)},
+              {"background_estimate_ms", wholeMs(o.Background)},
+              {"own_work_ms", toMilliseconds(o.OwnWork).count()},
               {"objective_ms", o.Objective.count()},
               {"elapsed_ms", o.Elapsed.count()},
-              {"engines", urgent.Engines.Servers.size()},
-              {"outcome", !d.Rank ? "refused"
-                          : *d.Rank == fleet::WorkRank::Urgent ? "urgent"
-                                                               : "background"}});
+              {"engines", last.Engines.Servers.size()},
+              {"outcome", d.Rank ? fleet::toString(*d.Rank) : "refused"}});
   if (!d.Rank) {
-    p.Detail = urgent.Choice ? "no engine can begin it while its caller waits"
+    p.Detail = last.Choice ? "no engine can begin it while its caller waits"
                              : "no engine is known that takes it";
     p.RetryAfter = d.RetryAfter;
     return std::nullopt;
   }
   p.Rank = *d.Rank;
-  return p.Rank == fleet::WorkRank::Urgent ? std::move(urgent)
-                                           : std::move(background);
+  return std::move(places[static_cast<size_t>(p.Rank)]);
 }
 
 /// Places the request and, where that is sooner, has its prompt prefilled
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -39,6 +39,15 @@
   return static_cast<uint32_t>(std::max(0.0, n));
 }
 
+fleet::WorkInFlight decodeShare(const messages::ServerShare &in) {
+  fleet::WorkInFlight out;
+  out.Requests = in.requests();
+  for (int i = 0; i < in.prompt_tokens_size(); ++i)
+    if (static_cast<size_t>(i) < fleet::WorkRanks)
+      out.Tokens[static_cast<size_t>(i)] = in.prompt_tokens(i);
+  return out;
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(IoContext &io, store::ObjectStore &store,
@@ -126,8 +135,8 @@
       return;
     messages::ServerShare *share = out.add_servers();
     share->set_server(s.Entry.Id);
-    share->set_urgent_tokens(wholeTokens(s.Own.UrgentTokens));
-    share->set_background_tokens(wholeTokens(s.Own.BackgroundTokens));
+    for (double it : s.Own.Tokens)
+      share->add_prompt_tokens(wholeTokens(it));
     share->set_requests(s.Own.Requests);
   });
   for (PartUse &it : Parts) {
@@ -181,9 +190,7 @@
   }
   PeerReport report{in.node(), in.incarnation(), in.sequence(), {}};
   for (const messages::ServerShare &it : in.servers())
-    report.Servers[it.server()] = {static_cast<double>(it.urgent_tokens()),
-                                   static_cast<double>(it.background_tokens()),
-                                   it.requests()};
+    report.Servers[it.server()] = decodeShare(it);
   MonoTime now = MonoClock::now();
   for (const messages::PartUse &it : in.parts())
     if (fleet::ServerPtr server = Servers.find(it.server()))
--- /dev/null
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -0,0 +1,47 @@
+#include "Sardineford/Common/Log.h"
+#include "StandIns/Platform/PlatformWorker.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gflags/gflags.h>
+
+DEFINE_string(id, "i-1", "id of the backend server");
+DEFINE_string(service, "plain", "name of its service");
+DEFINE_string(domain, "a", "failure domain");
+DEFINE_string(listen, "127.0.0.1:9500", "address to listen on");
+DEFINE_string(advertise, "", "address that callers are told, if another");
+DEFINE_string(store, "127.0.0.1:9400", "address of the platform's store");
+DEFINE_string(stage, "", "prefill, decode, or empty for a plain service");
+DEFINE_int32(slots, 8, "requests that it runs at once");
+DEFINE_int32(work_ms, 10, "time of a plain call");
+DEFINE_string(history, "", "file that a line is appended to for each run");
+
+using namespace sardineford;
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("Stand-in for a backend server of the platform.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  log::start({.DefaultLevel = log::Level::Warning, .Process = FLAGS_id});
+  IoContext io(1);
+  standins::PlatformWorkerOptions o;
+  o.Id = FLAGS_id;
+  o.Service = FLAGS_service;
+  o.FailureDomain = FLAGS_domain;
+  o.Listen = http::parseEndpoint(FLAGS_listen);
+  o.Advertise = FLAGS_advertise.empty() ? o.Listen
+                                        : http::parseEndpoint(FLAGS_advertise);
+  o.Store = http::parseEndpoint(FLAGS_store);
+  o.Stage = FLAGS_stage;
+  o.Slots = static_cast<unsigned>(FLAGS_slots);
+  o.WorkTime = Milliseconds(FLAGS_work_ms);
+  o.History = FLAGS_history;
+  standins::PlatformWorker worker(io, o);
+  worker.start();
+  spawn(io, "stop", [&]() -> Awaitable<void> {
+    boost::asio::signal_set signals(io, SIGTERM);
+    co_await signals.async_wait(boost::asio::use_awaitable);
+    co_await worker.drainAndEnd();
+  });
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/Tests/Platform/FleetAdapterTest.cpp
@@ -0,0 +1,68 @@
+#include "platform/FleetAdapter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using namespace sardineford::platform;
+
+namespace {
+
+store::Object server(std::string value) {
+  return {"servers", "i-1", 7, std::move(value)};
+}
+
+const std::string Good =
+    R"({"service":"m","address":"10.0.0.1:80","zone":"z","slots":8,)"
+    R"("state":"ready","stage":"prefill","born":1700000000001,"sequence":3})";
+
+std::string with(const std::string &from, const std::string &to) {
+  std::string out = Good;
+  return out.replace(out.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("an entry of a backend server is decoded") {
+  auto e = FleetAdapter().decodeServer(server(Good));
+  REQUIRE(e);
+  CHECK(e->Id == "i-1");
+  CHECK(e->Role == routing::EngineRole::Prefill);
+  CHECK(e->StartedMs == 1700000000001);
+  CHECK_FALSE(e->Draining);
+}
+
+TEST_CASE("entries of another writer name no server") {
+  FleetAdapter a;
+  CHECK_FALSE(a.decodeServer(server("not json")));
+  CHECK_FALSE(a.decodeServer(server("[]")));
+  CHECK_FALSE(a.decodeServer(server("null")));
+  CHECK_FALSE(a.decodeServer(server("{}")));
+  CHECK_FALSE(a.decodeServer(server(with("\"ready\"", "\"resting\""))));
+  CHECK_FALSE(a.decodeServer(server(with("\"ready\"", "5"))));
+  CHECK_FALSE(a.decodeServer(server(with("10.0.0.1:80", "nowhere"))));
+  CHECK_FALSE(a.decodeServer(server(with("1700000000001", "\"soon\""))));
+  CHECK_FALSE(a.decodeServer(server(with("1700000000001", "1.5"))));
+}
+
+TEST_CASE("a configuration is decoded, and one that is none is left out") {
+  store::Object o{"config", "main", 5,
+                  R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+                  R"("pathPrefix":"/p/","kind":"streaming","timeoutMs":8000,)"
+                  R"("targetLatencyMs":300,"priority":1,"trafficSplit":)"
+                  R"([{"service":"a","weight":90},{"service":"b","weight":10}],)"
+                  R"("maxAttempts":2,"resumable":true,"gapAimMs":300}],)"
+                  R"("services":[{"name":"a","healthPath":"/h"}],)"
+                  R"("limits":{"idleTimeoutMs":15000}})"};
+  auto c = FleetAdapter().decodeConfiguration(o);
+  REQUIRE(c);
+  CHECK(c->Version == 7);
+  REQUIRE(c->Routes.size() == 1);
+  CHECK(c->Routes[0].Kind == fleet::RequestKind::Stream);
+  CHECK(c->Routes[0].mayRepeat());
+  CHECK(c->Routes[0].Targets.size() == 2);
+  // 8 pauses of 300 ms are longer than 2 s and than 4 objectives.
+  CHECK(c->Routes[0].Patience == Milliseconds(2'400));
+  CHECK(c->Limits.IdleTimeout == Milliseconds(15'000));
+  o.Value = R"({"version":8})";
+  CHECK_FALSE(FleetAdapter().decodeConfiguration(o));
+}
--- /dev/null
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -0,0 +1,114 @@
+#include "platform/TrafficAdapter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using namespace sardineford::platform;
+
+namespace {
+
+http::Request callerRequest() {
+  http::Request r;
+  r.Method = "POST";
+  r.Target = "/p/1?x=y";
+  r.Body = "body";
+  r.Fields.add("Host", "h.example");
+  r.Fields.add("Request-Id", "9c41d07be2a35f68");
+  r.Fields.add("Deadline-Ms", "2500");
+  r.Fields.add("Model", "m");
+  r.Fields.add("Token-Counts", "1460,80");
+  r.Fields.add("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  return r;
+}
+
+} // namespace
+
+TEST_CASE("a caller's request is decoded and passed on unchanged") {
+  TrafficAdapter a;
+  gateway::CallerRequest r = a.decodeRequest(callerRequest());
+  CHECK(r.Id == "9c41d07be2a35f68");
+  CHECK(r.TimeLeft == Milliseconds(2'500));
+  CHECK(r.PromptTokens == 1'460);
+  CHECK(r.MaxOutputTokens == 80);
+  REQUIRE(r.Parts.size() == 3);
+  CHECK(r.Parts[0].Id == 0x5c1e07a2);
+  CHECK(r.Parts[2].Tokens == 250);
+
+  gateway::SendOptions o;
+  o.ServerId = "i-1";
+  o.TimeLeft = Milliseconds(1'200);
+  http::Request out = a.runCall(r, o);
+  CHECK(out.Method == "POST");
+  CHECK(out.Target == "/p/1?x=y");
+  CHECK(out.Body == "body");
+  CHECK(out.Fields.find("Host") == "h.example");
+  CHECK(out.Fields.find("Deadline-Ms") == "1200");
+  CHECK(out.Fields.find("Expect-Instance") == "i-1");
+  CHECK(out.Fields.find("Prompt-Prefix") ==
+        "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+}
+
+TEST_CASE("headers that only the system sets are dropped from callers") {
+  TrafficAdapter a;
+  http::Request in = callerRequest();
+  for (const char *it : {"Kv-Hold", "kv-source", "KV-BACKUP", "Pin-Ms", "Stage",
+                         "Expect-Instance", "Request-Priority", "Kv-Fetch"})
+    in.Fields.add(it, "1");
+  gateway::SendOptions o;
+  o.ServerId = "i-1";
+  http::Request out = a.runCall(a.decodeRequest(std::move(in)), o);
+  for (const char *it : {"Kv-Hold", "Kv-Source", "Kv-Backup", "Pin-Ms", "Stage",
+                         "Request-Priority", "Kv-Fetch"})
+    CHECK_FALSE(out.Fields.find(it));
+  CHECK(out.Fields.find("Expect-Instance") == "i-1");
+}
+
+TEST_CASE("headers of one connection are not passed on") {
+  TrafficAdapter a;
+  http::Request in = callerRequest();
+  in.Fields.add("Connection", "close, X-Own");
+  in.Fields.add("X-Own", "1");
+  in.Fields.add("Keep-Alive", "timeout=5");
+  in.Fields.add("X-Kept", "1");
+  http::Request out = a.runCall(a.decodeRequest(std::move(in)), {});
+  CHECK_FALSE(out.Fields.find("Connection"));
+  CHECK_FALSE(out.Fields.find("X-Own"));
+  CHECK_FALSE(out.Fields.find("Keep-Alive"));
+  CHECK(out.Fields.find("X-Kept") == "1");
+}
+
+TEST_CASE("a prefilled prompt is named by engine and handle") {
+  TrafficAdapter a;
+  auto handle = a.decodeHandle(
+      {"10.1.64.9", 8080}, R"({"kvHandleId":"3fa0","tokens":1460,"version":1})");
+  REQUIRE(handle);
+  gateway::SendOptions o;
+  o.From = handle;
+  o.ResumeAfter = 12;
+  http::Request out = a.runCall(a.decodeRequest(callerRequest()), o);
+  CHECK(out.Fields.find("Kv-Source") == "10.1.64.9:8080/3fa0");
+  CHECK(out.Fields.find("Last-Event-Id") == "12");
+  CHECK_FALSE(a.decodeHandle({"10.1.64.9", 8080}, "{}"));
+  CHECK_FALSE(a.decodeHandle({"10.1.64.9", 8080}, "garbage"));
+}
+
+TEST_CASE("'not run' is taken from the server's word only") {
+  TrafficAdapter a;
+  http::Response r;
+  r.Status = 503;
+  CHECK_FALSE(a.decodeHead(r).NotRun);
+  r.Fields.add("Not-Executed", "1");
+  CHECK(a.decodeHead(r).NotRun);
+  http::Response other;
+  other.Status = 421;
+  other.Fields.add("Instance-Id", "i-2");
+  CHECK(a.decodeHead(other).NotRun);
+  CHECK(a.decodeHead(other).AnsweringServer == "i-2");
+}
+
+TEST_CASE("a refusal tells when to come back") {
+  http::Response r = TrafficAdapter().failure(503, {}, "full",
+                                              Milliseconds(1'250));
+  CHECK(r.Status == 503);
+  CHECK(r.Fields.find("Retry-After") == "1.250");
+}
--- /dev/null
+++ b/Tests/Retry/WindowBudgetTest.cpp
@@ -0,0 +1,38 @@
+#include "Sardineford/Retry/WindowBudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using namespace sardineford::retry;
+
+TEST_CASE("all processes together keep the bound without talk") {
+  constexpr unsigned Processes = 6;
+  BudgetBounds bounds{0.2, 52, Milliseconds(10'000)};
+  MonoTime now{std::chrono::seconds(100)};
+  std::vector<WindowBudget> all(Processes, WindowBudget(bounds, now));
+  int requests = 0;
+  int taken = 0;
+  for (WindowBudget &it : all) {
+    it.setProcesses(Processes);
+    for (int i = 0; i < 50; ++i) {
+      it.noteRequest(now);
+      ++requests;
+    }
+    while (it.withdraw(now))
+      ++taken;
+  }
+  CHECK(taken > 0);
+  CHECK(taken <= 0.2 * requests + 52);
+}
+
+TEST_CASE("attempts count in any window, also one that began before") {
+  WindowBudget b({0, 10, Milliseconds(10'000)},
+                 MonoTime(std::chrono::seconds(100)));
+  MonoTime t{std::chrono::seconds(100)};
+  int taken = 0;
+  for (int i = 0; i < 100; ++i, t += Milliseconds(100))
+    taken += b.withdraw(t) ? 1 : 0;
+  CHECK(taken <= 10);
+  t += std::chrono::seconds(10);
+  CHECK(b.withdraw(t));
+}
--- /dev/null
+++ b/Tests/Routing/PlacementTest.cpp
@@ -0,0 +1,113 @@
+#include "Sardineford/Routing/Placement.h"
+
+#include "Sardineford/Routing/ServiceChoice.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace sardineford;
+using namespace sardineford::routing;
+
+namespace {
+
+EngineCandidate engine(EngineRole role) {
+  EngineCandidate e;
+  e.Role = role;
+  e.Slots = 64;
+  return e;
+}
+
+std::optional<PlacementChoice> place(const std::vector<EngineCandidate> &v,
+                                     uint64_t tokens) {
+  std::mt19937_64 random(1);
+  return placeRequest(v, {tokens}, startingSpeeds(), random);
+}
+
+} // namespace
+
+TEST_CASE("without a decode engine nothing can be placed") {
+  CHECK_FALSE(place({engine(EngineRole::Prefill)}, 1'000));
+  CHECK_FALSE(place({}, 1'000));
+}
+
+TEST_CASE("long prompts are prefilled apart while streams run") {
+  std::vector<EngineCandidate> v = {engine(EngineRole::Prefill),
+                                    engine(EngineRole::Decode)};
+  v[1].Requests = 30;
+  CHECK(place(v, 12'000)->Prefill == 0);
+}
+
+TEST_CASE("a prompt goes to the decode engine while prefill engines are behind") {
+  std::vector<EngineCandidate> v = {engine(EngineRole::Prefill),
+                                    engine(EngineRole::Decode)};
+  v[0].PromptTokensAhead = 200'000;
+  CHECK_FALSE(place(v, 2'000)->Prefill);
+}
+
+TEST_CASE("cached parts draw a request, a long queue sends it away") {
+  std::vector<EngineCandidate> v = {engine(EngineRole::Decode),
+                                    engine(EngineRole::Decode)};
+  v[1].CachedTokens = 4'000;
+  v[0].SharedTokensMissing = 4'000;
+  v[1].PromptTokensAhead = 2'000;
+  CHECK(place(v, 5'000)->Decode == 1);
+  v[1].PromptTokensAhead = 50'000;
+  CHECK(place(v, 5'000)->Decode == 0);
+}
+
+TEST_CASE("failing, slow and held-off engines are taken last") {
+  std::vector<EngineCandidate> v = {engine(EngineRole::Decode),
+                                    engine(EngineRole::Decode)};
+  v[0].FailureShare = 0.5;
+  CHECK(place(v, 1'000)->Decode == 1);
+  v[0] = engine(EngineRole::Decode);
+  v[0].Slowness = 4;
+  CHECK(place(v, 1'000)->Decode == 1);
+  v[0] = engine(EngineRole::Decode);
+  v[0].HeldOff = true;
+  CHECK(place(v, 1'000)->Decode == 1);
+  // With nothing else left, it is better than nothing.
+  CHECK(place({v[0]}, 1'000)->Decode == 0);
+}
+
+TEST_CASE("equal engines are not all chosen alike") {
+  std::vector<EngineCandidate> v(6, engine(EngineRole::Decode));
+  std::mt19937_64 random(1);
+  std::map<size_t, int> chosen;
+  for (int i = 0; i < 600; ++i)
+    ++chosen[placeRequest(v, {1'000}, startingSpeeds(), random)->Decode];
+  for (const auto &[i, n] : chosen)
+    CHECK(n > 50);
+}
+
+TEST_CASE("speeds are learned from what was seen") {
+  SpeedModel m(Seconds(0.01), Seconds(20e-6), 4'000);
+  for (int i = 0; i < 300; ++i) {
+    double tokens = 500.0 + 100.0 * (i % 50);
+    m.observe(tokens, Seconds(0.05 + 50e-6 * tokens));
+  }
+  CHECK(m.perUnit().count() == Approx(50e-6).epsilon(0.1));
+  CHECK(m.estimate(2'000).count() == Approx(0.15).epsilon(0.1));
+}
+
+TEST_CASE("one stall does not spoil a learned speed") {
+  SpeedModel m(Seconds(0.01), Seconds(20e-6), 4'000);
+  for (int i = 0; i < 100; ++i)
+    m.observe(1'000.0 + 100 * (i % 20), Seconds(0.03 + 2e-6 * (i % 20)));
+  double before = m.estimate(2'000).count();
+  m.observe(2'000, Seconds(30));
+  CHECK(m.estimate(2'000).count() < 1.3 * before);
+}
+
+TEST_CASE("plain calls go to the least loaded sound instance") {
+  std::mt19937_64 random(1);
+  std::vector<ServiceCandidate> v(3);
+  for (ServiceCandidate &it : v)
+    it.Slots = 6;
+  v[0].Requests = 6;
+  v[1].FailureShare = 0.5;
+  for (int i = 0; i < 20; ++i)
+    CHECK(chooseService(v, random) == 2);
+  CHECK_FALSE(chooseService({}, random));
+}
--- a/include/Sardineford/Admission/StreamAdmission.h
+++ b/include/Sardineford/Admission/StreamAdmission.h
@@ -9,12 +9,14 @@
 
 /// What is known when a stream asks for a place.
 struct StreamOutlook {
-  /// Estimated time to the first event as urgent work; empty when no engine
-  /// takes any.
+  /// Estimated time to the first event ahead of all other work; empty when no
+  /// engine takes any.
+  std::optional<Seconds> First;
+  /// The same as urgent work.
   std::optional<Seconds> Urgent;
   /// The same behind all urgent work.
   std::optional<Seconds> Background;
-  /// Part of the latter in which the request's own prompt is prefilled.
+  /// Part of it in which the request's own prompt is prefilled.
   Seconds OwnWork{0};
   Milliseconds Elapsed{0};
   Milliseconds Objective{0};
@@ -37,7 +39,8 @@
 /// is left, up to what callers wait for; the rest is refused while its refusal
 /// is still of use, instead of being prefilled for callers who have left. Late
 /// work waits equally long whatever its size, so that small requests do not
-/// keep the queue too long for large ones.
+/// keep the queue too long for large ones. Large prompts that are in time only
+/// if they begin at once do so; the small ones behind them have time to wait.
 StreamDecision decideStream(const StreamOutlook &o);
 
 } // namespace sardineford::admission
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -7,6 +7,7 @@
 #include "Sardineford/Http/Message.h"
 #include "Sardineford/Routing/View.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,10 +50,7 @@
 
   /// Prompt tokens of all processes that go before new work of a rank.
   double tokensAhead(WorkRank r) const {
-    double n = Own.UrgentTokens + Others.UrgentTokens;
-    if (r == WorkRank::Background)
-      n += Own.BackgroundTokens + Others.BackgroundTokens;
-    return n < 0 ? 0 : n;
+    return std::max(0.0, Own.tokensAhead(r) + Others.tokensAhead(r));
   }
   unsigned requests() const { return Own.Requests + Others.Requests; }
 
