--- a/Source/Admission/StreamAdmission.cpp
+++ b/Source/Admission/StreamAdmission.cpp
@@ -34,8 +34,11 @@
   Seconds patience =
       std::min(Seconds(o.Patience) * BackgroundShare, Seconds(o.Left));
   Seconds wait = *o.Background - o.OwnWork;
-  if (*o.Background <= patience && wait <= Seconds(o.Patience) * WaitShare)
+  bool waitsLikeOthers = wait <= Seconds(o.Patience) * WaitShare;
+  if (*o.Background <= patience && (waitsLikeOthers || o.IsBehind))
     return {WorkRank::Background, {}};
+  if (*o.Urgent <= patience && o.IsBehind)
+    return {WorkRank::Urgent, {}};
   Milliseconds backlog = toMilliseconds(*o.Background - Seconds(o.Objective));
   return {std::nullopt, std::clamp(backlog, LeastRetryAfter, MostRetryAfter)};
 }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -61,6 +61,7 @@
              [this](const std::string &server, uint64_t part, uint64_t tokens) {
                Peers.tellPart(server, part, tokens);
              },
+             {},
              {}} {
   Watch.onConfiguration([this] { applyLimits(); });
   Peers.onPeers([this] { Shared.Processes = Peers.processes(); });
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/FleetWatch.h"
+#include "Sardineford/Admission/SizeFairness.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Gateway/AttemptRecord.h"
 #include "Sardineford/Gateway/BackendProtocol.h"
@@ -45,6 +46,8 @@
                      uint64_t tokens)>
       TellPart;
   std::map<std::string, ServiceState> Services;
+  /// By route.
+  std::map<std::string, admission::SizeFairness> Fairness;
 
   ServiceState &service(const std::string &name);
 };
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -382,13 +382,18 @@
   o.Objective = c.Route->Objective;
   o.Patience = c.Route->Patience;
   o.Left = c.left();
+  admission::SizeFairness &fairness = s.Fairness[c.Route->Name];
+  auto size = static_cast<double>(c.Request.PromptTokens);
+  o.IsBehind = fairness.isBehind(size);
   admission::StreamDecision d = admission::decideStream(o);
+  fairness.note(size, d.Rank.has_value());
   log::event(log::Category::Gateway, log::Level::Info, "admission",
              {{"request", c.Request.Id},
               {"first_estimate_ms", wholeMs(o.First)},
               {"urgent_estimate_ms", wholeMs(o.Urgent)},
               {"background_estimate_ms", wholeMs(o.Background)},
               {"own_work_ms", toMilliseconds(o.OwnWork).count()},
+              {"size_is_behind", o.IsBehind},
               {"objective_ms", o.Objective.count()},
               {"elapsed_ms", o.Elapsed.count()},
               {"engines", last.Engines.Servers.size()},
