Watches wait longer the more processes follow the store; peers' digests find silent ones

Now each waits longer and the processes tell each other digests of what they know; a differing digest, or a change that a watch missed, renews the watch.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -1,18 +1,34 @@
 #include "Fleet/FleetWatch.h"
 
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Common/Random.h"
 #include "Sardineford/Store/Write.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
 namespace sardineford::fleet {
 
 namespace {
 
+namespace asio = boost::asio;
 using log::Category;
 
-/// A watch waits this long. A connection that has gone silent is found by the
-/// missing answer, so the wait is short against the time in which a change
-/// must be in force.
-constexpr Milliseconds WatchWait{1'500};
+/// A watch waits this long for each process that follows the store, within
+/// bounds. A connection that has gone silent is found by the missing answer:
+/// alone, a process must find it well before a change must be in force.
+constexpr Milliseconds WatchWaitPerProcess{500};
+constexpr Milliseconds LeastWatchWait{1'500};
+constexpr Milliseconds MostWatchWait{20'000};
+/// Changes that come together are read together.
+constexpr Milliseconds GatherTime{100};
+/// The news of a change reaches all watches within this time.
+constexpr Milliseconds DigestPatience{250};
+/// Events that are there at once, after a watch that saw none, were missed.
+constexpr Milliseconds AtOnce{60};
 constexpr Milliseconds FirstRetry{60};
 constexpr Milliseconds LongestRetry{500};
 /// After a failure of the store, missing entries mean nothing for this long:
@@ -30,7 +46,8 @@
 FleetWatch::FleetWatch(IoContext &io, store::ObjectStore &store,
                        const FleetCodec &codec, Directory &directory,
                        metrics::Metrics &metrics)
-    : Io(io), Store(store), Codec(codec), Servers(directory), Metrics(metrics) {
+    : Io(io), Store(store), Codec(codec), Servers(directory), Metrics(metrics),
+      ConfigurationFeed(io), ServerFeed(io) {
   ConfigurationFeed.Kind = codec.configurationKind();
   ServerFeed.Kind = codec.serverKind();
 }
@@ -79,6 +96,99 @@
              {{"feed", feed.Kind}, {"revision", feed.Revision}});
 }
 
+Milliseconds FleetWatch::watchWait() const {
+  Milliseconds wait = std::clamp(WatchWaitPerProcess * Processes,
+                                 LeastWatchWait, MostWatchWait);
+  // Watches that began together must not all be equally old.
+  return std::max(LeastWatchWait, jittered(wait * 2 / 3));
+}
+
+/// Failures are values here: of two operations that are awaited together, one
+/// that throws would leave the other waiting.
+Awaitable<FleetWatch::Seen> FleetWatch::watchSettled(Feed &feed) {
+  Seen out;
+  try {
+    out.Changes =
+        co_await Store.watch(feed.Kind, feed.Revision, watchWait());
+  } catch (const store::StoreError &e) {
+    out.Failed = e;
+  }
+  co_return out;
+}
+
+/// The watches of a process go silent together, as a rule.
+void FleetWatch::renewOther(const Feed &feed) {
+  Feed &other = &feed == &ServerFeed ? ConfigurationFeed : ServerFeed;
+  log::event(Category::Store, log::Level::Info, "watch_renewed",
+             {{"feed", other.Kind},
+              {"revision", other.Revision},
+              {"age_ms", since(other.Confirmed).count()},
+              {"because", "a watch missed changes"}});
+  other.Poke.expires_at(MonoClock::now());
+}
+
+/// Waits for changes. Ends early, without any, when it is poked.
+Awaitable<store::Changes> FleetWatch::watchOnce(Feed &feed) {
+  using namespace asio::experimental::awaitable_operators;
+  feed.Poke.expires_at(MonoTime::max());
+  std::variant<Seen, std::tuple<boost::system::error_code>> first =
+      co_await (watchSettled(feed) ||
+                feed.Poke.async_wait(asio::as_tuple(asio::use_awaitable)));
+  if (first.index() == 1) {
+    store::Changes none;
+    none.Revision = feed.Revision;
+    co_return none;
+  }
+  Seen &seen = std::get<0>(first);
+  if (seen.Failed)
+    throw store::StoreError(*seen.Failed);
+  co_return std::move(seen.Changes);
+}
+
+void FleetWatch::noteObject(Feed &feed, const store::Object &o) {
+  auto term = [&](uint64_t revision) { return hash64(o.Name, revision); };
+  auto it = feed.Revisions.find(o.Name);
+  if (it != feed.Revisions.end()) {
+    feed.Digest ^= term(it->second);
+    feed.Revisions.erase(it);
+  }
+  if (o.Version == 0)
+    return;
+  feed.Revisions[o.Name] = o.Version;
+  feed.Digest ^= term(o.Version);
+}
+
+void FleetWatch::resetDigest(Feed &feed, const store::ObjectList &list) {
+  feed.Revisions.clear();
+  feed.Digest = 0;
+  for (const store::Object &it : list.Objects)
+    noteObject(feed, it);
+}
+
+void FleetWatch::comparePeer(Feed &feed, uint64_t digest) {
+  if (digest == feed.Digest || digest == feed.LookedInto || feed.Lost)
+    return;
+  MonoTime now = MonoClock::now();
+  if (digest != feed.Different) {
+    feed.Different = digest;
+    feed.DifferentSince = now;
+    return;
+  }
+  if (now - feed.DifferentSince < DigestPatience)
+    return;
+  feed.LookedInto = digest;
+  log::event(Category::Store, log::Level::Info, "watch_renewed",
+             {{"feed", feed.Kind},
+              {"revision", feed.Revision},
+              {"age_ms", since(feed.Confirmed).count()}});
+  feed.Poke.expires_at(now);
+}
+
+void FleetWatch::notePeerDigests(uint64_t configuration, uint64_t servers) {
+  comparePeer(ConfigurationFeed, configuration);
+  comparePeer(ServerFeed, servers);
+}
+
 /// Reads everything, then follows the changes. Whenever a watch fails, all is
 /// read again, since changes may have been missed.
 Awaitable<void>
@@ -94,13 +204,22 @@
         current = true;
         noteAnswer(feed);
       }
-      store::Changes seen =
-          co_await Store.watch(feed.Kind, feed.Revision, WatchWait);
+      MonoTime asked = MonoClock::now();
+      store::Changes seen = co_await watchOnce(feed);
       noteAnswer(feed);
+      bool missed = feed.SawNone && !seen.Objects.empty() &&
+                    MonoClock::now() - asked < AtOnce;
+      feed.SawNone = seen.Objects.empty();
+      if (missed)
+        renewOther(feed);
       feed.Revision = std::max(feed.Revision, seen.Revision);
-      for (const store::Object &it : seen.Objects)
+      for (const store::Object &it : seen.Objects) {
+        noteObject(feed, it);
         apply(it);
+      }
       backoff.reset();
+      if (!seen.Objects.empty())
+        co_await sleepFor(GatherTime);
     } catch (const store::StoreError &e) {
       bool onlyHistory = e.Reason == store::Failure::HistoryGone;
       if (!onlyHistory)
@@ -115,6 +234,7 @@
 
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
+  resetDigest(ConfigurationFeed, list);
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
   co_return list.Revision;
@@ -122,6 +242,7 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
+  resetDigest(ServerFeed, list);
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
     std::optional<ServerEntry> e = Codec.decodeServer(it);
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -5,7 +5,11 @@
 #include "Sardineford/Metrics/Metrics.h"
 #include "Sardineford/Store/ObjectStore.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
+#include <map>
+#include <variant>
 
 namespace sardineford::fleet {
 
@@ -20,6 +24,17 @@
   /// Called after a newer configuration came into force.
   void onConfiguration(std::function<void()> f) { Applied = std::move(f); }
 
+  /// Number of processes that follow the store. The more there are, the longer
+  /// each one's watch waits: some watch is always young enough to be sound,
+  /// and its process tells the others of a change that theirs did not show.
+  void setProcesses(unsigned n) { Processes = n == 0 ? 1 : n; }
+  /// Digests of what is known of the store; equal where the same is known.
+  uint64_t configurationDigest() const { return ConfigurationFeed.Digest; }
+  uint64_t serversDigest() const { return ServerFeed.Digest; }
+  /// Another process knows this. Where it differs for some time, the own
+  /// watch is begun anew, once for each digest.
+  void notePeerDigests(uint64_t configuration, uint64_t servers);
+
   /// Empty until one is known.
   const std::shared_ptr<const RouteTable> &routes() const { return Routes; }
   bool isKnown() const { return Routes != nullptr && Servers.isKnown(); }
@@ -29,10 +44,23 @@
 
 private:
   struct Feed {
+    explicit Feed(IoContext &io) : Poke(io, MonoTime::max()) {}
+
     std::string Kind;
+    /// Revision of each object that is known, and their digest.
+    std::map<std::string, uint64_t> Revisions;
+    uint64_t Digest = 0;
+    /// A peer's digest that differs, since when, and the last one looked into.
+    uint64_t Different = 0;
+    MonoTime DifferentSince{};
+    uint64_t LookedInto = 0;
+    /// Expires to end a watch that waits.
+    boost::asio::steady_timer Poke;
     uint64_t Revision = 0;
     MonoTime Confirmed{};
     bool Lost = false;
+    /// The last watch ended without changes.
+    bool SawNone = false;
   };
 
   Awaitable<void> follow(Feed &feed,
@@ -43,6 +71,19 @@
   void applyConfiguration(const store::Object &o);
   void applyServer(const store::Object &o);
   Awaitable<void> settleLoop();
+  /// What a watch saw, or why it failed.
+  struct Seen {
+    store::Changes Changes;
+    std::optional<store::StoreError> Failed;
+  };
+
+  Awaitable<Seen> watchSettled(Feed &feed);
+  Awaitable<store::Changes> watchOnce(Feed &feed);
+  Milliseconds watchWait() const;
+  void renewOther(const Feed &feed);
+  static void noteObject(Feed &feed, const store::Object &o);
+  static void resetDigest(Feed &feed, const store::ObjectList &list);
+  static void comparePeer(Feed &feed, uint64_t digest);
   void noteFailure(Feed &feed, const std::string &what);
   void noteAnswer(Feed &feed);
 
@@ -55,6 +96,7 @@
   std::shared_ptr<const RouteTable> Routes;
   Feed ConfigurationFeed;
   Feed ServerFeed;
+  unsigned Processes = 1;
   /// Entries that vanish before this time may have lapsed with the store.
   MonoTime DoubtUntil{};
 };
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -64,7 +64,18 @@
              {},
              {}} {
   Watch.onConfiguration([this] { applyLimits(); });
-  Peers.onPeers([this] { Shared.Processes = Peers.processes(); });
+  Peers.onPeers([this] {
+    Shared.Processes = Peers.processes();
+    Watch.setProcesses(Peers.processes());
+  });
+  Peers.exchangeDigests(
+      [this] {
+        return peers::LoadExchange::Digests{Watch.configurationDigest(),
+                                            Watch.serversDigest()};
+      },
+      [this](peers::LoadExchange::Digests d) {
+        Watch.notePeerDigests(d.Configuration, d.Servers);
+      });
   registerGauges();
 }
 
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -27,8 +27,13 @@
 constexpr Milliseconds SendEvery{60};
 /// An unchanged report is repeated so that peers know the sender alive.
 constexpr Milliseconds RepeatEvery{500};
-/// New processes are found by the list, a few seconds later.
-constexpr Milliseconds ListEvery{4'000};
+/// Each process sends to all others: the more there are, the seldomer.
+constexpr unsigned ProcessesAtFullRate = 15;
+/// A new process lists the others and is known to them by its reports, so that
+/// the list is read again only to find what was missed.
+constexpr Milliseconds ListEvery{20'000};
+/// Members that are not heard any more are gone.
+constexpr Milliseconds MemberLife{5'000};
 constexpr Milliseconds FirstRetry{200};
 constexpr Milliseconds LongestRetry{3'000};
 /// Each part is told twice, since datagrams are lost at times.
@@ -69,7 +74,11 @@
 }
 
 unsigned LoadExchange::processes() const {
-  return static_cast<unsigned>(std::max(View.peers() + 1, Members.size()));
+  return static_cast<unsigned>(View.peers() + 1);
+}
+
+Milliseconds LoadExchange::sendInterval() const {
+  return SendEvery * std::max(1U, processes() / ProcessesAtFullRate);
 }
 
 Awaitable<void> LoadExchange::registerOwn() {
@@ -83,20 +92,19 @@
 
 Awaitable<void> LoadExchange::readMembers() {
   store::ObjectList list = co_await Store.list(MemberKind);
-  std::set<http::Endpoint> members;
+  MonoTime now = MonoClock::now();
   for (const store::Object &it : list.Objects) {
     try {
       json::value v = json::parse(it.Value);
-      members.insert(http::parseEndpoint(
-          json::value_to<std::string>(v.at("address"))));
+      http::Endpoint at = http::parseEndpoint(
+          json::value_to<std::string>(v.at("address")));
+      if (at != Listen)
+        Members.try_emplace(at, now);
     } catch (const std::exception &e) {
       log::event(Category::Peers, log::Level::Warning, "member_skipped",
                  {{"name", it.Name}, {"error", std::string_view(e.what())}});
     }
   }
-  Members = std::move(members);
-  if (PeersChanged)
-    PeersChanged();
 }
 
 Awaitable<void> LoadExchange::membershipLoop() {
@@ -116,7 +124,7 @@
       failed = true;
     }
     // Others that start at the same time register a moment later.
-    Milliseconds pause = Members.size() < 2 ? FirstRetry * 4 : ListEvery;
+    Milliseconds pause = Members.empty() ? FirstRetry * 4 : ListEvery;
     co_await sleepFor(failed ? backoff.next() : jittered(pause));
   }
 }
@@ -147,6 +155,11 @@
     --it.Repeats;
   }
   std::erase_if(Parts, [](const PartUse &it) { return it.Repeats <= 0; });
+  if (OwnDigests) {
+    Digests d = OwnDigests();
+    out.set_configuration_digest(d.Configuration);
+    out.set_servers_digest(d.Servers);
+  }
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
   if (body == LastSent && now - LastSentAt < RepeatEvery)
@@ -159,9 +172,10 @@
 
 void LoadExchange::sendReport(const std::string &message) {
   boost::system::error_code ec;
-  for (const http::Endpoint &it : Members) {
-    if (it == Listen)
-      continue;
+  std::erase_if(Members, [now = MonoClock::now()](const auto &it) {
+    return now - it.second > MemberLife;
+  });
+  for (const auto &[it, heard] : Members) {
     udp::endpoint to(asio::ip::make_address(it.Host, ec), it.Port);
     // A datagram that cannot be sent is replaced by the next one.
     if (!ec)
@@ -173,16 +187,19 @@
 
 Awaitable<void> LoadExchange::sendLoop() {
   for (;;) {
-    co_await sleepFor(SendEvery);
+    co_await sleepFor(sendInterval());
     View.forget(MonoClock::now());
     applyTotals();
+    if (PeersChanged)
+      PeersChanged();
     std::string message = reportBytes();
     if (!message.empty())
       sendReport(message);
   }
 }
 
-void LoadExchange::takeReport(const std::string &bytes) {
+void LoadExchange::takeReport(const std::string &bytes,
+                              const http::Endpoint &from) {
   messages::LoadShare in;
   if (!in.ParseFromString(bytes) || in.node() == Node) {
     Metrics.count("sardineford_load_reports_bad_total", {});
@@ -195,6 +212,9 @@
   for (const messages::PartUse &it : in.parts())
     if (fleet::ServerPtr server = Servers.find(it.server()))
       server->Parts.use(it.part(), it.tokens(), now);
+  Members[from] = now;
+  if (PeerDigests)
+    PeerDigests({in.configuration_digest(), in.servers_digest()});
   if (View.take(std::move(report), now))
     applyTotals();
 }
@@ -218,7 +238,7 @@
     // An earlier datagram met no listener; the next receive goes on.
     if (ec)
       continue;
-    takeReport(buf.substr(0, n));
+    takeReport(buf.substr(0, n), {from.address().to_string(), from.port()});
   }
 }
 
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -8,7 +8,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <functional>
-#include <set>
+#include <map>
 
 namespace sardineford::peers {
 
@@ -26,6 +26,16 @@
   unsigned processes() const;
   /// Tells the others that a prompt part is cached at a server from now on.
   void tellPart(const std::string &server, uint64_t part, uint64_t tokens);
+  /// Digests of what is known of the store, to tell and to be told.
+  struct Digests {
+    uint64_t Configuration = 0;
+    uint64_t Servers = 0;
+  };
+  void exchangeDigests(std::function<Digests()> own,
+                       std::function<void(Digests)> peer) {
+    OwnDigests = std::move(own);
+    PeerDigests = std::move(peer);
+  }
   /// Called when the number of processes may have changed.
   void onPeers(std::function<void()> f) { PeersChanged = std::move(f); }
 
@@ -36,7 +46,8 @@
   Awaitable<void> sendLoop();
   Awaitable<void> receiveLoop();
   void sendReport(const std::string &message);
-  void takeReport(const std::string &bytes);
+  void takeReport(const std::string &bytes, const http::Endpoint &from);
+  Milliseconds sendInterval() const;
   void applyTotals();
   std::string reportBytes();
 
@@ -49,8 +60,11 @@
   metrics::Metrics &Metrics;
   boost::asio::ip::udp::socket Socket;
   std::function<void()> PeersChanged;
+  std::function<Digests()> OwnDigests;
+  std::function<void(Digests)> PeerDigests;
   LoadView View;
-  std::set<http::Endpoint> Members;
+  /// Peers and when they were listed or heard last.
+  std::map<http::Endpoint, MonoTime> Members;
   uint64_t Sequence = 0;
   struct PartUse {
     std::string Server;
--- /dev/null
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -0,0 +1,159 @@
+#include "Fleet/FleetWatch.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace sardineford;
+using namespace sardineford::fleet;
+using store::Changes;
+using store::Failure;
+using store::Object;
+using store::ObjectList;
+using store::StoreError;
+
+namespace {
+
+/// A store that plays a script: each watch takes the next step, and without
+/// one it waits.
+class ScriptedStore : public store::ObjectStore {
+public:
+  struct Step {
+    std::optional<Failure> Fails;
+    std::vector<Object> Objects;
+  };
+
+  std::map<std::string, std::vector<Object>> Lists;
+  std::map<std::string, std::deque<Step>> Watches;
+  std::map<std::string, int> ListCalls;
+  uint64_t Revision = 10;
+
+  Awaitable<std::optional<Object>> get(std::string, std::string) override {
+    co_return std::nullopt;
+  }
+  Awaitable<ObjectList> list(std::string kind) override {
+    ++ListCalls[kind];
+    ObjectList out;
+    out.Revision = Revision;
+    out.Objects = Lists[kind];
+    co_return out;
+  }
+  Awaitable<uint64_t> put(std::string, std::string, std::string,
+                          uint64_t) override {
+    co_return ++Revision;
+  }
+  Awaitable<void> remove(std::string, std::string, uint64_t) override {
+    co_return;
+  }
+  Awaitable<Changes> watch(std::string kind, uint64_t, Milliseconds) override {
+    if (Watches[kind].empty())
+      co_await sleepFor(std::chrono::seconds(60));
+    Step s = Watches[kind].front();
+    Watches[kind].pop_front();
+    if (s.Fails)
+      throw StoreError(*s.Fails, "scripted");
+    Changes out;
+    out.Revision = ++Revision;
+    out.Objects = s.Objects;
+    co_return out;
+  }
+};
+
+/// The value is the version of the configuration, or the service's name.
+class PlainCodec : public FleetCodec {
+public:
+  std::string configurationKind() const override { return "config"; }
+  std::string configurationName() const override { return "main"; }
+  std::string serverKind() const override { return "servers"; }
+  std::optional<Configuration>
+  decodeConfiguration(const Object &o) const override {
+    Configuration c;
+    c.Version = std::stoull(o.Value);
+    return c;
+  }
+  std::optional<ServerEntry> decodeServer(const Object &o) const override {
+    if (o.Value.empty())
+      return std::nullopt;
+    ServerEntry e;
+    e.Id = o.Name;
+    e.Service = o.Value;
+    return e;
+  }
+};
+
+Object config(int version, uint64_t revision) {
+  return {"config", "main", revision, std::to_string(version)};
+}
+
+struct Fixture {
+  IoContext Io{1};
+  ScriptedStore Store;
+  PlainCodec Codec;
+  Directory Servers{[](const Server &, std::string_view) {}};
+  metrics::Metrics Metrics;
+  FleetWatch Watch{Io, Store, Codec, Servers, Metrics};
+
+  Fixture() { Store.Lists["config"] = {config(4, 8)}; }
+
+  void runFor(Milliseconds t) {
+    Io.restart();
+    Io.run_for(t);
+  }
+  uint64_t version() const {
+    return Watch.routes() ? Watch.routes()->config().Version : 0;
+  }
+};
+
+} // namespace
+
+TEST_CASE("after a failed watch everything is read again") {
+  for (Failure f : {Failure::HistoryGone, Failure::Unavailable}) {
+    Fixture t;
+    t.Watch.start();
+    t.runFor(Milliseconds(20));
+    CHECK(t.version() == 4);
+    t.Store.Lists["config"] = {config(7, 12)};
+    t.Store.Watches["config"].push_back({f, {}});
+    // The pending watch waits for a minute: a peer knows more.
+    t.Watch.notePeerDigests(1, 0);
+    t.runFor(Milliseconds(450));
+    t.Watch.notePeerDigests(1, 0);
+    t.runFor(Milliseconds(400));
+    CHECK(t.version() == 7);
+  }
+}
+
+TEST_CASE("a configuration never goes back to an older version") {
+  Fixture t;
+  t.Store.Watches["config"].push_back({std::nullopt, {config(9, 12)}});
+  t.Store.Watches["config"].push_back({std::nullopt, {config(6, 13)}});
+  t.Watch.start();
+  t.runFor(Milliseconds(400));
+  CHECK(t.version() == 9);
+}
+
+TEST_CASE("each digest of a peer is looked into once") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(20));
+  for (int i = 0; i < 6; ++i) {
+    t.Store.Watches["config"].push_back({std::nullopt, {}});
+    t.Watch.notePeerDigests(1, t.Watch.serversDigest());
+    t.runFor(Milliseconds(300));
+  }
+  // One watch was ended and one step of the script taken in its place; after
+  // that step the next watch follows at once.
+  CHECK(t.Store.ListCalls["config"] == 1);
+}
+
+TEST_CASE("an object that names no server is taken as gone") {
+  Fixture t;
+  t.Store.Lists["servers"] = {{"servers", "a", 3, "model"}};
+  t.Store.Watches["servers"].push_back(
+      {std::nullopt, {{"servers", "a", 12, ""}}});
+  t.Watch.start();
+  t.runFor(Milliseconds(300));
+  CHECK(t.Servers.ofService("model").empty());
+}
