Stand-ins for the platform's store and backend servers, process test and fault soak

The daemon runs as a real process against a store and backend servers that speak the platform's protocol; relays delay, reset, cut one way or silence links, processes are killed, paused and stopped.

--- a/StandIns/Deployment/Process.cpp
+++ b/StandIns/Deployment/Process.cpp
@@ -34,6 +34,7 @@
   const char *log = Spec.LogFile.empty() ? "/dev/null" : Spec.LogFile.c_str();
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log,
                                    O_WRONLY | O_CREAT | O_APPEND, LogMode);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   // Sockets of the bench must not live on in the processes that it starts.
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   int rc = posix_spawn(&Id, Spec.Program.c_str(), &actions, nullptr,
--- a/StandIns/Deployment/Process.h
+++ b/StandIns/Deployment/Process.h
@@ -12,7 +12,7 @@
   std::string Name;
   std::string Program;
   std::vector<std::string> Arguments;
-  /// File that its standard error is appended to.
+  /// File that its standard output and error are appended to.
   std::string LogFile;
 };
 
--- /dev/null
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -0,0 +1,84 @@
+#include "StandIns/Platform/PlatformCaller.h"
+
+#include "Sardineford/Common/Random.h"
+#include "StandIns/Platform/PlatformDeployment.h"
+#include "StandIns/Platform/PlatformWorker.h"
+#include "platform/Names.h"
+
+namespace sardineford::standins {
+
+namespace names = platform::names;
+
+namespace {
+
+std::string expectedAnswer(const std::string &id, bool stream) {
+  if (!stream)
+    return expectedBody(id);
+  std::string out;
+  for (uint64_t i = 1; i <= expectedEvents(id); ++i)
+    out += expectedEvent(id, i);
+  return out;
+}
+
+http::Request makeRequest(const std::string &id, const std::string &route,
+                          bool stream, Milliseconds deadline) {
+  http::Request r;
+  r.Method = route == RepeatableRoute ? "GET" : "POST";
+  r.Target = route + "1";
+  r.Fields.add("Host", DeploymentHost);
+  r.Fields.add(std::string(names::RequestId), id);
+  r.Fields.add(std::string(names::DeadlineMs),
+               std::to_string(deadline.count()));
+  if (!stream)
+    return r;
+  r.Fields.add(std::string(names::Model), "m");
+  r.Fields.add(std::string(names::TokenCounts), "900,80");
+  r.Fields.add(std::string(names::PromptPrefix), "5c:500,91bd:300,e4:100");
+  return r;
+}
+
+bool isPromise(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint front,
+                                 std::string route, Milliseconds deadline) {
+  CallResult out;
+  out.Id = makeId();
+  out.Route = route;
+  bool stream = route == ResumableRoute || route == StreamRoute;
+  http::Request request = makeRequest(out.Id, route, stream, deadline);
+  http::CallOptions options;
+  options.Timeout = deadline;
+  options.ResendOnStale = false;
+  MonoTime start = MonoClock::now();
+  bool gotHead = false;
+  try {
+    std::unique_ptr<http::ResponseStream> answer =
+        co_await client.open(front, std::move(request), options);
+    gotHead = true;
+    out.Status = answer->head().Status;
+    out.ToldWhenToReturn = answer->head().Fields.find("Retry-After").has_value();
+    std::string body;
+    for (;;) {
+      std::string piece = co_await answer->read(deadline);
+      if (piece.empty())
+        break;
+      body += piece;
+    }
+    if (out.Status == 200)
+      out.End = body == expectedAnswer(out.Id, stream) ? CallEnd::Right
+                                                       : CallEnd::Wrong;
+    else
+      out.End = isPromise(out.Status) ? CallEnd::Refused : CallEnd::Failed;
+  } catch (const http::TransportError &e) {
+    bool nothingSent = e.Stage == http::TransportStage::NothingSent;
+    out.End = nothingSent && !gotHead ? CallEnd::NotTaken : CallEnd::Cut;
+  }
+  out.Took = toMilliseconds(MonoClock::now() - start);
+  co_return out;
+}
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Platform/PlatformCaller.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Sardineford/Http/Client.h"
+
+#include <string>
+
+namespace sardineford::standins {
+
+/// What came of one request.
+enum class CallEnd {
+  /// A whole answer, and the right one.
+  Right,
+  /// A whole answer with other bytes than the server's.
+  Wrong,
+  /// 408, 421, 429 or 503: it has not run and never will.
+  Refused,
+  /// Another failure: it may have run.
+  Failed,
+  /// The connection broke off.
+  Cut,
+  /// No connection, or closed before anything came.
+  NotTaken,
+};
+
+struct CallResult {
+  std::string Id;
+  std::string Route;
+  CallEnd End = CallEnd::Cut;
+  unsigned Status = 0;
+  bool ToldWhenToReturn = false;
+  Milliseconds Took{0};
+};
+
+/// Sends one request and checks the answer byte by byte.
+Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint front,
+                                 std::string route, Milliseconds deadline);
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -0,0 +1,191 @@
+#include "StandIns/Platform/PlatformDeployment.h"
+
+#include "StandIns/Deployment/Deployment.h"
+#include "platform/Names.h"
+
+#include <boost/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+namespace sardineford::standins {
+
+namespace json = boost::json;
+namespace names = platform::names;
+
+namespace {
+
+constexpr Milliseconds ReadyPoll{50};
+constexpr unsigned StopGraceSeconds = 6;
+
+json::object route(const std::string &prefix, const std::string &kind,
+                   const std::string &service, bool resumable) {
+  bool stream = kind == "streaming";
+  return {{"name", "r" + prefix},
+          {"host", DeploymentHost},
+          {"pathPrefix", prefix},
+          {"kind", kind},
+          {"timeoutMs", stream ? 4'000 : 2'000},
+          {"targetLatencyMs", stream ? 500 : 200},
+          {"priority", 1},
+          {"service", service},
+          {"maxAttempts", kind == "unsafe" || !resumable ? 1 : 2},
+          {"resumable", resumable},
+          {"gapAimMs", 300}};
+}
+
+} // namespace
+
+PlatformDeployment::PlatformDeployment(IoContext &io,
+                                       PlatformDeploymentOptions options)
+    : Io(io), Options(std::move(options)), Client(io), Store(freeEndpoint()) {
+  std::filesystem::create_directories(Options.Folder);
+  Daemons.resize(Options.Daemons);
+  addWorkers(Options.PlainServers, "desk", "");
+  addWorkers(Options.PrefillEngines, "model", "prefill");
+  addWorkers(Options.DecodeEngines, "model", "decode");
+}
+
+void PlatformDeployment::addWorkers(unsigned n, const std::string &service,
+                                    const std::string &stage) {
+  for (unsigned i = 0; i < n; ++i) {
+    DeployedWorker w;
+    w.Service = service;
+    w.Stage = stage;
+    w.Listen = freeEndpoint();
+    w.Advertise = freeEndpoint();
+    w.Link = std::make_unique<Relay>(Io, w.Advertise, w.Listen, freeEndpoint());
+    Workers.push_back(std::move(w));
+  }
+}
+
+void PlatformDeployment::start() {
+  StoreRun = std::make_unique<Process>(
+      ProcessSpec{"store",
+                  Options.Programs + "/standin-platform-store",
+                  {"--listen=" + http::toString(Store)},
+                  Options.Folder + "/store.log"});
+  StoreRun->start();
+  for (DeployedWorker &it : Workers) {
+    it.Link->start();
+    startWorker(it, false);
+  }
+  for (size_t i = 0; i < Daemons.size(); ++i) {
+    DeployedDaemon &d = Daemons[i];
+    d.Front = freeEndpoint();
+    d.Readiness = freeEndpoint();
+    d.Metrics = freeEndpoint();
+    http::Endpoint toStore = freeEndpoint();
+    d.ToStore = std::make_unique<Relay>(Io, toStore, Store, freeEndpoint());
+    d.ToStore->start();
+    std::string name = "node-" + std::to_string(i);
+    std::string file = Options.Folder + "/" + name + ".json";
+    json::object settings = {
+        {"node",
+         {{"name", name},
+          {"failure_domain", i % 2 == 0 ? "a" : "b"},
+          {"http_listen", http::toString(d.Front)}}},
+        {"platform", {{"endpoint", http::toString(toStore)}}},
+        {"gateway",
+         {{"readiness_listen", http::toString(d.Readiness)},
+          {"peer_listen", http::toString(freeEndpoint())},
+          {"metrics_listen", http::toString(d.Metrics)},
+          {"stop_grace_s", StopGraceSeconds}}},
+        {"log", {{"json", true}, {"stdout", true}}}};
+    std::ofstream(file) << json::serialize(settings);
+    d.Run = std::make_unique<Process>(
+        ProcessSpec{name,
+                    Options.Programs + "/sardineford",
+                    {"--settings=" + file},
+                    Options.Folder + "/" + name + ".log"});
+    startDaemon(d);
+  }
+}
+
+void PlatformDeployment::startDaemon(DeployedDaemon &d) { d.Run->start(); }
+
+void PlatformDeployment::startWorker(DeployedWorker &w, bool keepId) {
+  if (!keepId || w.Id.empty())
+    w.Id = "i-" + std::to_string(NextId++);
+  w.Run = std::make_unique<Process>(
+      ProcessSpec{w.Id,
+                  Options.Programs + "/standin-platform-worker",
+                  {"--id=" + w.Id, "--service=" + w.Service,
+                   "--stage=" + w.Stage,
+                   "--listen=" + http::toString(w.Listen),
+                   "--advertise=" + http::toString(w.Advertise),
+                   "--store=" + http::toString(Store), "--slots=64",
+                   "--history=" + historyFile()},
+                  Options.Folder + "/" + w.Id + ".log"});
+  w.Run->start();
+}
+
+Awaitable<void> PlatformDeployment::writeConfiguration(unsigned extraRoutes) {
+  json::array routes = {route(OnceRoute, "unsafe", "desk", false),
+                        route(RepeatableRoute, "safe", "desk", true),
+                        route(ResumableRoute, "streaming", "model", true),
+                        route(StreamRoute, "streaming", "model", false)};
+  for (unsigned i = 0; i < extraRoutes; ++i)
+    routes.push_back(route("/extra" + std::to_string(i) + "/", "safe", "desk",
+                           true));
+  json::object engine = {{"slots", 64},
+                         {"kvCapacity", 500'000},
+                         {"tokenKvBytes", 35'136},
+                         {"linkMbps", 1'000'000}};
+  json::array services = {
+      json::object{{"name", "desk"}, {"healthPath", "/health"}},
+      json::object{
+          {"name", "model"}, {"healthPath", "/health"}, {"engine", engine}}};
+  Version += 2;
+  json::object spec = {{"version", Version},
+                       {"routes", routes},
+                       {"services", services},
+                       {"limits", {{"idleTimeoutMs", 15'000}}}};
+  std::string kind =
+      std::string(names::Objects) + std::string(names::ConfigKind);
+  http::Request r;
+  r.Body = json::serialize(
+      json::object{{"metadata", {{"name", std::string(names::ConfigName)}}},
+                   {"spec", spec}});
+  r.Method = "PUT";
+  r.Target = kind + "/" + std::string(names::ConfigName);
+  http::Response answered = co_await Client.call(Store, r);
+  if (answered.Status != 404)
+    co_return;
+  r.Method = "POST";
+  r.Target = kind;
+  co_await Client.call(Store, r);
+}
+
+Awaitable<void> PlatformDeployment::setStoreMode(std::string body) {
+  http::Request r;
+  r.Method = "POST";
+  r.Target = "/admin";
+  r.Body = std::move(body);
+  co_await Client.call(Store, r);
+}
+
+Awaitable<bool> PlatformDeployment::waitReady(Milliseconds most) {
+  MonoTime end = MonoClock::now() + most;
+  for (const DeployedDaemon &it : Daemons) {
+    bool ready = false;
+    while (!ready && MonoClock::now() < end) {
+      try {
+        http::Request r;
+        r.Target = std::string(names::Readiness);
+        http::Response answered = co_await Client.call(it.Readiness, r);
+        ready = answered.Status == 200;
+      } catch (const Error &) {
+        // It is still starting.
+        ready = false;
+      }
+      if (!ready)
+        co_await sleepFor(ReadyPoll);
+    }
+    if (!ready)
+      co_return false;
+  }
+  co_return true;
+}
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Sardineford/Http/Client.h"
+#include "StandIns/Deployment/Process.h"
+#include "StandIns/Relay/Relay.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace sardineford::standins {
+
+struct PlatformDeploymentOptions {
+  /// Folder of the programs, and one for settings, logs and histories.
+  std::string Programs;
+  std::string Folder;
+  unsigned Daemons = 3;
+  unsigned PlainServers = 2;
+  unsigned PrefillEngines = 1;
+  unsigned DecodeEngines = 3;
+};
+
+/// Routes of the deployment, by what may be repeated.
+inline constexpr const char *OnceRoute = "/file/";
+inline constexpr const char *RepeatableRoute = "/status/";
+inline constexpr const char *ResumableRoute = "/draft/";
+inline constexpr const char *StreamRoute = "/query/";
+inline constexpr const char *DeploymentHost = "users.example";
+
+/// One daemon, and the link between it and the store.
+struct DeployedDaemon {
+  std::unique_ptr<Process> Run;
+  std::unique_ptr<Relay> ToStore;
+  http::Endpoint Front;
+  http::Endpoint Readiness;
+  http::Endpoint Metrics;
+};
+
+/// One backend server, and the link between it and its callers.
+struct DeployedWorker {
+  std::unique_ptr<Process> Run;
+  std::unique_ptr<Relay> Link;
+  std::string Id;
+  std::string Service;
+  std::string Stage;
+  http::Endpoint Listen;
+  http::Endpoint Advertise;
+};
+
+/// Real processes on this machine: the daemon, and stand-ins for the
+/// platform's store and backend servers, joined by relays.
+class PlatformDeployment {
+public:
+  PlatformDeployment(IoContext &io, PlatformDeploymentOptions options);
+
+  void start();
+  void startDaemon(DeployedDaemon &d);
+  /// Starts it, under a new id unless the old one is to be kept.
+  void startWorker(DeployedWorker &w, bool keepId);
+  /// Writes a configuration with the next version and so many routes beside
+  /// the deployment's own.
+  Awaitable<void> writeConfiguration(unsigned extraRoutes);
+  Awaitable<void> setStoreMode(std::string json);
+  /// Waits until every daemon says that it is ready. False when the time ends.
+  Awaitable<bool> waitReady(Milliseconds most);
+  std::string historyFile() const { return Options.Folder + "/history.jsonl"; }
+
+  std::vector<DeployedDaemon> Daemons;
+  std::vector<DeployedWorker> Workers;
+
+private:
+  void addWorkers(unsigned n, const std::string &service,
+                  const std::string &stage);
+  void writeSettings(const DeployedDaemon &d, const std::string &name);
+
+  IoContext &Io;
+  PlatformDeploymentOptions Options;
+  http::Client Client;
+  http::Endpoint Store;
+  std::unique_ptr<Process> StoreRun;
+  uint64_t Version = 1;
+  unsigned NextId = 1;
+};
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -0,0 +1,41 @@
+#include "Sardineford/Common/Log.h"
+#include "StandIns/Soak/Soak.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "seed of the first run");
+DEFINE_int32(runs, 1, "runs, each with the next seed");
+DEFINE_int32(seconds, 8, "time in which faults are injected");
+DEFINE_bool(faults, true, "inject faults");
+DEFINE_string(programs, "build/release", "folder of the programs");
+DEFINE_string(folder, "out/soak", "folder for logs and histories");
+
+using namespace sardineford;
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("Randomized soak of the daemon under faults.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  log::start({.DefaultLevel = log::Level::Warning, .Process = "soak"});
+  int bad = 0;
+  for (int i = 0; i < FLAGS_runs; ++i) {
+    standins::SoakOptions o;
+    o.Seed = FLAGS_seed + static_cast<uint64_t>(i);
+    o.Length = std::chrono::seconds(FLAGS_seconds);
+    o.Faults = FLAGS_faults;
+    o.Programs = FLAGS_programs;
+    o.Folder = FLAGS_folder + "/" + std::to_string(o.Seed);
+    standins::SoakReport r = standins::runSoak(o);
+    std::cout << "seed " << o.Seed << ": " << r.Faults << " faults";
+    for (const auto &[end, n] : r.Ends)
+      std::cout << ", " << n << " " << end;
+    std::cout << ", " << r.Violations.size() << " violations\n";
+    for (const std::string &it : r.Violations)
+      std::cout << "  " << it << "\n";
+    std::cout << std::flush;
+    bad += r.Violations.empty() ? 0 : 1;
+  }
+  std::cout << FLAGS_runs - bad << " passed, " << bad << " failed\n";
+  return bad == 0 ? 0 : 1;
+}
--- a/StandIns/Relay/Relay.cpp
+++ b/StandIns/Relay/Relay.cpp
@@ -101,7 +101,9 @@
       break;
     if (Delay.count() > 0)
       co_await sleepFor(Delay);
-    if (link->Swallows || Mode == LinkMode::Swallow)
+    bool lost = link->Swallows || Mode == LinkMode::Swallow ||
+                (forward && Mode == LinkMode::SwallowForward);
+    if (lost)
       continue;
     auto [failed, written] = co_await asio::async_write(
         out, asio::buffer(buf.data(), n), asio::as_tuple(use_awaitable));
@@ -125,6 +127,12 @@
   Links.remove_if([](const auto &it) { return it.expired(); });
 }
 
+void Relay::resetOpen() {
+  for (const std::weak_ptr<Link> &it : Links)
+    if (LinkPtr link = it.lock())
+      link->close();
+}
+
 Awaitable<void> Relay::handle(http::Request &request,
                               http::ResponseWriter &out) {
   json::object body = json::parse(request.Body).as_object();
--- a/StandIns/Relay/Relay.h
+++ b/StandIns/Relay/Relay.h
@@ -18,6 +18,8 @@
   Swallow,
   /// Loses every byte of the connections that are open now; new ones work.
   SwallowOpen,
+  /// Loses the bytes towards the target; those from it pass.
+  SwallowForward,
 };
 
 /// Stand-in for a network link between two processes.
@@ -27,6 +29,11 @@
         http::Endpoint admin);
 
   void start();
+  void setMode(LinkMode mode);
+  /// Delays each piece of bytes.
+  void setDelay(Milliseconds d) { Delay = d; }
+  /// Resets the connections that are open now; new ones work.
+  void resetOpen();
 
 private:
   struct Link;
@@ -36,7 +43,6 @@
   Awaitable<void> open(boost::asio::ip::tcp::socket from);
   Awaitable<void> pump(LinkPtr link, bool forward);
   Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
-  void setMode(LinkMode mode);
 
   IoContext &Io;
   http::Endpoint Listen;
