--- a/Source/Admission/SizeFairness.cpp
+++ b/Source/Admission/SizeFairness.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Larger than this share of a route's requests counts as large.
+/// The largest tenth of a route's requests and the fifth below it are followed
+/// each by itself.
 constexpr double LargeQuantile = 0.7;
+constexpr double LargestQuantile = 0.9;
 /// Requests that are needed to know what is large.
 constexpr unsigned LeastSeen = 20;
 /// Weight of the newest request in the admitted shares: about the last forty
@@ -18,25 +20,36 @@
 
 } // namespace
 
-SizeFairness::SizeFairness()
-    : Sizes(acc::quantile_probability = LargeQuantile) {}
+SizeFairness::Tail::Tail(double quantile)
+    : From(acc::quantile_probability = quantile) {}
 
-bool SizeFairness::isLarge(double size) const {
-  return Seen >= LeastSeen && size > acc::p_square_quantile(Sizes);
+SizeFairness::SizeFairness()
+    : Tails{Tail(LargeQuantile), Tail(LargestQuantile)} {}
+
+std::optional<size_t> SizeFairness::tailOf(double size) const {
+  if (Seen < LeastSeen)
+    return std::nullopt;
+  for (size_t i = Tails.size(); i-- > 0;)
+    if (size > acc::p_square_quantile(Tails[i].From))
+      return i;
+  return std::nullopt;
 }
 
 void SizeFairness::note(double size, bool admitted) {
-  bool large = isLarge(size);
-  Sizes(size);
-  ++Seen;
   double value = admitted ? 1 : 0;
+  if (std::optional<size_t> tail = tailOf(size)) {
+    double &share = Tails[*tail].Admitted;
+    share += (value - share) * NewestWeight;
+  }
+  for (Tail &it : Tails)
+    it.From(size);
+  ++Seen;
   AllAdmitted += (value - AllAdmitted) * NewestWeight;
-  if (large)
-    LargeAdmitted += (value - LargeAdmitted) * NewestWeight;
 }
 
 bool SizeFairness::isBehind(double size) const {
-  return isLarge(size) && LargeAdmitted < FairShare * AllAdmitted;
+  std::optional<size_t> tail = tailOf(size);
+  return tail && Tails[*tail].Admitted < FairShare * AllAdmitted;
 }
 
 } // namespace sardineford::admission
--- a/Source/Admission/StreamAdmission.cpp
+++ b/Source/Admission/StreamAdmission.cpp
@@ -10,6 +10,9 @@
 constexpr double UrgentShare = 0.9;
 /// A prompt that takes this part of the time it has cannot wait for others.
 constexpr double LongShare = 0.35;
+/// Estimates of long prompts are high by about this: what is ahead of them has
+/// been prefilled in part.
+constexpr double FirstStretch = 1.3;
 /// Part of the callers' patience that the estimate of late work may fill.
 constexpr double BackgroundShare = 0.85;
 /// Part of it that may be spent waiting; the rest is for the prompt itself.
@@ -27,7 +30,7 @@
     return {std::nullopt, NoEngineRetryAfter};
   Seconds objective = Seconds(o.Objective) * UrgentShare - Seconds(o.Elapsed);
   bool isLong = o.OwnWork >= objective * LongShare;
-  if (isLong && *o.First <= objective)
+  if (isLong && *o.First <= objective * FirstStretch)
     return {WorkRank::First, {}};
   if (*o.Urgent <= objective)
     return {WorkRank::Urgent, {}};
--- a/include/Sardineford/Admission/SizeFairness.h
+++ b/include/Sardineford/Admission/SizeFairness.h
@@ -4,6 +4,10 @@
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
+#include <array>
+#include <cstddef>
+#include <optional>
+
 namespace sardineford::admission {
 
 /// Follows whether large requests of a route are admitted about as often as
@@ -19,13 +23,23 @@
   bool isBehind(double size) const;
 
 private:
-  bool isLarge(double size) const;
+  using Quantile = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<
+                  boost::accumulators::tag::p_square_quantile>>;
+
+  /// The requests above a quantile of the sizes.
+  struct Tail {
+    explicit Tail(double quantile);
+
+    Quantile From;
+    double Admitted = 1;
+  };
+
+  /// The last tail that a size belongs to.
+  std::optional<size_t> tailOf(double size) const;
 
-  boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>
-      Sizes;
+  std::array<Tail, 2> Tails;
   unsigned Seen = 0;
-  double LargeAdmitted = 1;
   double AllAdmitted = 1;
 };
 
