--- a/Source/Admission/SizeFairness.cpp
+++ b/Source/Admission/SizeFairness.cpp
@@ -12,10 +12,10 @@
 constexpr double LargestQuantile = 0.9;
 /// Requests that are needed to know what is large.
 constexpr unsigned LeastSeen = 20;
-/// Weight of the newest request in the admitted shares: about the last forty
+/// Weight of the newest request in the served shares: about the last forty
 /// count.
 constexpr double NewestWeight = 0.05;
-/// Large requests are behind when admitted less often than this part of all.
+/// Large requests are behind when served less often than this part of all.
 constexpr double FairShare = 0.8;
 
 } // namespace
@@ -35,21 +35,21 @@
   return std::nullopt;
 }
 
-void SizeFairness::note(double size, bool admitted) {
-  double value = admitted ? 1 : 0;
+void SizeFairness::note(double size, bool served) {
+  double value = served ? 1 : 0;
   if (std::optional<size_t> tail = tailOf(size)) {
-    double &share = Tails[*tail].Admitted;
+    double &share = Tails[*tail].Served;
     share += (value - share) * NewestWeight;
   }
   for (Tail &it : Tails)
     it.From(size);
   ++Seen;
-  AllAdmitted += (value - AllAdmitted) * NewestWeight;
+  AllServed += (value - AllServed) * NewestWeight;
 }
 
 bool SizeFairness::isBehind(double size) const {
   std::optional<size_t> tail = tailOf(size);
-  return tail && Tails[*tail].Admitted < FairShare * AllAdmitted;
+  return tail && Tails[*tail].Served < FairShare * AllServed;
 }
 
 } // namespace sardineford::admission
--- a/Source/Admission/StreamAdmission.cpp
+++ b/Source/Admission/StreamAdmission.cpp
@@ -38,7 +38,7 @@
       std::min(Seconds(o.Patience) * BackgroundShare, Seconds(o.Left));
   Seconds wait = *o.Background - o.OwnWork;
   bool waitsLikeOthers = wait <= Seconds(o.Patience) * WaitShare;
-  if (*o.Background <= patience && (waitsLikeOthers || o.IsBehind))
+  if (*o.Background <= patience && waitsLikeOthers)
     return {WorkRank::Background, {}};
   if (*o.Urgent <= patience && o.IsBehind)
     return {WorkRank::Urgent, {}};
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -357,6 +357,10 @@
   return out;
 }
 
+double sizeOf(const Call &c) {
+  return static_cast<double>(c.Request.PromptTokens);
+}
+
 int64_t wholeMs(const std::optional<Seconds> &t) {
   return t ? toMilliseconds(*t).count() : -1;
 }
@@ -382,11 +386,8 @@
   o.Objective = c.Route->Objective;
   o.Patience = c.Route->Patience;
   o.Left = c.left();
-  admission::SizeFairness &fairness = s.Fairness[c.Route->Name];
-  auto size = static_cast<double>(c.Request.PromptTokens);
-  o.IsBehind = fairness.isBehind(size);
+  o.IsBehind = s.Fairness[c.Route->Name].isBehind(sizeOf(c));
   admission::StreamDecision d = admission::decideStream(o);
-  fairness.note(size, d.Rank.has_value());
   log::event(log::Category::Gateway, log::Level::Info, "admission",
              {{"request", c.Request.Id},
               {"first_estimate_ms", wholeMs(o.First)},
@@ -473,8 +474,10 @@
     if (!isFirst && !takeFurtherAttempt(s, c))
       break;
     std::optional<RunPlan> next = co_await plan(s, c, p);
-    if (c.CallerGone)
+    if (c.CallerGone) {
+      s.Fairness[c.Route->Name].note(sizeOf(c), false);
       co_return;
+    }
     if (!next)
       break;
     if (c.left() <= Milliseconds(0)) {
@@ -490,9 +493,11 @@
       freeHandle(s, *handle);
     if (end == RunEnd::Complete) {
       c.Outcome = "answered";
+      s.Fairness[c.Route->Name].note(sizeOf(c), true);
       co_return;
     }
     if (end == RunEnd::CallerLost || c.CallerGone) {
+      s.Fairness[c.Route->Name].note(sizeOf(c), false);
       c.CallerGone = true;
       co_return;
     }
@@ -500,6 +505,7 @@
     p.Tried.push_back(id);
     cause = GiveUpCause::Failed;
   }
+  s.Fairness[c.Route->Name].note(sizeOf(c), false);
   std::string detail = p.Detail;
   co_await giveUp(s, c, cause, std::move(detail), p.RetryAfter);
 }
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -27,7 +27,7 @@
 /// do not all choose the same engine.
 constexpr double Spread = 0.06;
 /// Each running sequence slows the step by about this share of a first event.
-constexpr Seconds CostPerRunning{0.0004};
+constexpr Seconds CostPerRunning{0.003};
 /// Reading shared parts again delays all that waits behind, here and where
 /// the parts yield: it counts this many times its own time.
 constexpr double ReadAgainWeight = 2;
--- a/Tests/Admission/SizeFairnessTest.cpp
+++ b/Tests/Admission/SizeFairnessTest.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Plays an overload in which a request finds room the less likely the larger
-/// it is, unless its size is behind. Returns the admitted shares of all and of
+/// it is, unless its size is behind. Returns the served shares of all and of
 /// the largest tenth.
 std::pair<double, double> playOverload() {
   SizeFairness f;
@@ -19,22 +19,22 @@
   // Ninetieth percentile of the sizes.
   const double largest = std::exp(8 + 1.2816);
   double all = 0;
-  double allAdmitted = 0;
+  double allServed = 0;
   double large = 0;
-  double largeAdmitted = 0;
+  double largeServed = 0;
   for (int i = 0; i < 5'000; ++i) {
     double size = sizes(random);
-    bool admitted =
+    bool served =
         f.isBehind(size) || chance(random) < 0.7 * std::exp(-size / 12'000);
-    f.note(size, admitted);
+    f.note(size, served);
     ++all;
-    allAdmitted += admitted ? 1 : 0;
+    allServed += served ? 1 : 0;
     if (size < largest)
       continue;
     ++large;
-    largeAdmitted += admitted ? 1 : 0;
+    largeServed += served ? 1 : 0;
   }
-  return {allAdmitted / all, largeAdmitted / large};
+  return {allServed / all, largeServed / large};
 }
 
 } // namespace
--- a/include/Sardineford/Admission/SizeFairness.h
+++ b/include/Sardineford/Admission/SizeFairness.h
@@ -10,7 +10,7 @@
 
 namespace sardineford::admission {
 
-/// Follows whether large requests of a route are admitted about as often as
+/// Follows whether large requests of a route are served about as often as
 /// the others. Answers loads that last above what the engines can do, where
 /// small requests always find room sooner and large ones would never be
 /// served.
@@ -18,8 +18,8 @@
 public:
   SizeFairness();
 
-  void note(double size, bool admitted);
-  /// A request of this size belongs to those that are admitted too seldom.
+  void note(double size, bool served);
+  /// A request of this size belongs to those that are served too seldom.
   bool isBehind(double size) const;
 
 private:
@@ -32,7 +32,7 @@
     explicit Tail(double quantile);
 
     Quantile From;
-    double Admitted = 1;
+    double Served = 1;
   };
 
   /// The last tail that a size belongs to.
@@ -40,7 +40,7 @@
 
   std::array<Tail, 2> Tails;
   unsigned Seen = 0;
-  double AllAdmitted = 1;
+  double AllServed = 1;
 };
 
 } // namespace sardineford::admission
--- a/include/Sardineford/Admission/StreamAdmission.h
+++ b/include/Sardineford/Admission/StreamAdmission.h
@@ -22,7 +22,7 @@
   Milliseconds Objective{0};
   /// Callers leave when nothing has come for this long.
   Milliseconds Patience{0};
-  /// Requests of its size have been admitted too seldom.
+  /// Requests of its size have been served too seldom.
   bool IsBehind = false;
   /// Time left until the caller's deadline.
   Milliseconds Left{0};
