--- a/Source/Common/BoundedSink.h
+++ b/Source/Common/BoundedSink.h
@@ -12,7 +12,8 @@
 /// Writes lines to a descriptor without waiting for its reader. A line that
 /// does not fit the pipe, or the bytes allowed for a second, is dropped and
 /// counted; the next line that fits is preceded by one with the count.
-class BoundedSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+class BoundedSink
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
   BoundedSink(int descriptor, uint64_t bytesPerSecond);
 
--- a/Source/Common/Log.cpp
+++ b/Source/Common/Log.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 15> CategoryNames = {
-    "common",  "http", "store",    "config", "plan",       "roles",
-    "routing", "once", "exchange", "entry",  "controller", "standin",
-    "gateway", "fleet", "peers"};
+    "common",     "http",    "store",   "config",   "plan",
+    "roles",      "routing", "once",    "exchange", "entry",
+    "controller", "standin", "gateway", "fleet",    "peers"};
 
 constexpr std::array<std::string_view, 6> LevelNames = {
     "trace", "debug", "info", "warning", "error", "off"};
--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -103,9 +103,9 @@
 
 const std::vector<ServerPtr> &
 Directory::ofService(const std::string &service) const {
-  static const std::vector<ServerPtr> None;
+  static const std::vector<ServerPtr> none;
   auto it = ByService.find(service);
-  return it == ByService.end() ? None : it->second;
+  return it == ByService.end() ? none : it->second;
 }
 
 ServerPtr Directory::find(const std::string &id) const {
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -108,8 +108,7 @@
 Awaitable<FleetWatch::Seen> FleetWatch::watchSettled(Feed &feed) {
   Seen out;
   try {
-    out.Changes =
-        co_await Store.watch(feed.Kind, feed.Revision, watchWait());
+    out.Changes = co_await Store.watch(feed.Kind, feed.Revision, watchWait());
   } catch (const store::StoreError &e) {
     out.Failed = e;
   }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -98,25 +98,20 @@
                ? static_cast<double>(Watch.routes()->config().Version)
                : 0.0;
   });
-  Metrics.gauge("sardineford_configuration_age_seconds", {}, [this] {
-    return toSeconds(Watch.configurationAge());
-  });
+  Metrics.gauge("sardineford_configuration_age_seconds", {},
+                [this] { return toSeconds(Watch.configurationAge()); });
   Metrics.gauge("sardineford_servers_age_seconds", {},
                 [this] { return toSeconds(Watch.serversAge()); });
-  Metrics.gauge("sardineford_servers", {}, [this] {
-    return static_cast<double>(Servers.size());
-  });
-  Metrics.gauge("sardineford_processes", {}, [this] {
-    return static_cast<double>(Peers.processes());
-  });
+  Metrics.gauge("sardineford_servers", {},
+                [this] { return static_cast<double>(Servers.size()); });
+  Metrics.gauge("sardineford_processes", {},
+                [this] { return static_cast<double>(Peers.processes()); });
   Metrics.gauge("sardineford_ready", {},
                 [this] { return isReady() ? 1.0 : 0.0; });
-  Metrics.gauge("sardineford_open_requests", {}, [this] {
-    return static_cast<double>(Front->openRequests());
-  });
-  Metrics.gauge("sardineford_log_lines_dropped_total", {}, [] {
-    return static_cast<double>(log::droppedLines());
-  });
+  Metrics.gauge("sardineford_open_requests", {},
+                [this] { return static_cast<double>(Front->openRequests()); });
+  Metrics.gauge("sardineford_log_lines_dropped_total", {},
+                [] { return static_cast<double>(log::droppedLines()); });
 }
 
 void Gateway::start() {
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -30,7 +30,11 @@
     "attempts",
     "further attempts allowed beside in each window, over all processes"};
 inline const Setting<double> RetryWindow{
-    "gateway.retry_window_s",     10, 0.1, 3'600, "s",
+    "gateway.retry_window_s",
+    10,
+    0.1,
+    3'600,
+    "s",
     "window in which further attempts are counted"};
 inline const Setting<double> StopGrace{
     "gateway.stop_grace_s",
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using fleet::FaultKind;
-using fleet::RequestKind;
 using fleet::ServerPtr;
 
 /// A repeatable call that takes this many times the typical time is tried
@@ -35,8 +34,8 @@
     if (tried.contains(it->Entry.Id))
       continue;
     candidates.push_back({it->Entry.FailureDomain == s.FailureDomain,
-                          it->requests(),
-                          it->Entry.Slots, it->Faults.failureShare(),
+                          it->requests(), it->Entry.Slots,
+                          it->Faults.failureShare(),
                           it->Faults.isHeldOff(now)});
     servers.push_back(it);
   }
@@ -56,8 +55,8 @@
       s.service(c.Service).Budget.left(MonoClock::now()) >= 1;
   if (!mayTryAgain)
     return left;
-  Milliseconds typical = toMilliseconds(s.service(c.Service).TypicalAnswer *
-                                        PatienceFactor);
+  Milliseconds typical =
+      toMilliseconds(s.service(c.Service).TypicalAnswer * PatienceFactor);
   Milliseconds most = toMilliseconds(Seconds(left) * PatienceShare);
   return std::min(most, std::max(typical, c.Route->Objective));
 }
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -17,8 +17,7 @@
 constexpr Milliseconds RetryAfterFailed{150};
 
 Milliseconds defaultRetryAfter(GiveUpCause cause) {
-  return cause == GiveUpCause::NoServer ? RetryAfterNoServer
-                                        : RetryAfterFailed;
+  return cause == GiveUpCause::NoServer ? RetryAfterNoServer : RetryAfterFailed;
 }
 
 } // namespace
@@ -50,7 +49,8 @@
 
 http::CallOptions callOptions(Call &c, bool fresh, Milliseconds timeout) {
   http::CallOptions o;
-  o.ConnectTimeout = std::min(ConnectTimeout, std::max(c.left(), Milliseconds(1)));
+  o.ConnectTimeout =
+      std::min(ConnectTimeout, std::max(c.left(), Milliseconds(1)));
   o.Timeout = std::max(timeout, Milliseconds(1));
   o.FreshConnection = fresh;
   o.ResendOnStale = false;
@@ -104,8 +104,7 @@
     server->Faults.failed(fleet::FaultKind::Rejected, MonoClock::now());
 }
 
-Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause,
-                       std::string detail,
+Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause, std::string detail,
                        std::optional<Milliseconds> retryAfter) {
   c.Status = finalStatus(c.Record, cause);
   c.Outcome = std::string(toString(cause)) + ": " + detail;
@@ -126,20 +125,20 @@
 void logAttempt(const Call &c, const fleet::Server &server,
                 std::string_view step, SendOutcome outcome, Milliseconds took,
                 Seconds estimate, std::string_view detail) {
-  log::event(log::Category::Gateway, log::Level::Info, "attempt",
-             {{"request", c.Request.Id},
-              {"step", step},
-              {"server", server.Entry.Id},
-              {"own_requests", server.Own.Requests},
-              {"others_requests", server.Others.Requests},
-              {"urgent_tokens_ahead",
-               server.tokensAhead(fleet::WorkRank::Urgent)},
-              {"tokens_ahead", server.tokensAhead(fleet::WorkRank::Background)},
-              {"estimate_ms", toMilliseconds(estimate).count()},
-              {"took_ms", took.count()},
-              {"left_ms", c.left().count()},
-              {"outcome", toString(outcome)},
-              {"detail", detail}});
+  log::event(
+      log::Category::Gateway, log::Level::Info, "attempt",
+      {{"request", c.Request.Id},
+       {"step", step},
+       {"server", server.Entry.Id},
+       {"own_requests", server.Own.Requests},
+       {"others_requests", server.Others.Requests},
+       {"urgent_tokens_ahead", server.tokensAhead(fleet::WorkRank::Urgent)},
+       {"tokens_ahead", server.tokensAhead(fleet::WorkRank::Background)},
+       {"estimate_ms", toMilliseconds(estimate).count()},
+       {"took_ms", took.count()},
+       {"left_ms", c.left().count()},
+       {"outcome", toString(outcome)},
+       {"detail", detail}});
 }
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -42,8 +42,7 @@
   retry::BudgetBounds Bounds;
   unsigned Processes = 1;
   /// Tells the other processes of a prompt part that a server has cached.
-  std::function<void(const std::string &server, uint64_t part,
-                     uint64_t tokens)>
+  std::function<void(const std::string &server, uint64_t part, uint64_t tokens)>
       TellPart;
   std::map<std::string, ServiceState> Services;
   /// By route.
@@ -115,8 +114,7 @@
                   const AnswerHead &head);
 
 /// Sends the final failure to a caller that has got nothing yet.
-Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause,
-                       std::string detail,
+Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause, std::string detail,
                        std::optional<Milliseconds> retryAfter);
 
 /// Writes the line of one attempt.
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -65,9 +65,9 @@
 void learn(SpeedModel &model, fleet::Server &server, double units,
            Seconds took) {
   double ratio = took / std::max(model.estimate(units), Seconds(0.001));
-  server.Slowness += (std::clamp(ratio, LeastSlowness, MostSlowness) -
-                      server.Slowness) *
-                     SlownessWeight;
+  server.Slowness +=
+      (std::clamp(ratio, LeastSlowness, MostSlowness) - server.Slowness) *
+      SlownessWeight;
   model.observe(units, took);
 }
 
@@ -106,9 +106,8 @@
   Reservation inFlight(server, p.Rank, tokens);
   SendOptions send = sendOptions(c, p, server);
   http::Request request = s.Protocol.prefillCall(c.Request, send);
-  Milliseconds patience =
-      std::max(LeastFirstEventPatience,
-               toMilliseconds(estimate * FirstEventPatience));
+  Milliseconds patience = std::max(
+      LeastFirstEventPatience, toMilliseconds(estimate * FirstEventPatience));
   http::CallOptions options =
       callOptions(c, false, std::min(patience, c.left()));
   MonoTime start = MonoClock::now();
@@ -151,14 +150,12 @@
 Awaitable<RunEnd> passEvents(State &s, Call &c, Progress &p,
                              http::ResponseStream &stream,
                              fleet::Server &server) {
-  Milliseconds gap = std::max(
-      LeastGapPatience, Milliseconds(c.Route->GapObjective.count() *
-                                     GapPatience));
+  Milliseconds gap =
+      std::max(LeastGapPatience,
+               Milliseconds(c.Route->GapObjective.count() * GapPatience));
   for (;;) {
-    Milliseconds wait = c.Route->Resumable ? std::min(gap, c.left())
-                                           : c.left();
-    std::string piece =
-        co_await stream.read(std::max(wait, Milliseconds(1)));
+    Milliseconds wait = c.Route->Resumable ? std::min(gap, c.left()) : c.left();
+    std::string piece = co_await stream.read(std::max(wait, Milliseconds(1)));
     if (piece.empty())
       break;
     std::string whole = p.Events.push(piece);
@@ -267,8 +264,8 @@
   if (p.Events.lastId())
     send.ResumeAfter = p.Events.lastId();
   http::Request request = s.Protocol.runCall(c.Request, send);
-  http::CallOptions options = callOptions(c, !c.Route->mayRepeat(),
-                                          firstEventPatience(s, c, plan));
+  http::CallOptions options =
+      callOptions(c, !c.Route->mayRepeat(), firstEventPatience(s, c, plan));
   size_t record = c.Record.open(server->Entry.Id);
   MonoTime start = MonoClock::now();
   RunEnd end = RunEnd::Broken;
@@ -315,9 +312,8 @@
   c.Record.close(record, outcome);
   if (end != RunEnd::Complete)
     p.Detail = detail;
-  logAttempt(c, *server,
-             plan.Handle ? "run with fetched cache" : "run", outcome,
-             toMilliseconds(first), plan.Estimate, detail);
+  logAttempt(c, *server, plan.Handle ? "run with fetched cache" : "run",
+             outcome, toMilliseconds(first), plan.Estimate, detail);
   co_return end;
 }
 
@@ -351,9 +347,8 @@
         v.Servers.erase(v.Servers.begin() + static_cast<ptrdiff_t>(i));
         v.Candidates.erase(v.Candidates.begin() + static_cast<ptrdiff_t>(i));
       }
-  out.Choice = routing::placeRequest(
-      v.Candidates, {c.Request.PromptTokens},
-      s.service(c.Service).Speeds, s.Random);
+  out.Choice = routing::placeRequest(v.Candidates, {c.Request.PromptTokens},
+                                     s.service(c.Service).Speeds, s.Random);
   return out;
 }
 
@@ -401,7 +396,7 @@
               {"outcome", d.Rank ? fleet::toString(*d.Rank) : "refused"}});
   if (!d.Rank) {
     p.Detail = last.Choice ? "no engine can begin it while its caller waits"
-                             : "no engine is known that takes it";
+                           : "no engine is known that takes it";
     p.RetryAfter = d.RetryAfter;
     return std::nullopt;
   }
@@ -430,9 +425,8 @@
                         choice.FirstEvent};
     }
     // The first prefill is no further attempt; each later one is.
-    bool allowed =
-        p.PrefillTries == 0 ||
-        s.service(c.Service).Budget.withdraw(MonoClock::now());
+    bool allowed = p.PrefillTries == 0 ||
+                   s.service(c.Service).Budget.withdraw(MonoClock::now());
     ++p.PrefillTries;
     if (!allowed) {
       p.PrefillTries = MostPrefillTries;
@@ -440,8 +434,8 @@
     }
     size_t at = *choice.Prefill;
     double tokens = tokensToPrefill(v.Candidates[at], c.Request);
-    std::optional<KvHandle> handle = co_await prefill(
-        s, c, p, v.Servers[at], tokens, choice.FirstEvent);
+    std::optional<KvHandle> handle =
+        co_await prefill(s, c, p, v.Servers[at], tokens, choice.FirstEvent);
     if (c.CallerGone)
       co_return std::nullopt;
     if (!handle) {
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -286,8 +286,8 @@
                          out->Done = true;
                          out->Error = ec;
                        });
-    auto stream = std::make_unique<Stream>(self, to, std::move(c), out,
-                                           options.Guard);
+    auto stream =
+        std::make_unique<Stream>(self, to, std::move(c), out, options.Guard);
     try {
       co_await stream->readHead();
     } catch (const TransportError &e) {
--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -243,8 +243,7 @@
   }
 
   /// Tells a peer that waits for it to send its body.
-  Awaitable<void> confirmBody(beast::tcp_stream &stream,
-                              const Parser &parser) {
+  Awaitable<void> confirmBody(beast::tcp_stream &stream, const Parser &parser) {
     if (!beast::iequals(parser.get()[bhttp::field::expect], "100-continue"))
       co_return;
     bhttp::response<bhttp::empty_body> go(bhttp::status::continue_, 11);
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -87,12 +87,8 @@
     "log.stdout", false,
     "write to standard output, bounded and never waiting for its reader"};
 inline const Setting<int64_t> LogBytesPerSecond{
-    "log.bytes_per_s",
-    262'144,
-    1'024,
-    1 << 30,
-    "bytes/s",
-    "log lines beyond are dropped and counted"};
+    "log.bytes_per_s", 262'144,   1'024,
+    1 << 30,           "bytes/s", "log lines beyond are dropped and counted"};
 inline const Setting<std::string> HistoryFile{
     "history.file", "", "file that every event is appended to, for tests"};
 inline const Setting<int64_t> EventRing{
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -38,7 +38,7 @@
 constexpr Milliseconds LongestRetry{3'000};
 /// Each part is told twice, since datagrams are lost at times.
 constexpr int PartRepeats = 2;
-constexpr size_t MaxDatagram = 60 * 1024;
+constexpr size_t MaxDatagram = size_t{60} * 1024;
 
 uint32_t wholeTokens(double n) {
   return static_cast<uint32_t>(std::max(0.0, n));
@@ -96,8 +96,8 @@
   for (const store::Object &it : list.Objects) {
     try {
       json::value v = json::parse(it.Value);
-      http::Endpoint at = http::parseEndpoint(
-          json::value_to<std::string>(v.at("address")));
+      http::Endpoint at =
+          http::parseEndpoint(json::value_to<std::string>(v.at("address")));
       if (at != Listen)
         Members.try_emplace(at, now);
     } catch (const std::exception &e) {
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -128,8 +128,7 @@
   if (!alone.Index)
     return std::nullopt;
   PlacementChoice choice{std::nullopt, *alone.Index, alone.Time, alone.Work};
-  if (prefill.Index &&
-      prefill.Score + fetch.Score + MoveCost < alone.Score)
+  if (prefill.Index && prefill.Score + fetch.Score + MoveCost < alone.Score)
     choice = {prefill.Index, *fetch.Index, prefill.Time + fetch.Time,
               prefill.Work};
   return choice;
--- a/Source/Routing/SpeedModel.cpp
+++ b/Source/Routing/SpeedModel.cpp
@@ -48,8 +48,7 @@
   double spread = Weight * SumXX - SumX * SumX;
   double slope = LeastPerUnit.count();
   if (spread > 1e-9 * Weight * SumXX)
-    slope =
-        std::max(slope, (Weight * SumXY - SumX * SumY) / spread);
+    slope = std::max(slope, (Weight * SumXY - SumX * SumY) / spread);
   double base = (SumY - slope * SumX) / Weight;
   if (base < 0) {
     base = 0;
--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -60,7 +60,8 @@
         co_await client.open(front, std::move(request), options);
     gotHead = true;
     out.Status = answer->head().Status;
-    out.ToldWhenToReturn = answer->head().Fields.find("Retry-After").has_value();
+    out.ToldWhenToReturn =
+        answer->head().Fields.find("Retry-After").has_value();
     std::string body;
     for (;;) {
       std::string piece = co_await answer->read(deadline);
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -111,8 +111,7 @@
       ProcessSpec{w.Id,
                   Options.Programs + "/standin-platform-worker",
                   {"--id=" + w.Id, "--service=" + w.Service,
-                   "--stage=" + w.Stage,
-                   "--listen=" + http::toString(w.Listen),
+                   "--stage=" + w.Stage, "--listen=" + http::toString(w.Listen),
                    "--advertise=" + http::toString(w.Advertise),
                    "--store=" + http::toString(Store), "--slots=64",
                    "--history=" + historyFile()},
@@ -126,8 +125,8 @@
                         route(ResumableRoute, "streaming", "model", true),
                         route(StreamRoute, "streaming", "model", false)};
   for (unsigned i = 0; i < extraRoutes; ++i)
-    routes.push_back(route("/extra" + std::to_string(i) + "/", "safe", "desk",
-                           true));
+    routes.push_back(
+        route("/extra" + std::to_string(i) + "/", "safe", "desk", true));
   json::object engine = {{"slots", 64},
                          {"kvCapacity", 500'000},
                          {"tokenKvBytes", 35'136},
--- a/StandIns/Platform/PlatformStore.cpp
+++ b/StandIns/Platform/PlatformStore.cpp
@@ -47,10 +47,11 @@
 
 json::object PlatformStore::toJson(const std::string &name,
                                    const Entry &e) const {
-  return {{"metadata",
-           {{"name", name}, {"revision", e.Revision}, {"createdRev", e.Created}}},
-          {"spec", e.Spec},
-          {"status", nullptr}};
+  return {
+      {"metadata",
+       {{"name", name}, {"revision", e.Revision}, {"createdRev", e.Created}}},
+      {"spec", e.Spec},
+      {"status", nullptr}};
 }
 
 void PlatformStore::note(const std::string &kind, const std::string &name,
@@ -130,8 +131,9 @@
   if (request.Method == "GET" && name.empty())
     r = list(kind, request);
   else if (request.Method == "GET")
-    r = Kinds[kind].contains(name) ? answer(200, toJson(name, Kinds[kind][name]))
-                                   : answer(404, nullptr);
+    r = Kinds[kind].contains(name)
+            ? answer(200, toJson(name, Kinds[kind][name]))
+            : answer(404, nullptr);
   else if (request.Method == "DELETE")
     r = remove(kind, name);
   else
@@ -223,8 +225,8 @@
         events.push_back(
             json::object{{"object", it.Object}, {"deleted", it.Deleted}});
     if (!events.empty() || MonoClock::now() >= end) {
-      http::Response r = answer(200, json::object{{"events", events},
-                                                  {"storeRevision", Revision}});
+      http::Response r = answer(
+          200, json::object{{"events", events}, {"storeRevision", Revision}});
       co_await out.send(std::move(r));
       co_return;
     }
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -89,16 +89,16 @@
       {"zone", Options.FailureDomain},
       {"version", "v1"},
       {"slots", Options.Slots},
-      {"state", std::string_view(Draining ? names::DrainingState
-                                          : names::ReadyState)},
+      {"state",
+       std::string_view(Draining ? names::DrainingState : names::ReadyState)},
       {"coldRemainingMs", 0},
       {"born", Born},
       {"sequence", 0}};
   if (!Options.Stage.empty())
     spec["stage"] = Options.Stage;
   http::Request r;
-  r.Body = json::serialize(json::object{
-      {"metadata", {{"name", Options.Id}}}, {"spec", spec}});
+  r.Body = json::serialize(
+      json::object{{"metadata", {{"name", Options.Id}}}, {"spec", spec}});
   r.Fields.add("Content-Type", "application/json");
   std::string kind =
       std::string(names::Objects) + std::string(names::ServersKind);
@@ -209,10 +209,11 @@
   std::string handle = makeId();
   Handles[handle] = id;
   note(id, "prefill");
-  http::Response r = answer(
-      200, id,
-      json::serialize(json::object{
-          {"kvHandleId", handle}, {"tokens", s->PromptTokens}, {"version", 1}}));
+  http::Response r =
+      answer(200, id,
+             json::serialize(json::object{{"kvHandleId", handle},
+                                          {"tokens", s->PromptTokens},
+                                          {"version", 1}}));
   co_await out.send(std::move(r));
 }
 
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -48,8 +48,8 @@
 private:
   Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
   Awaitable<void> runPlain(const std::string &id, http::ResponseWriter &out);
-  Awaitable<void> runStream(const http::Request &request,
-                            const std::string &id, http::ResponseWriter &out);
+  Awaitable<void> runStream(const http::Request &request, const std::string &id,
+                            http::ResponseWriter &out);
   Awaitable<void> prefill(const http::Request &request, const std::string &id,
                           http::ResponseWriter &out);
   Awaitable<bool> fetch(const std::string &source, const std::string &id);
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -28,8 +28,8 @@
   o.Service = FLAGS_service;
   o.FailureDomain = FLAGS_domain;
   o.Listen = http::parseEndpoint(FLAGS_listen);
-  o.Advertise = FLAGS_advertise.empty() ? o.Listen
-                                        : http::parseEndpoint(FLAGS_advertise);
+  o.Advertise =
+      FLAGS_advertise.empty() ? o.Listen : http::parseEndpoint(FLAGS_advertise);
   o.Store = http::parseEndpoint(FLAGS_store);
   o.Stage = FLAGS_stage;
   o.Slots = static_cast<unsigned>(FLAGS_slots);
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -41,8 +41,7 @@
     Deployment.start();
     spawn(Io, "soak", [this] { return play(); });
     Io.run();
-    for (const std::string &it :
-         checkPromises(Calls, Deployment.historyFile()))
+    for (const std::string &it : checkPromises(Calls, Deployment.historyFile()))
       Report.Violations.push_back(it);
     for (const CallResult &it : Calls)
       ++Report.Ends[std::string(toString(it.End))];
@@ -252,8 +251,6 @@
 
 } // namespace
 
-SoakReport runSoak(const SoakOptions &options) {
-  return Soak(options).run();
-}
+SoakReport runSoak(const SoakOptions &options) { return Soak(options).run(); }
 
 } // namespace sardineford::standins
--- a/Tests/Platform/FleetAdapterTest.cpp
+++ b/Tests/Platform/FleetAdapterTest.cpp
@@ -45,14 +45,15 @@
 }
 
 TEST_CASE("a configuration is decoded, and one that is none is left out") {
-  store::Object o{"config", "main", 5,
-                  R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
-                  R"("pathPrefix":"/p/","kind":"streaming","timeoutMs":8000,)"
-                  R"("targetLatencyMs":300,"priority":1,"trafficSplit":)"
-                  R"([{"service":"a","weight":90},{"service":"b","weight":10}],)"
-                  R"("maxAttempts":2,"resumable":true,"gapAimMs":300}],)"
-                  R"("services":[{"name":"a","healthPath":"/h"}],)"
-                  R"("limits":{"idleTimeoutMs":15000}})"};
+  store::Object o{
+      "config", "main", 5,
+      R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+      R"("pathPrefix":"/p/","kind":"streaming","timeoutMs":8000,)"
+      R"("targetLatencyMs":300,"priority":1,"trafficSplit":)"
+      R"([{"service":"a","weight":90},{"service":"b","weight":10}],)"
+      R"("maxAttempts":2,"resumable":true,"gapAimMs":300}],)"
+      R"("services":[{"name":"a","healthPath":"/h"}],)"
+      R"("limits":{"idleTimeoutMs":15000}})"};
   auto c = FleetAdapter().decodeConfiguration(o);
   REQUIRE(c);
   CHECK(c->Version == 7);
--- /dev/null
+++ b/Tests/Platform/FuzzTest.cpp
@@ -0,0 +1,81 @@
+#include "Gateway/EventSplitter.h"
+#include "platform/FleetAdapter.h"
+#include "platform/TrafficAdapter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace sardineford;
+using namespace sardineford::platform;
+
+namespace {
+
+/// A sound text with some of its bytes changed, cut or doubled.
+std::string mutated(std::string text) {
+  int n = *rc::gen::inRange(1, 8);
+  for (int i = 0; i < n && !text.empty(); ++i) {
+    auto at = static_cast<size_t>(
+        *rc::gen::inRange(0, static_cast<int>(text.size())));
+    switch (*rc::gen::inRange(0, 3)) {
+    case 0:
+      text[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+      break;
+    case 1:
+      text.erase(at, 1 + at / 3);
+      break;
+    default:
+      text.insert(at, text.substr(at, 20));
+    }
+  }
+  return text;
+}
+
+const std::string Server =
+    R"({"service":"m","address":"10.0.0.1:80","zone":"z","slots":8,)"
+    R"("state":"ready","stage":"prefill","born":1700000000001,"sequence":3})";
+
+const std::string Config =
+    R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+    R"("kind":"streaming","timeoutMs":8000,"service":"a","maxAttempts":2}],)"
+    R"("services":[{"name":"a","engine":{"slots":64}}],"limits":{}})";
+
+} // namespace
+
+TEST_CASE("no bytes from the store end the daemon") {
+  FleetAdapter a;
+  rc::check([&] {
+    a.decodeServer({"servers", "i", 1, mutated(Server)});
+    a.decodeConfiguration({"config", "main", 1, mutated(Config)});
+  });
+}
+
+TEST_CASE("no header of a caller ends the daemon") {
+  TrafficAdapter a;
+  rc::check([&] {
+    http::Request r;
+    r.Fields.add("Token-Counts", mutated("1460,80"));
+    r.Fields.add("Prompt-Prefix", mutated("5c1e07a2:800,91bd3f06:410"));
+    r.Fields.add("Last-Event-Id", mutated("12"));
+    r.Fields.add("Connection", mutated("close, X-A"));
+    r.Fields.add("Deadline-Ms", mutated("2500"));
+    try {
+      a.decodeRequest(std::move(r));
+    } catch (const Error &e) {
+      RC_ASSERT(e.Kind == ErrorKind::BadRequest);
+    }
+  });
+}
+
+TEST_CASE("no answer of a backend server ends the daemon") {
+  TrafficAdapter a;
+  rc::check([&] {
+    a.decodeHandle({"h", 1}, mutated(R"({"kvHandleId":"3f","tokens":14})"));
+    http::Response r;
+    r.Fields.add("Server-Load", mutated("3,0,8"));
+    a.decodeHead(r);
+    gateway::EventSplitter s;
+    std::string all = mutated("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    std::string out = s.push(all);
+    RC_ASSERT(out.size() + s.pending() == all.size());
+  });
+}
--- a/Tests/Platform/NamesTest.cpp
+++ b/Tests/Platform/NamesTest.cpp
@@ -12,12 +12,18 @@
 
 /// Names on the platform's wire that no other place may know.
 const std::vector<std::string> WireNames = {
-    "Server-Seal",     "Not-Executed",      "Kv-Source",    "kvHandleId",
-    "fencingToken",    "Expect-Instance",   "\"Deadline-Ms",  "Request-Priority",
-    "Token-Counts",    "Prompt-Prefix",     "Instance-Id",  "Server-Load",
-    "sardineford/objects", "sardineford/order", "sardineford/report",
-    "sardineford/readiness", "coldRemainingMs", "trafficSplit", "pathPrefix",
-    "targetLatencyMs", "maxAttempts",       "gapAimMs",     "storeRevision"};
+    "Server-Seal",         "Not-Executed",
+    "Kv-Source",           "kvHandleId",
+    "fencingToken",        "Expect-Instance",
+    "\"Deadline-Ms",       "Request-Priority",
+    "Token-Counts",        "Prompt-Prefix",
+    "Instance-Id",         "Server-Load",
+    "sardineford/objects", "sardineford/order",
+    "sardineford/report",  "sardineford/readiness",
+    "coldRemainingMs",     "trafficSplit",
+    "pathPrefix",          "targetLatencyMs",
+    "maxAttempts",         "gapAimMs",
+    "storeRevision"};
 
 std::string contents(const fs::path &file) {
   std::ifstream in(file);
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -79,8 +79,9 @@
 
 TEST_CASE("a prefilled prompt is named by engine and handle") {
   TrafficAdapter a;
-  auto handle = a.decodeHandle(
-      {"10.1.64.9", 8080}, R"({"kvHandleId":"3fa0","tokens":1460,"version":1})");
+  auto handle =
+      a.decodeHandle({"10.1.64.9", 8080},
+                     R"({"kvHandleId":"3fa0","tokens":1460,"version":1})");
   REQUIRE(handle);
   gateway::SendOptions o;
   o.From = handle;
@@ -107,8 +108,8 @@
 }
 
 TEST_CASE("a refusal tells when to come back") {
-  http::Response r = TrafficAdapter().failure(503, {}, "full",
-                                              Milliseconds(1'250));
+  http::Response r =
+      TrafficAdapter().failure(503, {}, "full", Milliseconds(1'250));
   CHECK(r.Status == 503);
   CHECK(r.Fields.find("Retry-After") == "1.250");
 }
--- a/Tests/Routing/PlacementTest.cpp
+++ b/Tests/Routing/PlacementTest.cpp
@@ -38,7 +38,8 @@
   CHECK(place(v, 12'000)->Prefill == 0);
 }
 
-TEST_CASE("a prompt goes to the decode engine while prefill engines are behind") {
+TEST_CASE(
+    "a prompt goes to the decode engine while prefill engines are behind") {
   std::vector<EngineCandidate> v = {engine(EngineRole::Prefill),
                                     engine(EngineRole::Decode)};
   v[0].PromptTokensAhead = 200'000;
--- a/include/Sardineford/Admission/SizeFairness.h
+++ b/include/Sardineford/Admission/SizeFairness.h
@@ -24,8 +24,8 @@
 
 private:
   using Quantile = boost::accumulators::accumulator_set<
-      double, boost::accumulators::stats<
-                  boost::accumulators::tag::p_square_quantile>>;
+      double,
+      boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
 
   /// The requests above a quantile of the sizes.
   struct Tail {
--- a/include/Sardineford/Common/Log.h
+++ b/include/Sardineford/Common/Log.h
@@ -41,7 +41,7 @@
   /// are dropped and counted.
   bool BoundedStdout = false;
   /// Bytes that may be written in a second, averaged over some seconds.
-  uint64_t BytesPerSecond = 256 * 1024;
+  uint64_t BytesPerSecond = uint64_t{256} * 1024;
 };
 
 /// Sets up logging. Call once, before the first line.
@@ -62,8 +62,7 @@
 
 /// One named figure of a structured line.
 struct Field {
-  using Value =
-      std::variant<bool, int64_t, uint64_t, double, std::string_view>;
+  using Value = std::variant<bool, int64_t, uint64_t, double, std::string_view>;
 
   template <class T>
   Field(std::string_view name, const T &value)
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -72,10 +72,9 @@
   /// The answer as the caller gets it: without what concerns one connection.
   virtual http::Response answerForCaller(http::Response r) const = 0;
   /// A failure of the system's own. The time to come back is told if given.
-  virtual http::Response failure(unsigned status, const CallerRequest &r,
-                                 const std::string &detail,
-                                 std::optional<Milliseconds> retryAfter) const
-      = 0;
+  virtual http::Response
+  failure(unsigned status, const CallerRequest &r, const std::string &detail,
+          std::optional<Milliseconds> retryAfter) const = 0;
   /// Path of the balancer's question whether the process is ready.
   virtual std::string readinessPath() const = 0;
 };
