--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds GatherTime{100};
 /// The news of a change reaches all watches within this time.
 constexpr Milliseconds DigestPatience{250};
+/// Digests that are remembered as looked into.
+constexpr size_t KeptDigests = 64;
 /// Events that are there at once, after a watch that saw none, were missed.
 constexpr Milliseconds AtOnce{60};
 constexpr Milliseconds FirstRetry{60};
@@ -88,6 +90,7 @@
 
 void FleetWatch::noteAnswer(Feed &feed) {
   feed.Confirmed = MonoClock::now();
+  feed.DifferentSince = {};
   if (!feed.Lost)
     return;
   feed.Lost = false;
@@ -165,17 +168,21 @@
 }
 
 void FleetWatch::comparePeer(Feed &feed, uint64_t digest) {
-  if (digest == feed.Digest || digest == feed.LookedInto || feed.Lost)
+  bool known = std::find(feed.LookedInto.begin(), feed.LookedInto.end(),
+                         digest) != feed.LookedInto.end();
+  if (digest == feed.Digest || known || feed.Lost)
     return;
   MonoTime now = MonoClock::now();
-  if (digest != feed.Different) {
-    feed.Different = digest;
+  // Many peers may know many different things: the time counts from the first.
+  if (feed.DifferentSince == MonoTime{})
     feed.DifferentSince = now;
+  if (now - feed.DifferentSince < DigestPatience ||
+      now - feed.Confirmed < DigestPatience)
     return;
-  }
-  if (now - feed.DifferentSince < DigestPatience)
-    return;
-  feed.LookedInto = digest;
+  feed.DifferentSince = {};
+  feed.LookedInto.push_back(digest);
+  if (feed.LookedInto.size() > KeptDigests)
+    feed.LookedInto.pop_front();
   log::event(Category::Store, log::Level::Info, "watch_renewed",
              {{"feed", feed.Kind},
               {"revision", feed.Revision},
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <variant>
@@ -50,10 +51,10 @@
     /// Revision of each object that is known, and their digest.
     std::map<std::string, uint64_t> Revisions;
     uint64_t Digest = 0;
-    /// A peer's digest that differs, since when, and the last one looked into.
-    uint64_t Different = 0;
+    /// Since when some peer knows other things, and the digests for which the
+    /// watch was renewed already.
     MonoTime DifferentSince{};
-    uint64_t LookedInto = 0;
+    std::deque<uint64_t> LookedInto;
     /// Expires to end a watch that waits.
     boost::asio::steady_timer Poke;
     uint64_t Revision = 0;
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -125,6 +125,19 @@
   }
 }
 
+TEST_CASE("many peers that know different things still renew a silent watch") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(20));
+  t.Store.Lists["config"] = {config(7, 12)};
+  t.Store.Watches["config"].push_back({Failure::HistoryGone, {}});
+  for (uint64_t i = 0; i < 12; ++i) {
+    t.Watch.notePeerDigests(100 + i % 5, 0);
+    t.runFor(Milliseconds(50));
+  }
+  CHECK(t.version() == 7);
+}
+
 TEST_CASE("a configuration never goes back to an older version") {
   Fixture t;
   t.Store.Watches["config"].push_back({std::nullopt, {config(9, 12)}});
