--- /dev/null
+++ b/Tests/Common/BoundedSinkTest.cpp
@@ -0,0 +1,59 @@
+#include "Common/BoundedSink.h"
+
+#include <catch2/catch.hpp>
+#include <spdlog/logger.h>
+
+#include <unistd.h>
+
+#include <array>
+
+using namespace sardineford;
+
+namespace {
+
+/// A pipe whose reader does not read.
+struct FullPipe {
+  FullPipe() { REQUIRE(::pipe(Ends.data()) == 0); }
+  ~FullPipe() {
+    ::close(Ends[0]);
+    ::close(Ends[1]);
+  }
+
+  std::string read() const {
+    std::string buf(1 << 20, '\0');
+    ssize_t n = ::read(Ends[0], buf.data(), buf.size());
+    buf.resize(n > 0 ? static_cast<size_t>(n) : 0);
+    return buf;
+  }
+
+  std::array<int, 2> Ends{};
+};
+
+} // namespace
+
+TEST_CASE("a full pipe drops lines and never holds up the writer") {
+  FullPipe pipe;
+  auto sink = std::make_shared<log::BoundedSink>(pipe.Ends[1], 1 << 30);
+  spdlog::logger logger("test", sink);
+  logger.set_pattern("%v");
+  const std::string line(200, 'x');
+  // Several times what a pipe takes; a writer that waits would never end.
+  for (int i = 0; i < 5'000; ++i)
+    logger.info(line);
+  CHECK(sink->dropped() > 0);
+  std::string taken = pipe.read();
+  CHECK(taken.size() > 1'000);
+  logger.info("after");
+  std::string rest = pipe.read();
+  CHECK(rest.find("lines_dropped") != std::string::npos);
+  CHECK(rest.find("after") != std::string::npos);
+}
+
+TEST_CASE("lines over the allowed bytes are dropped") {
+  FullPipe pipe;
+  auto sink = std::make_shared<log::BoundedSink>(pipe.Ends[1], 1'000);
+  spdlog::logger logger("test", sink);
+  for (int i = 0; i < 200; ++i)
+    logger.info(std::string(100, 'x'));
+  CHECK(sink->dropped() > 100);
+}
