--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -7,8 +7,10 @@
 void Directory::put(const ServerEntry &entry) {
   Missing.erase(entry.Id);
   auto left = Left.find(entry.Id);
-  if (left != Left.end() && left->second == entry.StartedMs)
+  if (left != Left.end() && left->second.StartedMs == entry.StartedMs) {
+    noteReturn(entry, left->second);
     return;
+  }
   auto it = ById.find(entry.Id);
   bool isNew = it == ById.end() ||
                it->second->Entry.StartedMs != entry.StartedMs ||
@@ -37,14 +39,41 @@
   Changed(s, leaves ? "draining" : "changed");
 }
 
-void Directory::drop(const std::string &id, std::string_view why) {
+void Directory::noteReturn(const ServerEntry &entry, Departure &departure) {
+  if (entry.Draining) {
+    departure.WentMissing = false;
+    Returning.erase(entry.Id);
+    return;
+  }
+  auto it = Returning.find(entry.Id);
+  bool isKnown = it != Returning.end() && it->second == entry;
+  if (!departure.WentMissing || isKnown)
+    return;
+  Returning[entry.Id] = entry;
+  if (Returned)
+    Returned(entry);
+}
+
+bool Directory::readmit(const ServerEntry &entry) {
+  auto it = Returning.find(entry.Id);
+  if (it == Returning.end() || it->second != entry)
+    return false;
+  Returning.erase(it);
+  Left.erase(entry.Id);
+  put(entry);
+  return true;
+}
+
+void Directory::drop(const std::string &id, std::string_view why,
+                     bool wentMissing) {
   Missing.erase(id);
+  Returning.erase(id);
   auto it = ById.find(id);
   if (it == ById.end())
     return;
   ServerPtr s = it->second;
+  Left[id] = {s->Entry.StartedMs, wentMissing && !s->Leaving};
   s->Leaving = true;
-  Left[id] = s->Entry.StartedMs;
   ById.erase(it);
   rebuild();
   Changed(*s, why);
@@ -53,7 +82,7 @@
 void Directory::remove(const std::string &id, MonoTime doubtUntil,
                        MonoTime now) {
   if (doubtUntil <= now)
-    drop(id, "removed");
+    drop(id, "removed", true);
   else if (ById.contains(id))
     Missing[id] = doubtUntil;
 }
@@ -80,7 +109,7 @@
     if (from <= now)
       gone.push_back(id);
   for (const std::string &it : gone)
-    drop(it, "still missing after the store's return");
+    drop(it, "still missing after the store's return", true);
 }
 
 void Directory::markLeaving(const std::string &id, int64_t startedMs,
@@ -90,7 +119,7 @@
       it->second->Leaving)
     return;
   it->second->Leaving = true;
-  Left[id] = startedMs;
+  Left[id] = {startedMs, false};
   rebuild();
   Changed(*it->second, why);
 }
@@ -98,7 +127,7 @@
 void Directory::markGone(const ServerPtr &server, std::string_view why) {
   auto it = ById.find(server->Entry.Id);
   if (it != ById.end() && it->second == server)
-    drop(server->Entry.Id, why);
+    drop(server->Entry.Id, why, false);
 }
 
 const std::vector<ServerPtr> &
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -24,7 +24,7 @@
 constexpr Milliseconds LeastWatchWait{1'500};
 constexpr Milliseconds MostWatchWait{20'000};
 /// Changes that come together are read together.
-constexpr Milliseconds GatherTime{100};
+constexpr Milliseconds GatherTime{250};
 /// The news of a change reaches all watches within this time.
 constexpr Milliseconds DigestPatience{250};
 /// Digests that are remembered as looked into.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -28,6 +28,11 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusBadRequest = 400;
 constexpr Milliseconds RetryAfterStart{500};
+/// A server whose entry is back is asked a few times; each question takes a
+/// slot of it.
+constexpr int ReturnChecks = 3;
+constexpr Milliseconds ReturnCheckEvery{1'000};
+constexpr Milliseconds ReturnCheckTimeout{500};
 /// Other processes can take a request at once.
 constexpr Milliseconds RetryAfterStop{50};
 
@@ -76,9 +81,47 @@
       [this](peers::LoadExchange::Digests d) {
         Watch.notePeerDigests(d.Configuration, d.Servers);
       });
+  Servers.onReturn([this](const fleet::ServerEntry &e) {
+    spawn(Io, "check-return", [this, e] { return checkReturn(e); });
+  });
   registerGauges();
 }
 
+Awaitable<bool> Gateway::isSound(const fleet::ServerEntry &entry) {
+  const auto &services = Watch.routes()->config().Services;
+  auto spec = services.find(entry.Service);
+  if (spec == services.end())
+    co_return false;
+  http::Request ask = Protocol.healthCall(spec->second.HealthPath, entry.Id);
+  http::CallOptions options;
+  options.Timeout = ReturnCheckTimeout;
+  options.FreshConnection = true;
+  try {
+    http::Response r =
+        co_await Client.call(entry.Address, std::move(ask), options);
+    AnswerHead head = Protocol.decodeHead(r);
+    co_return r.Status == 200 && head.AnsweringServer == entry.Id;
+  } catch (const http::TransportError &e) {
+    log::debug(Category::Fleet, "check of {}: {}", entry.Id, e.what());
+  }
+  co_return false;
+}
+
+Awaitable<void> Gateway::checkReturn(fleet::ServerEntry entry) {
+  bool sound = false;
+  for (int i = 0; i < ReturnChecks && !sound; ++i) {
+    if (i > 0)
+      co_await sleepFor(jittered(ReturnCheckEvery));
+    sound = Watch.routes() && co_await isSound(entry);
+  }
+  bool admitted = sound && Servers.readmit(entry);
+  log::event(Category::Fleet, log::Level::Info, "server_return",
+             {{"server", entry.Id},
+              {"started_ms", entry.StartedMs},
+              {"sound", sound},
+              {"outcome", admitted ? "taken up again" : "left out"}});
+}
+
 void Gateway::noteServer(const fleet::Server &s, std::string_view change) {
   Metrics.count("sardineford_server_changes_total",
                 {{"service", s.Entry.Service}});
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -36,6 +36,9 @@
   bool endsBefore(const fleet::Route &route) const;
   void logRequest(const Call &c);
   void registerGauges();
+  /// Asks a server whose entry is back whether it is sound.
+  Awaitable<void> checkReturn(fleet::ServerEntry entry);
+  Awaitable<bool> isSound(const fleet::ServerEntry &entry);
   void noteServer(const fleet::Server &s, std::string_view change);
 
   IoContext &Io;
--- a/Tests/Fleet/DirectoryTest.cpp
+++ b/Tests/Fleet/DirectoryTest.cpp
@@ -46,6 +46,45 @@
   CHECK(d.ofService("model").size() == 1);
 }
 
+TEST_CASE("a server that was cut off from the store is taken up after it says "
+          "that it is sound") {
+  Directory d = makeDirectory();
+  std::vector<ServerEntry> returned;
+  d.onReturn([&](const ServerEntry &e) { returned.push_back(e); });
+  d.put(entry("a", 1));
+  d.remove("a", NoDoubt, Start);
+  d.put(entry("a", 1));
+  d.put(entry("a", 1));
+  REQUIRE(returned.size() == 1);
+  CHECK(d.ofService("model").empty());
+
+  SECTION("it says so") {
+    CHECK(d.readmit(returned[0]));
+    CHECK(d.ofService("model").size() == 1);
+  }
+  SECTION("it leaves meanwhile") {
+    ServerEntry e = entry("a", 1);
+    e.Draining = true;
+    d.put(e);
+    CHECK_FALSE(d.readmit(returned[0]));
+    CHECK(d.ofService("model").empty());
+  }
+}
+
+TEST_CASE("a run that said that it leaves does not return") {
+  Directory d = makeDirectory();
+  int returns = 0;
+  d.onReturn([&](const ServerEntry &) { ++returns; });
+  d.put(entry("a", 1));
+  ServerEntry e = entry("a", 1);
+  e.Draining = true;
+  d.put(e);
+  d.remove("a", NoDoubt, Start);
+  d.put(entry("a", 1));
+  CHECK(returns == 0);
+  CHECK(d.ofService("model").empty());
+}
+
 TEST_CASE("a restart under the same id starts without what was known") {
   Directory d = makeDirectory();
   d.put(entry("a", 1));
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -60,14 +60,23 @@
 
 using ServerPtr = std::shared_ptr<Server>;
 
-/// All backend servers known to this process. A run of a server that has left
-/// is never taken up again.
+/// All backend servers known to this process. A run of a server that said that
+/// it leaves is never taken up again. One whose entry went missing may have
+/// been cut off from the store only: when its entry is back, it is taken up
+/// again after the server itself says that it is sound.
 class Directory {
 public:
   /// Called with what changed, for the log.
   using Listener = std::function<void(const Server &, std::string_view change)>;
 
   explicit Directory(Listener listener) : Changed(std::move(listener)) {}
+  /// Called when the entry of a server that went missing is back.
+  void onReturn(std::function<void(const ServerEntry &)> f) {
+    Returned = std::move(f);
+  }
+  /// The server says that it is sound and does not leave. Returns false when
+  /// its entry has changed or gone meanwhile.
+  bool readmit(const ServerEntry &entry);
 
   /// Takes over the newest entry of a server.
   void put(const ServerEntry &entry);
@@ -97,14 +106,24 @@
   bool isKnown() const { return Known; }
 
 private:
-  void drop(const std::string &id, std::string_view why);
+  /// Why a run of a server is not taken up any more.
+  struct Departure {
+    int64_t StartedMs = 0;
+    /// Its entry went missing; it has not said that it leaves.
+    bool WentMissing = false;
+  };
+
+  void drop(const std::string &id, std::string_view why, bool wentMissing);
+  void noteReturn(const ServerEntry &entry, Departure &departure);
   void rebuild();
 
   Listener Changed;
   std::map<std::string, ServerPtr> ById;
   std::map<std::string, std::vector<ServerPtr>> ByService;
-  /// Runs of servers that have left, by id and start.
-  std::map<std::string, int64_t> Left;
+  std::function<void(const ServerEntry &)> Returned;
+  std::map<std::string, Departure> Left;
+  /// Entries that are back and not yet taken up again.
+  std::map<std::string, ServerEntry> Returning;
   /// Missing servers and the time at which they count as gone.
   std::map<std::string, MonoTime> Missing;
   bool Known = false;
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -64,6 +64,9 @@
   /// Has the prompt prefilled, without a run.
   virtual http::Request prefillCall(const CallerRequest &r,
                                     const SendOptions &o) const = 0;
+  /// Asks a server whether it is sound and does not leave.
+  virtual http::Request healthCall(const std::string &path,
+                                   const std::string &serverId) const = 0;
   virtual http::Request freeHandleCall(const std::string &handle) const = 0;
   virtual AnswerHead decodeHead(const http::Response &r) const = 0;
   /// Empty when the answer holds no handle.
