--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -147,9 +147,8 @@
 }
 
 /// Passes events on until the stream ends.
-Awaitable<RunEnd> passEvents(State &s, Call &c, Progress &p,
-                             http::ResponseStream &stream,
-                             fleet::Server &server) {
+Awaitable<RunEnd> passEvents(Call &c, Progress &p,
+                             http::ResponseStream &stream) {
   Milliseconds gap =
       std::max(LeastGapPatience,
                Milliseconds(c.Route->GapObjective.count() * GapPatience));
@@ -171,8 +170,6 @@
       co_return RunEnd::CallerLost;
     }
   }
-  (void)s;
-  (void)server;
   if (p.Events.pending() > 0) {
     p.Detail = "the stream ends within an event";
     co_return RunEnd::Broken;
@@ -248,7 +245,7 @@
     http::Response answer = s.Protocol.answerForCaller(std::move(head));
     co_await c.Out.startStream(std::move(answer));
   }
-  co_return co_await passEvents(s, c, p, stream, server);
+  co_return co_await passEvents(c, p, stream);
 }
 
 /// One run at one engine.
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -224,21 +224,14 @@
   co_await out.send(std::move(r));
 }
 
-Awaitable<bool> PlatformWorker::fetch(const std::string &source,
-                                      const std::string &id) {
-  // "IP:PORT/HANDLE". The stand-in checks only that the address is one.
-  size_t slash = source.find('/');
-  (void)id;
-  co_return slash != std::string::npos;
-}
-
 Awaitable<void> PlatformWorker::runStream(const http::Request &request,
                                           const std::string &id,
                                           http::ResponseWriter &out) {
   ++Attempts;
   std::optional<std::string> source = request.Fields.find(names::KvSource);
   SequencePtr s = makeSequence(request, id);
-  s->Prefilled = source && co_await fetch(*source, id);
+  // "IP:PORT/HANDLE"; the transfer itself takes no time here.
+  s->Prefilled = source && source->find('/') != std::string::npos;
   uint64_t from = std::strtoull(
       request.Fields.find(names::LastEventId).value_or("0").c_str(), nullptr,
       10);
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -52,7 +52,6 @@
                             http::ResponseWriter &out);
   Awaitable<void> prefill(const http::Request &request, const std::string &id,
                           http::ResponseWriter &out);
-  Awaitable<bool> fetch(const std::string &source, const std::string &id);
   Awaitable<void> heartbeat();
   Awaitable<void> writeEntry();
   SequencePtr makeSequence(const http::Request &request,
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -54,8 +54,6 @@
   }
   unsigned requests() const { return Own.Requests + Others.Requests; }
 
-  /// Any byte came from it at this time.
-  MonoTime LastHeard{};
 };
 
 using ServerPtr = std::shared_ptr<Server>;
--- a/include/Sardineford/Fleet/Health.h
+++ b/include/Sardineford/Fleet/Health.h
@@ -29,8 +29,6 @@
   double failureShare() const { return Share; }
   /// The server is left out for the moment. One attempt may lead it back.
   bool isHeldOff(MonoTime now) const { return now < HeldOffUntil; }
-  /// Successive failures that say that the server cannot be reached.
-  int successiveFaults() const { return Successive; }
 
 private:
   double Share = 0;
