--- /dev/null
+++ b/Source/Gateway/Stream.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Gateway/EventSplitter.h"
+#include "Gateway/State.h"
+
+namespace sardineford::gateway {
+
+/// A stream that may go on elsewhere is given up at a silent engine after
+/// this many times what was expected, and not before the least patience:
+/// moving it costs a second prefill.
+inline constexpr double FirstEventPatience = 4;
+inline constexpr Milliseconds LeastFirstEventPatience{600};
+
+/// How one run at one engine ended.
+enum class RunEnd {
+  /// The caller has the whole answer.
+  Complete,
+  /// The server did not run it.
+  NotRun,
+  /// The server broke off, or never answered.
+  Broken,
+  /// The caller has left, or cannot be given more.
+  CallerLost,
+};
+
+/// Progress of one caller's stream over all servers.
+struct Progress {
+  EventSplitter Events;
+  std::vector<std::string> Tried;
+  int PrefillTries = 0;
+  fleet::WorkRank Rank = fleet::WorkRank::Urgent;
+  std::optional<Milliseconds> RetryAfter;
+  std::string Detail = "no engine is known";
+};
+
+/// What one run needs to know of its placing.
+struct RunPlan {
+  fleet::ServerPtr Server;
+  std::optional<KvHandle> Handle;
+  double Tokens = 0;
+  Seconds Estimate{0};
+};
+
+/// Options of a send by the rank of the stream's work.
+SendOptions sendOptions(const Call &c, const Progress &p,
+                        const fleet::ServerPtr &server);
+
+/// Learns from a phase that took so long for so many prompt tokens.
+void learnPhase(routing::SpeedModel &model, fleet::Server &server, double units,
+                Seconds took);
+
+void noteTransportFault(const Call &c, fleet::Server &server,
+                        const http::TransportError &e);
+
+/// Frees a handle that no engine took.
+void freeHandle(State &s, const KvHandle &handle);
+
+/// Size of a request as fairness counts it.
+double sizeOf(const Call &c);
+
+/// Places the request and, where that is sooner, has its prompt prefilled
+/// apart. Empty when no engine can take it, or it is refused.
+Awaitable<std::optional<RunPlan>> planRun(State &s, Call &c, Progress &p);
+
+/// One run at one engine.
+Awaitable<RunEnd> runAt(State &s, Call &c, Progress &p, RunPlan plan);
+
+} // namespace sardineford::gateway
--- /dev/null
+++ b/Source/Gateway/StreamPlan.cpp
@@ -0,0 +1,201 @@
+#include "Gateway/EngineView.h"
+#include "Gateway/Stream.h"
+#include "Sardineford/Admission/StreamAdmission.h"
+#include "Sardineford/Common/Log.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sardineford::gateway {
+
+namespace {
+
+using fleet::ServerPtr;
+
+/// Tries to have a prompt prefilled apart.
+constexpr int MostPrefillTries = 2;
+
+/// Has the prompt prefilled. Empty when that failed.
+Awaitable<std::optional<KvHandle>> prefill(State &s, Call &c, Progress &p,
+                                           ServerPtr server, double tokens,
+                                           Seconds estimate) {
+  double ahead = server->tokensAhead(p.Rank);
+  Reservation inFlight(server, p.Rank, tokens);
+  SendOptions send = sendOptions(c, p, server);
+  http::Request request = s.Protocol.prefillCall(c.Request, send);
+  Milliseconds patience = std::max(
+      LeastFirstEventPatience, toMilliseconds(estimate * FirstEventPatience));
+  http::CallOptions options =
+      callOptions(c, false, std::min(patience, c.left()));
+  MonoTime start = MonoClock::now();
+  std::optional<KvHandle> handle;
+  SendOutcome outcome = SendOutcome::Unknown;
+  std::string detail;
+  try {
+    http::Response r = co_await s.Client.call(
+        server->Entry.Address, std::move(request), std::move(options));
+    AnswerHead head = s.Protocol.decodeHead(r);
+    if (head.NotRun) {
+      outcome = SendOutcome::NotRun;
+      detail = "turned away with " + std::to_string(r.Status);
+      noteRejected(s, server, head);
+    } else if (r.Status == 200 &&
+               (!head.RequestId || *head.RequestId == c.Request.Id)) {
+      handle = s.Protocol.decodeHandle(server->Entry.Address, r.Body);
+      outcome = SendOutcome::Answered;
+    }
+    if (!handle && detail.empty())
+      detail = "no handle, status " + std::to_string(r.Status);
+  } catch (const http::TransportError &e) {
+    detail = e.what();
+    noteTransportFault(c, *server, e);
+  }
+  Seconds took = MonoClock::now() - start;
+  if (handle) {
+    server->Faults.succeeded(MonoClock::now());
+    learnPhase(s.service(c.Service).Speeds.Prefill, *server, ahead + tokens,
+               took);
+    noteParts(s, c, *server);
+  } else {
+    p.Detail = detail;
+  }
+  logAttempt(c, *server, "prefill", outcome, toMilliseconds(took), estimate,
+             detail);
+  co_return handle;
+}
+
+/// The decode engine for a prompt that is prefilled.
+std::optional<size_t> placeFetch(State &s, const EngineView &v,
+                                 const routing::PromptDemand &demand) {
+  std::vector<routing::EngineCandidate> engines = v.Candidates;
+  // All tokens count as cached: only the way of the cache is left.
+  for (routing::EngineCandidate &it : engines) {
+    it.CachedTokens = demand.PromptTokens;
+    it.PromptTokensAhead = 0;
+  }
+  std::optional<routing::PlacementChoice> choice = routing::placeRequest(
+      engines, demand, routing::startingSpeeds(), s.Random);
+  return choice ? std::optional<size_t>(choice->Decode) : std::nullopt;
+}
+
+/// Engines that may take the request, and the best place among them.
+struct Placing {
+  EngineView Engines;
+  std::optional<routing::PlacementChoice> Choice;
+};
+
+Placing place(State &s, const Call &c, const Progress &p,
+              fleet::WorkRank rank) {
+  Placing out{viewEngines(s, c, rank, p.Tried), std::nullopt};
+  EngineView &v = out.Engines;
+  if (p.PrefillTries >= MostPrefillTries)
+    for (size_t i = v.Servers.size(); i-- > 0;)
+      if (v.Candidates[i].Role == routing::EngineRole::Prefill) {
+        v.Servers.erase(v.Servers.begin() + static_cast<ptrdiff_t>(i));
+        v.Candidates.erase(v.Candidates.begin() + static_cast<ptrdiff_t>(i));
+      }
+  out.Choice = routing::placeRequest(v.Candidates, {c.Request.PromptTokens},
+                                     s.service(c.Service).Speeds, s.Random);
+  return out;
+}
+
+int64_t wholeMs(const std::optional<Seconds> &t) {
+  return t ? toMilliseconds(*t).count() : -1;
+}
+
+/// Decides whether and with what rank the request is served, and where.
+/// Empty when it is refused.
+std::optional<Placing> admit(State &s, const Call &c, Progress &p) {
+  std::array<Placing, fleet::WorkRanks> places;
+  for (size_t i = 0; i < fleet::WorkRanks; ++i)
+    places[i] = place(s, c, p, static_cast<fleet::WorkRank>(i));
+  auto firstEvent = [&](fleet::WorkRank r) {
+    const auto &choice = places[static_cast<size_t>(r)].Choice;
+    return choice ? std::optional<Seconds>(choice->FirstEvent) : std::nullopt;
+  };
+  admission::StreamOutlook o;
+  o.First = firstEvent(fleet::WorkRank::First);
+  o.Urgent = firstEvent(fleet::WorkRank::Urgent);
+  o.Background = firstEvent(fleet::WorkRank::Background);
+  const Placing &last = places.back();
+  if (last.Choice)
+    o.OwnWork = last.Choice->OwnWork;
+  o.Elapsed = c.elapsed();
+  o.Objective = c.Route->Objective;
+  o.Patience = c.Route->Patience;
+  o.Left = c.left();
+  o.IsBehind = s.Fairness[c.Route->Name].isBehind(sizeOf(c));
+  admission::StreamDecision d = admission::decideStream(o);
+  log::event(log::Category::Gateway, log::Level::Info, "admission",
+             {{"request", c.Request.Id},
+              {"first_estimate_ms", wholeMs(o.First)},
+              {"urgent_estimate_ms", wholeMs(o.Urgent)},
+              {"background_estimate_ms", wholeMs(o.Background)},
+              {"own_work_ms", toMilliseconds(o.OwnWork).count()},
+              {"size_is_behind", o.IsBehind},
+              {"objective_ms", o.Objective.count()},
+              {"elapsed_ms", o.Elapsed.count()},
+              {"engines", last.Engines.Servers.size()},
+              {"outcome", d.Rank ? fleet::toString(*d.Rank) : "refused"}});
+  if (!d.Rank) {
+    p.Detail = last.Choice ? "no engine can begin it while its caller waits"
+                           : "no engine is known that takes it";
+    p.RetryAfter = d.RetryAfter;
+    return std::nullopt;
+  }
+  p.Rank = *d.Rank;
+  return std::move(places[static_cast<size_t>(p.Rank)]);
+}
+
+} // namespace
+
+Awaitable<std::optional<RunPlan>> planRun(State &s, Call &c, Progress &p) {
+  routing::PromptDemand demand{c.Request.PromptTokens};
+  for (;;) {
+    std::optional<Placing> placing;
+    if (c.Record.sends() == 0 && p.PrefillTries == 0)
+      placing = admit(s, c, p);
+    else
+      placing = place(s, c, p, p.Rank);
+    if (!placing || !placing->Choice)
+      co_return std::nullopt;
+    const EngineView &v = placing->Engines;
+    routing::PlacementChoice choice = *placing->Choice;
+    if (!choice.Prefill) {
+      size_t d = choice.Decode;
+      co_return RunPlan{v.Servers[d], std::nullopt,
+                        tokensToPrefill(v.Candidates[d], c.Request),
+                        choice.FirstEvent};
+    }
+    // The first prefill is no further attempt; each later one is.
+    bool allowed = p.PrefillTries == 0 ||
+                   s.service(c.Service).Budget.withdraw(MonoClock::now());
+    ++p.PrefillTries;
+    if (!allowed) {
+      p.PrefillTries = MostPrefillTries;
+      continue;
+    }
+    size_t at = *choice.Prefill;
+    double tokens = tokensToPrefill(v.Candidates[at], c.Request);
+    std::optional<KvHandle> handle =
+        co_await prefill(s, c, p, v.Servers[at], tokens, choice.FirstEvent);
+    if (c.CallerGone)
+      co_return std::nullopt;
+    if (!handle) {
+      p.Tried.push_back(v.Servers[at]->Entry.Id);
+      continue;
+    }
+    EngineView now = viewEngines(s, c, p.Rank, p.Tried);
+    std::optional<size_t> d = placeFetch(s, now, demand);
+    if (!d) {
+      freeHandle(s, *handle);
+      co_return std::nullopt;
+    }
+    co_return RunPlan{now.Servers[*d], handle,
+                      static_cast<double>(c.Request.PromptTokens),
+                      s.service(c.Service).Speeds.Fetch.estimate(
+                          static_cast<double>(c.Request.PromptTokens))};
+  }
+}
+
+} // namespace sardineford::gateway
--- /dev/null
+++ b/Source/Gateway/StreamRun.cpp
@@ -0,0 +1,182 @@
+#include "Gateway/EngineView.h"
+#include "Gateway/Stream.h"
+
+#include <algorithm>
+
+namespace sardineford::gateway {
+
+namespace {
+
+using fleet::FaultKind;
+using fleet::ServerPtr;
+
+/// Pauses between events are that long only at engines that are gone.
+constexpr int GapPatience = 3;
+constexpr Milliseconds LeastGapPatience{900};
+/// Weight of the newest stream in the typical time of one.
+constexpr double NewestStreamWeight = 0.05;
+/// Rank at the engine of what is prefilled already: ahead of all else.
+constexpr int FetchUrgency = 1;
+
+/// Passes events on until the stream ends.
+Awaitable<RunEnd> passEvents(Call &c, Progress &p,
+                             http::ResponseStream &stream) {
+  Milliseconds gap =
+      std::max(LeastGapPatience,
+               Milliseconds(c.Route->GapObjective.count() * GapPatience));
+  for (;;) {
+    Milliseconds wait = c.Route->Resumable ? std::min(gap, c.left()) : c.left();
+    std::string piece = co_await stream.read(std::max(wait, Milliseconds(1)));
+    if (piece.empty())
+      break;
+    std::string whole = p.Events.push(piece);
+    if (whole.empty())
+      continue;
+    c.Events = p.Events.events();
+    if (c.FirstByte < Milliseconds(0))
+      c.FirstByte = c.elapsed();
+    try {
+      co_await c.Out.write(std::move(whole));
+    } catch (const std::exception &e) {
+      p.Detail = std::string("the caller cannot be written to: ") + e.what();
+      co_return RunEnd::CallerLost;
+    }
+  }
+  if (p.Events.pending() > 0) {
+    p.Detail = "the stream ends within an event";
+    co_return RunEnd::Broken;
+  }
+  co_await c.Out.finish();
+  co_return RunEnd::Complete;
+}
+
+/// Answers that are no stream: a server's own failure, mostly.
+Awaitable<RunEnd> passWhole(State &s, Call &c, http::ResponseStream &stream) {
+  http::Response r = stream.head();
+  for (;;) {
+    std::string piece =
+        co_await stream.read(std::max(c.left(), Milliseconds(1)));
+    if (piece.empty())
+      break;
+    r.Body += piece;
+  }
+  c.Status = r.Status;
+  http::Response answer = s.Protocol.answerForCaller(std::move(r));
+  co_await c.Out.send(std::move(answer));
+  co_return RunEnd::Complete;
+}
+
+Milliseconds firstEventPatience(State &s, const Call &c, const RunPlan &plan) {
+  bool mayMove =
+      c.Route->Resumable &&
+      static_cast<int>(c.Record.sends()) + 1 < c.Route->MaxAttempts &&
+      s.service(c.Service).Budget.left(MonoClock::now()) >= 1;
+  if (!mayMove)
+    return c.left();
+  Milliseconds patience =
+      std::max({LeastFirstEventPatience, c.Route->Objective,
+                toMilliseconds(plan.Estimate * FirstEventPatience)});
+  return std::min(patience, c.left());
+}
+
+void learnFirstEvent(State &s, Call &c, const RunPlan &plan, double ahead,
+                     Seconds took) {
+  routing::EngineSpeedModels &m = s.service(c.Service).Speeds;
+  if (plan.Handle)
+    learnPhase(m.Fetch, *plan.Server, plan.Tokens, took);
+  else
+    learnPhase(m.Alone, *plan.Server, ahead + plan.Tokens, took);
+  noteParts(s, c, *plan.Server);
+}
+
+Awaitable<RunEnd> useAnswer(State &s, Call &c, Progress &p,
+                            http::ResponseStream &stream,
+                            fleet::Server &server) {
+  http::Response head = stream.head();
+  bool isStream = s.Protocol.decodeHead(head).IsEventStream;
+  if (!isStream || head.Status != 200) {
+    bool canRetry = c.Route->Resumable && head.Status >= 500;
+    if (c.Out.started() || canRetry) {
+      p.Detail = "the engine answered " + std::to_string(head.Status);
+      server.Faults.failed(FaultKind::Failed, MonoClock::now());
+      stream.close();
+      co_return RunEnd::Broken;
+    }
+    co_return co_await passWhole(s, c, stream);
+  }
+  if (!c.Out.started()) {
+    c.Status = head.Status;
+    http::Response answer = s.Protocol.answerForCaller(std::move(head));
+    co_await c.Out.startStream(std::move(answer));
+  }
+  co_return co_await passEvents(c, p, stream);
+}
+
+} // namespace
+
+Awaitable<RunEnd> runAt(State &s, Call &c, Progress &p, RunPlan plan) {
+  const ServerPtr &server = plan.Server;
+  double ahead = server->tokensAhead(p.Rank);
+  Reservation inFlight(server, p.Rank, plan.Handle ? 0 : plan.Tokens);
+  SendOptions send = sendOptions(c, p, server);
+  send.From = plan.Handle;
+  if (plan.Handle)
+    send.Urgency = FetchUrgency;
+  send.ResumeAfter = c.Request.ResumeAfter;
+  if (p.Events.lastId())
+    send.ResumeAfter = p.Events.lastId();
+  http::Request request = s.Protocol.runCall(c.Request, send);
+  http::CallOptions options =
+      callOptions(c, !c.Route->mayRepeat(), firstEventPatience(s, c, plan));
+  size_t record = c.Record.open(server->Entry.Id);
+  MonoTime start = MonoClock::now();
+  RunEnd end = RunEnd::Broken;
+  SendOutcome outcome = SendOutcome::Unknown;
+  std::string detail;
+  Seconds first{-0.001};
+  try {
+    std::unique_ptr<http::ResponseStream> stream = co_await s.Client.open(
+        server->Entry.Address, std::move(request), std::move(options));
+    AnswerHead head = s.Protocol.decodeHead(stream->head());
+    detail = faultOf(head, stream->head(), c.Request.Id);
+    if (!detail.empty()) {
+      stream->close();
+      server->Faults.failed(FaultKind::Broken, MonoClock::now());
+    } else if (head.NotRun) {
+      detail = "turned away with " + std::to_string(stream->head().Status);
+      outcome = SendOutcome::NotRun;
+      end = RunEnd::NotRun;
+      noteRejected(s, server, head);
+    } else {
+      first = MonoClock::now() - start;
+      inFlight.promptDone();
+      learnFirstEvent(s, c, plan, ahead, first);
+      end = co_await useAnswer(s, c, p, *stream, *server);
+      if (end == RunEnd::Complete) {
+        Seconds &typical = s.service(c.Service).TypicalStream;
+        typical += (Seconds(MonoClock::now() - start) - first - typical) *
+                   NewestStreamWeight;
+        outcome = SendOutcome::Answered;
+        server->Faults.succeeded(MonoClock::now());
+      } else {
+        stream->close();
+        detail = p.Detail;
+      }
+    }
+  } catch (const http::TransportError &e) {
+    detail = e.what();
+    if (e.Stage == http::TransportStage::NothingSent) {
+      outcome = SendOutcome::NeverSent;
+      end = RunEnd::NotRun;
+    }
+    noteTransportFault(c, *server, e);
+  }
+  c.Record.close(record, outcome);
+  if (end != RunEnd::Complete)
+    p.Detail = detail;
+  logAttempt(c, *server, plan.Handle ? "run with fetched cache" : "run",
+             outcome, toMilliseconds(first), plan.Estimate, detail);
+  co_return end;
+}
+
+} // namespace sardineford::gateway
--- /dev/null
+++ b/Tests/Http/ClientTest.cpp
@@ -0,0 +1,144 @@
+#include "Sardineford/Http/Client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Answers each request with what the test says, byte by byte.
+class RawServer {
+public:
+  using Script = std::function<std::string(int request)>;
+
+  RawServer(IoContext &io, Script script, bool readsBody = true)
+      : Io(io), Acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Answers(std::move(script)), ReadsBody(readsBody) {
+    spawn(Io, "raw-server", [this] { return acceptLoop(); });
+  }
+
+  http::Endpoint at() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+  int Connections = 0;
+  int Requests = 0;
+
+private:
+  Awaitable<void> acceptLoop() {
+    for (;;) {
+      tcp::socket s = co_await Acceptor.async_accept(use_awaitable);
+      ++Connections;
+      auto socket = std::make_shared<tcp::socket>(std::move(s));
+      spawn(Io, "raw-connection", [this, socket] { return serve(socket); });
+    }
+  }
+
+  Awaitable<void> serve(std::shared_ptr<tcp::socket> s) {
+    std::string buf;
+    for (;;) {
+      auto [ec, n] = co_await boost::asio::async_read_until(
+          *s, boost::asio::dynamic_buffer(buf), "\r\n\r\n",
+          boost::asio::as_tuple(use_awaitable));
+      if (ec)
+        co_return;
+      buf.erase(0, n);
+      std::string answer = Answers(Requests++);
+      co_await boost::asio::async_write(*s, boost::asio::buffer(answer),
+                                        use_awaitable);
+      if (!ReadsBody)
+        co_await sleepFor(std::chrono::seconds(60));
+    }
+  }
+
+  IoContext &Io;
+  tcp::acceptor Acceptor;
+  Script Answers;
+  bool ReadsBody;
+};
+
+std::string answer(const std::string &body, const std::string &extra = "") {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + extra + "\r\n" + body;
+}
+
+/// Runs calls one after the other and returns their bodies, or the error.
+std::vector<std::string> callAll(IoContext &io, http::Endpoint to, int calls,
+                                 http::Request request = {}) {
+  std::vector<std::string> out;
+  http::Client client(io);
+  spawn(io, "calls", [&]() -> Awaitable<void> {
+    for (int i = 0; i < calls; ++i) {
+      try {
+        http::CallOptions o;
+        o.Timeout = Milliseconds(2'000);
+        http::Response r = co_await client.call(to, request, o);
+        out.push_back(r.Body);
+      } catch (const http::TransportError &e) {
+        out.push_back(e.TimedOut ? "timed out" : "broken");
+      }
+      // What comes behind an answer arrives a moment later.
+      co_await sleepFor(Milliseconds(30));
+    }
+    io.stop();
+  });
+  io.run();
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("bytes behind an answer are never the next one") {
+  IoContext io(1);
+  RawServer server(io, [](int i) {
+    return answer("right " + std::to_string(i)) + answer("stray");
+  });
+  auto bodies = callAll(io, server.at(), 3);
+  CHECK(bodies == std::vector<std::string>{"right 0", "right 1", "right 2"});
+  CHECK(server.Connections == 3);
+}
+
+TEST_CASE("a sound connection is used again") {
+  IoContext io(1);
+  RawServer server(io, [](int) { return answer("x"); });
+  CHECK(callAll(io, server.at(), 3).size() == 3);
+  CHECK(server.Connections == 1);
+}
+
+TEST_CASE("a connection that its server soon closes is not used again") {
+  IoContext io(1);
+  RawServer server(
+      io, [](int) { return answer("x", "Keep-Alive: timeout=0\r\n"); });
+  CHECK(callAll(io, server.at(), 2).size() == 2);
+  CHECK(server.Connections == 2);
+}
+
+TEST_CASE("an answer before the whole body ends the connection") {
+  IoContext io(1);
+  RawServer server(
+      io, [](int) { return answer("too long"); }, false);
+  http::Request request;
+  request.Method = "POST";
+  request.Body.assign(size_t{8} * 1024 * 1024, 'x');
+  auto bodies = callAll(io, server.at(), 2, request);
+  CHECK(bodies == std::vector<std::string>{"too long", "too long"});
+  CHECK(server.Connections == 2);
+}
+
+TEST_CASE("a body that breaks off is no answer") {
+  IoContext io(1);
+  RawServer server(io, [](int) {
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  });
+  http::Client client(io);
+  auto bodies = callAll(io, server.at(), 1);
+  CHECK(bodies == std::vector<std::string>{"timed out"});
+}
