--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -53,7 +53,6 @@
     return std::max(0.0, Own.tokensAhead(r) + Others.tokensAhead(r));
   }
   unsigned requests() const { return Own.Requests + Others.Requests; }
-
 };
 
 using ServerPtr = std::shared_ptr<Server>;
