--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -76,16 +76,7 @@
     return static_cast<double>(RpcServer.traffic().Received +
                                RpcClient.traffic().Received);
   });
-  auto call = [this](const char *kind, const uint64_t store::CallCounts::*n) {
-    Metrics.gauge("sardineford_store_calls_total", {{"call", kind}},
-                  [this, n] { return static_cast<double>(Store.counts().*n); });
-  };
-  call("get", &store::CallCounts::Gets);
-  call("list", &store::CallCounts::Lists);
-  call("put", &store::CallCounts::Puts);
-  call("remove", &store::CallCounts::Removes);
-  call("watch", &store::CallCounts::Watches);
-  call("failed", &store::CallCounts::Failures);
+  store::registerCounts(Metrics, Store);
 }
 
 void Node::serve(http::Handler handler, size_t maxBodyBytes) {
--- a/Source/Store/HttpObjectStore.cpp
+++ b/Source/Store/HttpObjectStore.cpp
@@ -1,5 +1,7 @@
 #include "Sardineford/Store/HttpObjectStore.h"
 
+#include "Sardineford/Store/StoreCall.h"
+
 #include <boost/json.hpp>
 
 namespace sardineford::store {
@@ -8,10 +10,6 @@
 
 namespace {
 
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusLimited = 429;
-constexpr unsigned StatusUnavailable = 503;
 /// A watch is answered somewhat after its wait ends.
 constexpr Milliseconds WatchSlack{2'000};
 
@@ -47,36 +45,14 @@
                                                 std::string target,
                                                 std::string body,
                                                 Milliseconds timeout) {
-  bool isWrite = method != "GET";
   http::Request request;
   request.Method = std::move(method);
   request.Target = std::move(target);
   request.Body = std::move(body);
   http::CallOptions options;
   options.Timeout = timeout;
-  try {
-    co_return checked(co_await Client.call(At, std::move(request), options),
-                      isWrite);
-  } catch (const http::TransportError &e) {
-    ++Counts.Failures;
-    bool noEffect = !isWrite || e.Stage == http::TransportStage::NothingSent;
-    throw StoreError(noEffect ? Failure::Unavailable : Failure::Ambiguous,
-                     e.what());
-  }
-}
-
-http::Response HttpObjectStore::checked(http::Response r, bool isWrite) {
-  if (r.Status < 400 || r.Status == StatusNotFound)
-    return r;
-  if (r.Status == StatusConflict)
-    throw StoreError(Failure::VersionConflict, "version conflict: " + r.Body);
-  ++Counts.Failures;
-  if (r.Status == StatusLimited)
-    throw StoreError(Failure::Limited, "the store limits its rate");
-  if (r.Status == StatusUnavailable || !isWrite)
-    throw StoreError(Failure::Unavailable, "the store is down");
-  throw StoreError(Failure::Ambiguous,
-                   "the store answered " + std::to_string(r.Status));
+  co_return co_await callStore(Client, At, std::move(request),
+                               std::move(options), Counts);
 }
 
 Awaitable<std::optional<Object>> HttpObjectStore::get(std::string kind,
--- a/Source/Store/Write.cpp
+++ b/Source/Store/Write.cpp
@@ -22,16 +22,6 @@
 
 } // namespace
 
-StoreError::StoreError(Failure failure, const std::string &message)
-    : Error(failure == Failure::VersionConflict ? ErrorKind::Conflict
-            : failure == Failure::Ambiguous     ? ErrorKind::StoreAmbiguous
-                                                : ErrorKind::StoreUnavailable,
-            message,
-            failure == Failure::VersionConflict
-                ? "read the object again and repeat the change"
-                : "try again later; check the platform's object API"),
-      Reason(failure) {}
-
 Milliseconds Backoff::next() {
   constexpr int MaxShift = 10;
   Milliseconds d = First * (int64_t{1} << std::min(Failures, MaxShift));
--- a/include/Sardineford/Store/HttpObjectStore.h
+++ b/include/Sardineford/Store/HttpObjectStore.h
@@ -21,17 +21,13 @@
   Awaitable<Changes> watch(std::string kind, uint64_t after,
                            Milliseconds wait) override;
 
-  const CallCounts &counts() const { return Counts; }
-
 private:
   Awaitable<http::Response> call(std::string method, std::string target,
                                  std::string body, Milliseconds timeout);
-  http::Response checked(http::Response r, bool isWrite);
 
   http::Client &Client;
   http::Endpoint At;
   Milliseconds Timeout;
-  CallCounts Counts;
 };
 
 } // namespace sardineford::store
--- a/include/Sardineford/Store/ObjectStore.h
+++ b/include/Sardineford/Store/ObjectStore.h
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Common/Async.h"
 #include "Sardineford/Common/Error.h"
+#include "Sardineford/Metrics/Metrics.h"
 
 #include <cstdint>
 #include <optional>
@@ -53,11 +54,24 @@
   Failure Reason;
 };
 
+/// Calls made by one process.
+struct CallCounts {
+  uint64_t Gets = 0;
+  uint64_t Lists = 0;
+  uint64_t Puts = 0;
+  uint64_t Removes = 0;
+  uint64_t Watches = 0;
+  /// Of all these, calls at which the store failed.
+  uint64_t Failures = 0;
+};
+
 /// The platform's object API. Every call may throw StoreError.
 class ObjectStore {
 public:
   virtual ~ObjectStore() = default;
 
+  const CallCounts &counts() const { return Counts; }
+
   virtual Awaitable<std::optional<Object>> get(std::string kind,
                                                std::string name) = 0;
   virtual Awaitable<ObjectList> list(std::string kind) = 0;
@@ -72,16 +86,12 @@
   /// the wait ends; then the list is empty.
   virtual Awaitable<Changes> watch(std::string kind, uint64_t after,
                                    Milliseconds wait) = 0;
-};
 
-/// Calls made by one process, by kind of call.
-struct CallCounts {
-  uint64_t Gets = 0;
-  uint64_t Lists = 0;
-  uint64_t Puts = 0;
-  uint64_t Removes = 0;
-  uint64_t Watches = 0;
-  uint64_t Failures = 0;
+protected:
+  CallCounts Counts;
 };
 
+/// Serves the counts among a process's metrics.
+void registerCounts(metrics::Metrics &metrics, const ObjectStore &store);
+
 } // namespace sardineford::store
