--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -20,8 +20,18 @@
   return out;
 }
 
-http::Request makeRequest(const std::string &id, const std::string &route,
-                          bool stream, Milliseconds deadline) {
+bool isPromise(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool isStream(const std::string &route) {
+  return route == ResumableRoute || route == StreamRoute;
+}
+
+} // namespace
+
+http::Request makeCall(const std::string &id, const std::string &route,
+                       Milliseconds deadline) {
   http::Request r;
   r.Method = route == RepeatableRoute ? "GET" : "POST";
   r.Target = route + "1";
@@ -29,7 +39,7 @@
   r.Fields.add(std::string(names::RequestId), id);
   r.Fields.add(std::string(names::DeadlineMs),
                std::to_string(deadline.count()));
-  if (!stream)
+  if (!isStream(route))
     return r;
   r.Fields.add(std::string(names::Model), "m");
   r.Fields.add(std::string(names::TokenCounts), "900,80");
@@ -37,19 +47,13 @@
   return r;
 }
 
-bool isPromise(unsigned status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-} // namespace
-
 Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint front,
                                  std::string route, Milliseconds deadline) {
   CallResult out;
   out.Id = makeId();
   out.Route = route;
-  bool stream = route == ResumableRoute || route == StreamRoute;
-  http::Request request = makeRequest(out.Id, route, stream, deadline);
+  bool stream = isStream(route);
+  http::Request request = makeCall(out.Id, route, deadline);
   http::CallOptions options;
   options.Timeout = deadline;
   options.ResendOnStale = false;
--- a/StandIns/Platform/PlatformCaller.h
+++ b/StandIns/Platform/PlatformCaller.h
@@ -31,6 +31,10 @@
   Milliseconds Took{0};
 };
 
+/// A request of a route of the deployment.
+http::Request makeCall(const std::string &id, const std::string &route,
+                       Milliseconds deadline);
+
 /// Sends one request and checks the answer byte by byte.
 Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint front,
                                  std::string route, Milliseconds deadline);
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr Milliseconds ReadyPoll{50};
-constexpr unsigned StopGraceSeconds = 6;
 
 json::object route(const std::string &prefix, const std::string &kind,
                    const std::string &service, bool resumable) {
@@ -90,7 +89,7 @@
          {{"readiness_listen", http::toString(d.Readiness)},
           {"peer_listen", http::toString(freeEndpoint())},
           {"metrics_listen", http::toString(d.Metrics)},
-          {"stop_grace_s", StopGraceSeconds}}},
+          {"stop_grace_s", StopGrace.count()}}},
         {"log", {{"json", true}, {"stdout", true}}}};
     std::ofstream(file) << json::serialize(settings);
     d.Run = std::make_unique<Process>(
@@ -114,6 +113,9 @@
                    "--stage=" + w.Stage, "--listen=" + http::toString(w.Listen),
                    "--advertise=" + http::toString(w.Advertise),
                    "--store=" + http::toString(Store), "--slots=64",
+                   "--work_ms=" + std::to_string(Options.WorkTime.count()),
+                   "--step_ms=" + std::to_string(Options.StepTime.count()),
+                   "--drain_ms=" + std::to_string(Options.DrainTime.count()),
                    "--history=" + historyFile()},
                   Options.Folder + "/" + w.Id + ".log"});
   w.Run->start();
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -19,8 +19,16 @@
   unsigned PlainServers = 2;
   unsigned PrefillEngines = 1;
   unsigned DecodeEngines = 3;
+  /// Time of a plain call, of one step of an engine, and for which a backend
+  /// server serves on after it said that it leaves.
+  Milliseconds WorkTime{10};
+  Milliseconds StepTime{4};
+  Milliseconds DrainTime{1'500};
 };
 
+/// Time from SIGTERM in which a daemon must have ended.
+inline constexpr std::chrono::seconds StopGrace{6};
+
 /// Routes of the deployment, by what may be repeated.
 inline constexpr const char *OnceRoute = "/file/";
 inline constexpr const char *RepeatableRoute = "/status/";
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace sardineford::standins {
@@ -19,14 +20,16 @@
 constexpr uint64_t MostEvents = 20;
 constexpr uint64_t LeastEvents = 3;
 constexpr size_t BodyRepeats = 20;
+/// A plain call looks this often whether its caller has gone.
+constexpr Milliseconds WorkPiece{10};
 constexpr unsigned StatusMisdirected = 421;
 constexpr std::string_view HealthPath = "/health";
 
 /// Engines that are fast enough for tests.
-EngineSpeed testSpeed() {
+EngineSpeed testSpeed(Milliseconds step) {
   EngineSpeed s;
   s.PrefillTokensPerSecond = 200'000;
-  s.StepBase = Microseconds(4'000);
+  s.StepBase = step;
   s.StepPerSequence = Microseconds(100);
   s.TotalPieces = 100'000;
   return s;
@@ -63,8 +66,8 @@
                [this](http::Request &r, http::ResponseWriter &out) {
                  return handle(r, out);
                }),
-      Work(io, testSpeed(), 1), Log(Options.History, std::ios::app),
-      Born(wallMilliseconds()) {
+      Work(io, testSpeed(Options.StepTime), 1),
+      Log(Options.History, std::ios::app), Born(wallMilliseconds()) {
   Work.Role = Options.Stage == names::PrefillStage ? EngineRole::Prefill
                                                    : EngineRole::Decode;
 }
@@ -185,7 +188,17 @@
 Awaitable<void> PlatformWorker::runPlain(const std::string &id,
                                          http::ResponseWriter &out) {
   note(id, "run");
-  co_await sleepFor(Options.WorkTime);
+  bool gone = false;
+  out.onPeerGone([&] { gone = true; });
+  MonoTime end = MonoClock::now() + Options.WorkTime;
+  while (!gone && MonoClock::now() < end)
+    co_await sleepFor(std::min(WorkPiece, Options.WorkTime));
+  out.onPeerGone({});
+  if (gone) {
+    note(id, "cancelled");
+    out.abort();
+    co_return;
+  }
   http::Response r = answer(200, id, expectedBody(id));
   co_await out.send(std::move(r));
 }
@@ -209,10 +222,21 @@
   ++Attempts;
   SequencePtr s = makeSequence(request, id);
   s->PrefillOnly = true;
+  bool gone = false;
+  out.onPeerGone([&gone, s] {
+    gone = true;
+    s->Changed->cancel();
+  });
   Work.add(s);
-  while (!s->Finished && !s->Cancelled)
+  while (!s->Finished && !s->Cancelled && !gone)
     co_await s->Changed->async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
+  if (gone) {
+    Work.cancel(s);
+    note(id, "cancelled");
+    out.abort();
+    co_return;
+  }
   std::string handle = makeId();
   Handles[handle] = id;
   note(id, "prefill");
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -24,7 +24,9 @@
   Milliseconds Heartbeat{300};
   /// Time that it goes on serving after it said that it leaves.
   Milliseconds DrainTime{1'500};
+  /// Time of a plain call, and of one step of an engine.
   Milliseconds WorkTime{10};
+  Milliseconds StepTime{4};
   /// File that a line is appended to for each run.
   std::string History;
 };
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -14,6 +14,8 @@
 DEFINE_string(stage, "", "prefill, decode, or empty for a plain service");
 DEFINE_int32(slots, 8, "requests that it runs at once");
 DEFINE_int32(work_ms, 10, "time of a plain call");
+DEFINE_int32(step_ms, 4, "time of one step of an engine");
+DEFINE_int32(drain_ms, 1500, "time that it serves on after it says it leaves");
 DEFINE_string(history, "", "file that a line is appended to for each run");
 
 using namespace sardineford;
@@ -34,6 +36,8 @@
   o.Stage = FLAGS_stage;
   o.Slots = static_cast<unsigned>(FLAGS_slots);
   o.WorkTime = Milliseconds(FLAGS_work_ms);
+  o.StepTime = Milliseconds(FLAGS_step_ms);
+  o.DrainTime = Milliseconds(FLAGS_drain_ms);
   o.History = FLAGS_history;
   standins::PlatformWorker worker(io, o);
   worker.start();
--- a/StandIns/Soak/SoakChecks.cpp
+++ b/StandIns/Soak/SoakChecks.cpp
@@ -1,29 +1,19 @@
 #include "StandIns/Soak/SoakChecks.h"
 
 #include "StandIns/Platform/PlatformDeployment.h"
+#include "StandIns/Platform/WorkerHistory.h"
 
-#include <boost/json.hpp>
-
-#include <fstream>
 #include <map>
 
 namespace sardineford::standins {
 
-namespace json = boost::json;
-
 namespace {
 
-/// Number of runs by request. A line that a killed process did not finish is
-/// skipped.
-std::map<std::string, int> readRuns(const std::string &file) {
+std::map<std::string, int> countRuns(const std::string &file) {
   std::map<std::string, int> runs;
-  std::ifstream in(file);
-  for (std::string line; std::getline(in, line);) {
-    boost::system::error_code ec;
-    json::value v = json::parse(line, ec);
-    if (!ec && v.is_object() && v.at("what").as_string() == "run")
-      ++runs[json::value_to<std::string>(v.at("request"))];
-  }
+  for (const WorkerNote &it : readHistory(file))
+    if (it.What == "run")
+      ++runs[it.Request];
   return runs;
 }
 
@@ -36,7 +26,7 @@
 
 std::vector<std::string> checkPromises(const std::vector<CallResult> &calls,
                                        const std::string &historyFile) {
-  std::map<std::string, int> runs = readRuns(historyFile);
+  std::map<std::string, int> runs = countRuns(historyFile);
   std::vector<std::string> out;
   for (const CallResult &it : calls) {
     int n = runs.contains(it.Id) ? runs.at(it.Id) : 0;
