Settings are followed while running; histograms and figures by cause

Cause: SIGHUP only wrote a line, and a changed file without a signal was not seen. 'overloaded' is a cause of its own beside 'no server is known'. Gateway.cpp lost the check of returning servers and the figures to files of their own. The kinds of a failed send are judged once.

--- a/Source/Common/BoundedSink.h
+++ b/Source/Common/BoundedSink.h
@@ -18,6 +18,9 @@
   BoundedSink(int descriptor, uint64_t bytesPerSecond);
 
   uint64_t dropped() const { return Dropped; }
+  void setBytesPerSecond(uint64_t n) {
+    BytesPerSecond = static_cast<double>(n);
+  }
 
 protected:
   void sink_it_(const spdlog::details::log_msg &msg) override;
--- a/Source/Common/Log.cpp
+++ b/Source/Common/Log.cpp
@@ -99,6 +99,11 @@
   return false;
 }
 
+void setBytesPerSecond(uint64_t n) {
+  if (state().Bounded)
+    state().Bounded->setBytesPerSecond(n);
+}
+
 bool enabled(Category c, Level l) {
   return l >= state().Levels[static_cast<size_t>(c)];
 }
--- a/Source/Gateway/AttemptRecord.cpp
+++ b/Source/Gateway/AttemptRecord.cpp
@@ -30,8 +30,8 @@
   switch (c) {
   case GiveUpCause::NoServer:
     return "no_server";
-  case GiveUpCause::NoTime:
-    return "no_time";
+  case GiveUpCause::Overloaded:
+    return "overloaded";
   case GiveUpCause::Failed:
     return "failed";
   case GiveUpCause::TimedOut:
--- /dev/null
+++ b/Source/Gateway/Figures.cpp
@@ -0,0 +1,99 @@
+#include "Gateway/Figures.h"
+
+#include "Sardineford/Common/Log.h"
+
+#include <functional>
+#include <map>
+
+namespace sardineford::gateway {
+
+namespace {
+
+/// One sample a second costs nothing and still shows a busy loop.
+constexpr Milliseconds LagInterval{1'000};
+
+using Family = metrics::Metrics::Family;
+
+std::string_view stateOf(const fleet::Server &server, MonoTime now) {
+  if (server.Leaving)
+    return "leaving";
+  return server.Faults.isHeldOff(now) ? "held_off" : "ready";
+}
+
+Family countServers(State &s) {
+  std::map<std::pair<std::string, std::string>, double> counts;
+  MonoTime now = MonoClock::now();
+  s.Servers.forEach([&](const fleet::Server &it) {
+    ++counts[{it.Entry.Service, std::string(stateOf(it, now))}];
+  });
+  Family out;
+  for (const auto &[key, n] : counts)
+    out.push_back({{{"service", key.first}, {"state", key.second}}, n});
+  return out;
+}
+
+/// Sums a figure of all servers by service.
+Family sumByService(State &s,
+                    const std::function<double(const fleet::Server &)> &of) {
+  std::map<std::string, double> sums;
+  s.Servers.forEach(
+      [&](const fleet::Server &it) { sums[it.Entry.Service] += of(it); });
+  Family out;
+  for (const auto &[service, n] : sums)
+    out.push_back({{{"service", service}}, n});
+  return out;
+}
+
+Family budgetsLeft(State &s) {
+  Family out;
+  for (auto &[service, it] : s.Services)
+    out.push_back({{{"service", service}}, it.Budget.left(MonoClock::now())});
+  return out;
+}
+
+} // namespace
+
+void registerFigures(State &s, const peers::LoadExchange &peers) {
+  metrics::Metrics &m = s.Metrics;
+  m.gauge("sardineford_configuration_version", {}, [&s] {
+    return s.Watch.routes()
+               ? static_cast<double>(s.Watch.routes()->config().Version)
+               : 0.0;
+  });
+  m.gauge("sardineford_configuration_age_seconds", {},
+          [&s] { return toSeconds(s.Watch.configurationAge()); });
+  m.gauge("sardineford_servers_age_seconds", {},
+          [&s] { return toSeconds(s.Watch.serversAge()); });
+  m.gauge("sardineford_processes", {},
+          [&peers] { return static_cast<double>(peers.processes()); });
+  m.gauge("sardineford_log_lines_dropped_total", {},
+          [] { return static_cast<double>(log::droppedLines()); });
+  m.gauges("sardineford_servers", [&s] { return countServers(s); });
+  m.gauges("sardineford_requests_in_flight", [&s] {
+    return sumByService(s, [](const fleet::Server &it) {
+      return static_cast<double>(it.Own.Requests);
+    });
+  });
+  m.gauges("sardineford_peer_requests_in_flight", [&s] {
+    return sumByService(s, [](const fleet::Server &it) {
+      return static_cast<double>(it.Others.Requests);
+    });
+  });
+  m.gauges("sardineford_prompt_tokens_waiting", [&s] {
+    return sumByService(s, [](const fleet::Server &it) {
+      return it.tokensAhead(fleet::WorkRank::Background);
+    });
+  });
+  m.gauges("sardineford_retry_budget_left", [&s] { return budgetsLeft(s); });
+}
+
+Awaitable<void> measureLag(metrics::Metrics &metrics) {
+  for (;;) {
+    MonoTime due = MonoClock::now() + LagInterval;
+    co_await sleepFor(LagInterval);
+    metrics.observe("sardineford_event_loop_lag_seconds", {},
+                    MonoClock::now() - due);
+  }
+}
+
+} // namespace sardineford::gateway
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -1,10 +1,11 @@
 #include "Gateway/Gateway.h"
 
+#include "Gateway/Figures.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/ReturnCheck.h"
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
-#include "Sardineford/Store/Write.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -29,11 +30,6 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusBadRequest = 400;
 constexpr Milliseconds RetryAfterStart{500};
-/// A server whose entry is back is asked until it says that it is sound, or
-/// its entry goes; each question takes a slot of it, so they become seldom.
-constexpr Milliseconds FirstReturnPause{500};
-constexpr Milliseconds LongestReturnPause{8'000};
-constexpr Milliseconds ReturnCheckTimeout{500};
 /// Other processes can take a request at once.
 constexpr Milliseconds RetryAfterStop{50};
 
@@ -83,47 +79,13 @@
         Watch.notePeerDigests(d.Configuration, d.Servers);
       });
   Servers.onReturn([this](const fleet::ServerEntry &e) {
-    spawn(Io, "check-return", [this, e] { return checkReturn(e); });
+    spawn(Io, "check-return", [this, e] { return checkReturn(Shared, e); });
   });
+  store::registerCounts(Metrics, store);
+  registerFigures(Shared, Peers);
   registerGauges();
 }
 
-Awaitable<bool> Gateway::isSound(const fleet::ServerEntry &entry) {
-  const auto &services = Watch.routes()->config().Services;
-  auto spec = services.find(entry.Service);
-  if (spec == services.end())
-    co_return false;
-  http::Request ask = Protocol.healthCall(spec->second.HealthPath, entry.Id);
-  http::CallOptions options;
-  options.Timeout = ReturnCheckTimeout;
-  options.FreshConnection = true;
-  try {
-    http::Response r =
-        co_await Client.call(entry.Address, std::move(ask), options);
-    AnswerHead head = Protocol.decodeHead(r);
-    co_return r.Status == 200 && head.AnsweringServer == entry.Id;
-  } catch (const http::TransportError &e) {
-    log::debug(Category::Fleet, "check of {}: {}", entry.Id, e.what());
-  }
-  co_return false;
-}
-
-Awaitable<void> Gateway::checkReturn(fleet::ServerEntry entry) {
-  store::Backoff pause(FirstReturnPause, LongestReturnPause);
-  bool sound = false;
-  while (!sound && Servers.isReturning(entry)) {
-    sound = Watch.routes() && co_await isSound(entry);
-    if (!sound)
-      co_await sleepFor(pause.next());
-  }
-  bool admitted = sound && Servers.readmit(entry);
-  log::event(Category::Fleet, log::Level::Info, "server_return",
-             {{"server", entry.Id},
-              {"started_ms", entry.StartedMs},
-              {"sound", sound},
-              {"outcome", admitted ? "taken up again" : "left out"}});
-}
-
 void Gateway::noteServer(const fleet::Server &s, std::string_view change) {
   Metrics.count("sardineford_server_changes_total",
                 {{"service", s.Entry.Service}});
@@ -138,25 +100,10 @@
 }
 
 void Gateway::registerGauges() {
-  Metrics.gauge("sardineford_configuration_version", {}, [this] {
-    return Watch.routes()
-               ? static_cast<double>(Watch.routes()->config().Version)
-               : 0.0;
-  });
-  Metrics.gauge("sardineford_configuration_age_seconds", {},
-                [this] { return toSeconds(Watch.configurationAge()); });
-  Metrics.gauge("sardineford_servers_age_seconds", {},
-                [this] { return toSeconds(Watch.serversAge()); });
-  Metrics.gauge("sardineford_servers", {},
-                [this] { return static_cast<double>(Servers.size()); });
-  Metrics.gauge("sardineford_processes", {},
-                [this] { return static_cast<double>(Peers.processes()); });
   Metrics.gauge("sardineford_ready", {},
                 [this] { return isReady() ? 1.0 : 0.0; });
   Metrics.gauge("sardineford_open_requests", {},
                 [this] { return static_cast<double>(Front->openRequests()); });
-  Metrics.gauge("sardineford_log_lines_dropped_total", {},
-                [] { return static_cast<double>(log::droppedLines()); });
 }
 
 void Gateway::start() {
@@ -182,13 +129,15 @@
   Watch.start();
   Peers.start();
   spawn(Io, "stop", [this] { return stopOnSignal(); });
-  spawn(Io, "reload", [this] { return reloadOnSignal(); });
+  spawn(Io, "event-loop-lag", [this] { return measureLag(Metrics); });
   log::event(Category::Gateway, log::Level::Info, "started",
              {{"listen", Options.get(node::HttpListen)},
               {"failure_domain", Options.get(node::FailureDomain)},
               {"platform", Options.get(node::Platform)}});
 }
 
+void Gateway::takeSettings() { Shared.setBounds(boundsOf(Options)); }
+
 void Gateway::applyLimits() {
   const fleet::CallerLimits &l = Watch.routes()->config().Limits;
   Front->setLimits(l.MaxHeaderBytes, l.MaxBodyBytes, l.ReadTimeout,
@@ -344,6 +293,10 @@
   if (c.Status == 200 && c.FirstByte >= Milliseconds(0))
     Metrics.observe("sardineford_first_byte_seconds",
                     {{"route", c.Route->Name}}, Seconds(c.FirstByte));
+  Metrics.observe(
+      "sardineford_request_seconds",
+      {{"route", c.Route->Name}, {"answered", c.Status == 200 ? "yes" : "no"}},
+      Seconds(c.elapsed()));
 }
 
 Awaitable<void> Gateway::stopOnSignal() {
@@ -366,15 +319,4 @@
   Io.stop();
 }
 
-/// Settings that hold addresses need a restart; the rest of the configuration
-/// comes from the platform's store.
-Awaitable<void> Gateway::reloadOnSignal() {
-  boost::asio::signal_set signals(Io, SIGHUP);
-  for (;;) {
-    co_await signals.async_wait(boost::asio::use_awaitable);
-    log::event(Category::Gateway, log::Level::Info, "reload",
-               {{"outcome", "nothing to change while running"}});
-  }
-}
-
 } // namespace sardineford::gateway
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -17,6 +17,8 @@
           const BackendProtocol &protocol);
 
   void start();
+  /// Takes over settings that have changed.
+  void takeSettings();
 
 private:
   Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
@@ -28,7 +30,6 @@
   Awaitable<void> refuseEarly(const CallerRequest &r, http::ResponseWriter &out,
                               unsigned status, std::string detail);
   Awaitable<void> stopOnSignal();
-  Awaitable<void> reloadOnSignal();
   void applyLimits();
   bool isReady() const;
   Milliseconds grace() const;
@@ -36,9 +37,6 @@
   bool endsBefore(const fleet::Route &route) const;
   void logRequest(const Call &c);
   void registerGauges();
-  /// Asks a server whose entry is back whether it is sound.
-  Awaitable<void> checkReturn(fleet::ServerEntry entry);
-  Awaitable<bool> isSound(const fleet::ServerEntry &entry);
   void noteServer(const fleet::Server &s, std::string_view change);
 
   IoContext &Io;
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -103,11 +103,7 @@
     out.Detail = e.what();
     bool sent = e.Stage == http::TransportStage::Sent;
     out.Outcome = sent ? SendOutcome::Unknown : SendOutcome::NeverSent;
-    if (!c.CallerGone)
-      server->Faults.failed(!sent        ? FaultKind::Unreachable
-                            : e.TimedOut ? FaultKind::Silent
-                                         : FaultKind::Broken,
-                            MonoClock::now());
+    noteTransportFault(c, *server, e);
   }
   co_return out;
 }
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -17,7 +17,9 @@
 constexpr Milliseconds RetryAfterFailed{150};
 
 Milliseconds defaultRetryAfter(GiveUpCause cause) {
-  return cause == GiveUpCause::NoServer ? RetryAfterNoServer : RetryAfterFailed;
+  bool nowhere =
+      cause == GiveUpCause::NoServer || cause == GiveUpCause::Overloaded;
+  return nowhere ? RetryAfterNoServer : RetryAfterFailed;
 }
 
 } // namespace
@@ -30,6 +32,12 @@
   return it->second;
 }
 
+void State::setBounds(retry::BudgetBounds bounds) {
+  Bounds = bounds;
+  for (auto &[name, it] : Services)
+    it.Budget.setBounds(bounds);
+}
+
 Reservation::Reservation(fleet::ServerPtr server, fleet::WorkRank rank,
                          double promptTokens)
     : Server(std::move(server)), Rank(rank), PromptTokens(promptTokens) {
@@ -104,12 +112,28 @@
     server->Faults.failed(fleet::FaultKind::Rejected, MonoClock::now());
 }
 
+void noteTransportFault(const Call &c, fleet::Server &server,
+                        const http::TransportError &e) {
+  if (c.CallerGone)
+    return;
+  fleet::FaultKind kind = fleet::FaultKind::Broken;
+  if (e.Stage == http::TransportStage::NothingSent)
+    kind = fleet::FaultKind::Unreachable;
+  else if (e.TimedOut)
+    kind = fleet::FaultKind::Silent;
+  server.Faults.failed(kind, MonoClock::now());
+}
+
 Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause, std::string detail,
                        std::optional<Milliseconds> retryAfter) {
   c.Status = finalStatus(c.Record, cause);
   c.Outcome = std::string(toString(cause)) + ": " + detail;
   if (c.CallerGone)
     co_return;
+  s.Metrics.count("sardineford_given_up_total",
+                  {{"route", c.Route->Name},
+                   {"cause", std::string(toString(cause))},
+                   {"status", std::to_string(c.Status)}});
   if (c.Out.started()) {
     c.Out.abort();
     co_return;
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -49,6 +49,7 @@
   std::map<std::string, admission::SizeFairness> Fairness;
 
   ServiceState &service(const std::string &name);
+  void setBounds(retry::BudgetBounds bounds);
 };
 
 /// One request of a caller on its way.
@@ -113,6 +114,10 @@
 void noteRejected(State &s, const fleet::ServerPtr &server,
                   const AnswerHead &head);
 
+/// Notes a server that could not be reached or broke off.
+void noteTransportFault(const Call &c, fleet::Server &server,
+                        const http::TransportError &e);
+
 /// Sends the final failure to a caller that has got nothing yet.
 Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause, std::string detail,
                        std::optional<Milliseconds> retryAfter);
--- a/Source/Gateway/Stream.h
+++ b/Source/Gateway/Stream.h
@@ -30,6 +30,8 @@
   int PrefillTries = 0;
   fleet::WorkRank Rank = fleet::WorkRank::Urgent;
   std::optional<Milliseconds> RetryAfter;
+  /// Why no engine has it, should it be given up on now.
+  GiveUpCause Cause = GiveUpCause::NoServer;
   std::string Detail = "no engine is known";
 };
 
@@ -49,9 +51,6 @@
 void learnPhase(routing::SpeedModel &model, fleet::Server &server, double units,
                 Seconds took);
 
-void noteTransportFault(const Call &c, fleet::Server &server,
-                        const http::TransportError &e);
-
 /// Frees a handle that no engine took.
 void freeHandle(State &s, const KvHandle &handle);
 
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-using fleet::FaultKind;
 using fleet::ServerPtr;
 
 /// Weight of the newest phase in an engine's slowness, and its bounds.
@@ -38,18 +37,6 @@
   model.observe(units, took);
 }
 
-void noteTransportFault(const Call &c, fleet::Server &server,
-                        const http::TransportError &e) {
-  if (c.CallerGone)
-    return;
-  FaultKind kind = FaultKind::Broken;
-  if (e.Stage == http::TransportStage::NothingSent)
-    kind = FaultKind::Unreachable;
-  else if (e.TimedOut)
-    kind = FaultKind::Silent;
-  server.Faults.failed(kind, MonoClock::now());
-}
-
 void freeHandle(State &s, const KvHandle &handle) {
   http::Request request = s.Protocol.freeHandleCall(handle.Name);
   spawn(s.Io, "free-handle",
@@ -70,10 +57,9 @@
 
 Awaitable<void> serveStream(State &s, Call &c) {
   Progress p;
-  GiveUpCause cause = GiveUpCause::NoServer;
   for (bool isFirst = true;; isFirst = false) {
     if (c.left() <= Milliseconds(0)) {
-      cause = GiveUpCause::TimedOut;
+      p.Cause = GiveUpCause::TimedOut;
       break;
     }
     if (!isFirst && !takeFurtherAttempt(s, c))
@@ -88,7 +74,7 @@
     if (c.left() <= Milliseconds(0)) {
       if (next->Handle)
         freeHandle(s, *next->Handle);
-      cause = GiveUpCause::TimedOut;
+      p.Cause = GiveUpCause::TimedOut;
       break;
     }
     std::string id = next->Server->Entry.Id;
@@ -108,11 +94,11 @@
     }
     p.Events.dropPending();
     p.Tried.push_back(id);
-    cause = GiveUpCause::Failed;
+    p.Cause = GiveUpCause::Failed;
   }
   s.Fairness[c.Route->Name].note(sizeOf(c), false);
   std::string detail = p.Detail;
-  co_await giveUp(s, c, cause, std::move(detail), p.RetryAfter);
+  co_await giveUp(s, c, p.Cause, std::move(detail), p.RetryAfter);
 }
 
 } // namespace sardineford::gateway
--- a/Source/Metrics/Metrics.cpp
+++ b/Source/Metrics/Metrics.cpp
@@ -2,26 +2,35 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 #include <spdlog/fmt/fmt.h>
 
-#include <array>
 #include <map>
 
 namespace sardineford::metrics {
 
 namespace acc = boost::accumulators;
+namespace histogram = boost::histogram;
 
 namespace {
 
-constexpr std::array<double, 3> Quantiles = {0.5, 0.95, 0.99};
+/// Upper bounds of the buckets in seconds: from an idle plain service to the
+/// longest streams.
+std::vector<double> bucketBounds() {
+  return {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+}
+
+auto makeBuckets() {
+  // The first bucket begins at 0, the one beyond the last bound is the rest.
+  std::vector<double> edges = bucketBounds();
+  edges.insert(edges.begin(), 0);
+  return histogram::make_histogram(histogram::axis::variable<>(edges));
+}
 
-using Summary =
-    acc::accumulator_set<double,
-                         acc::stats<acc::tag::count, acc::tag::sum,
-                                    acc::tag::extended_p_square_quantile>>;
+using Total =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
 
 std::string labelText(const Labels &labels, const std::string &extra = "") {
   std::string out;
@@ -36,7 +45,8 @@
 struct Series {
   std::string Name;
   Labels Tags;
-  Summary Samples{acc::extended_p_square_probabilities = Quantiles};
+  decltype(makeBuckets()) Buckets = makeBuckets();
+  Total Samples;
 };
 
 struct Gauge {
@@ -45,13 +55,38 @@
   std::function<double()> Read;
 };
 
+struct GaugeFamily {
+  std::string Name;
+  std::function<Metrics::Family()> Read;
+};
+
+std::string renderHistogram(const Series &s) {
+  std::string out;
+  double below = s.Buckets.at(histogram::axis::index_type{-1});
+  const auto &axis = s.Buckets.axis();
+  for (int i = 0; i < axis.size(); ++i) {
+    below += s.Buckets.at(i);
+    std::string label = fmt::format("le=\"{}\"", axis.bin(i).upper());
+    out += fmt::format("{}_bucket{} {}\n", s.Name, labelText(s.Tags, label),
+                       below);
+  }
+  out += fmt::format("{}_bucket{} {}\n", s.Name,
+                     labelText(s.Tags, "le=\"+Inf\""), acc::count(s.Samples));
+  out += fmt::format("{}_sum{} {}\n", s.Name, labelText(s.Tags),
+                     acc::sum(s.Samples));
+  out += fmt::format("{}_count{} {}\n", s.Name, labelText(s.Tags),
+                     acc::count(s.Samples));
+  return out;
+}
+
 } // namespace
 
 struct Metrics::Impl {
   /// By name and labels as written.
   std::map<std::string, double> Counters;
-  std::map<std::string, Series> Summaries;
+  std::map<std::string, Series> Histograms;
   std::vector<Gauge> Gauges;
+  std::vector<GaugeFamily> Families;
 };
 
 Metrics::Metrics() : Data(std::make_unique<Impl>()) {}
@@ -64,11 +99,12 @@
 
 void Metrics::observe(const std::string &name, const Labels &labels,
                       Seconds value) {
-  auto [it, isNew] = Data->Summaries.try_emplace(name + labelText(labels));
+  auto [it, isNew] = Data->Histograms.try_emplace(name + labelText(labels));
   if (isNew) {
     it->second.Name = name;
     it->second.Tags = labels;
   }
+  it->second.Buckets(value.count());
   it->second.Samples(value.count());
 }
 
@@ -77,23 +113,21 @@
   Data->Gauges.push_back({name, labels, std::move(read)});
 }
 
+void Metrics::gauges(const std::string &name, std::function<Family()> read) {
+  Data->Families.push_back({name, std::move(read)});
+}
+
 std::string Metrics::render() const {
   std::string out;
   for (const auto &[name, n] : Data->Counters)
     out += fmt::format("{} {}\n", name, n);
   for (const Gauge &it : Data->Gauges)
     out += fmt::format("{}{} {}\n", it.Name, labelText(it.Tags), it.Read());
-  for (const auto &[key, s] : Data->Summaries) {
-    for (double q : Quantiles) {
-      double value = acc::quantile(s.Samples, acc::quantile_probability = q);
-      std::string label = fmt::format("quantile=\"{}\"", q);
-      out += fmt::format("{}{} {}\n", s.Name, labelText(s.Tags, label), value);
-    }
-    out += fmt::format("{}_sum{} {}\n", s.Name, labelText(s.Tags),
-                       acc::sum(s.Samples));
-    out += fmt::format("{}_count{} {}\n", s.Name, labelText(s.Tags),
-                       acc::count(s.Samples));
-  }
+  for (const GaugeFamily &family : Data->Families)
+    for (const auto &[labels, value] : family.Read())
+      out += fmt::format("{}{} {}\n", family.Name, labelText(labels), value);
+  for (const auto &[key, it] : Data->Histograms)
+    out += renderHistogram(it);
   return out;
 }
 
--- a/Source/Node/Daemon.cpp
+++ b/Source/Node/Daemon.cpp
@@ -34,12 +34,28 @@
   return name == "trace" ? log::Level::Trace : log::Level::Info;
 }
 
+uint64_t bytesPerSecond(const settings::Settings &s) {
+  return static_cast<uint64_t>(s.get(LogBytesPerSecond));
+}
+
+void startLog(const settings::Settings &s) {
+  log::Options o{s.get(LogJson), levelOf(s.get(LogLevel)), s.get(Name)};
+  o.BoundedStdout = s.get(LogToStdout);
+  o.BytesPerSecond = bytesPerSecond(s);
+  log::start(o);
+}
+
+void changeLog(const settings::Settings &s) {
+  log::setLevel("all", s.get(LogLevel));
+  log::setBytesPerSecond(bytesPerSecond(s));
+}
+
 } // namespace
 
-int runDaemon(int argc, char **argv, const std::string &about,
-              std::function<void(IoContext &, const settings::Settings &,
-                                 std::function<void()> run)>
-                  body) {
+int runDaemon(
+    int argc, char **argv, const std::string &about,
+    std::function<void(IoContext &, SettingsFile &, std::function<void()> run)>
+        body) {
   gflags::SetUsageMessage(about + " Use --settings=FILE.");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
@@ -50,18 +66,17 @@
   try {
     const char *named = std::getenv(SettingsVariable);
     std::string file = FLAGS_settings.empty() && named ? named : FLAGS_settings;
-    settings::Settings s = settings::Settings::load(file);
+    SettingsFile settings(file);
     if (FLAGS_check_settings) {
       std::cout << file << ": settings are right\n";
       return 0;
     }
-    log::Options logging{s.get(LogJson), levelOf(s.get(LogLevel)), s.get(Name)};
-    logging.BoundedStdout = s.get(LogToStdout);
-    logging.BytesPerSecond = static_cast<uint64_t>(s.get(LogBytesPerSecond));
-    log::start(logging);
+    startLog(settings.values());
     std::signal(SIGPIPE, SIG_IGN);
     IoContext io(1);
-    body(io, s, [&] { io.run(); });
+    settings.onChange([&] { changeLog(settings.values()); });
+    settings.follow(io);
+    body(io, settings, [&] { io.run(); });
     return 0;
   } catch (const Error &e) {
     std::cerr << e.what() << "\n" << e.Remedy << "\n";
--- a/Source/Node/Daemon.h
+++ b/Source/Node/Daemon.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Node/SettingsFile.h"
 #include "Sardineford/Common/Async.h"
-#include "Sardineford/Settings/Settings.h"
 
 #include <functional>
 #include <string>
@@ -10,9 +10,9 @@
 
 /// Reads the command line of a daemon, its settings and runs it. Returns the
 /// exit code.
-int runDaemon(int argc, char **argv, const std::string &about,
-              std::function<void(IoContext &, const settings::Settings &,
-                                 std::function<void()> run)>
-                  body);
+int runDaemon(
+    int argc, char **argv, const std::string &about,
+    std::function<void(IoContext &, SettingsFile &, std::function<void()> run)>
+        body);
 
 } // namespace sardineford::node
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -79,16 +79,23 @@
     3'600'000,
     "ms",
     "longest time that a stop waits for open requests"};
-inline const Setting<std::string> LogLevel{
-    "log.level", "info", "trace, debug, info, warning, error or off"};
+inline const Setting<std::string> LogLevel =
+    Setting<std::string>{"log.level", "info",
+                         "trace, debug, info, warning, error or off"}
+        .whileRunning();
 inline const Setting<bool> LogJson{"log.json", false,
                                    "write log lines as JSON"};
 inline const Setting<bool> LogToStdout{
     "log.stdout", false,
     "write to standard output, bounded and never waiting for its reader"};
-inline const Setting<int64_t> LogBytesPerSecond{
-    "log.bytes_per_s", 262'144,   1'024,
-    1 << 30,           "bytes/s", "log lines beyond are dropped and counted"};
+inline const Setting<int64_t> LogBytesPerSecond =
+    Setting<int64_t>{"log.bytes_per_s",
+                     262'144,
+                     1'024,
+                     1 << 30,
+                     "bytes/s",
+                     "log lines beyond are dropped and counted"}
+        .whileRunning();
 inline const Setting<std::string> HistoryFile{
     "history.file", "", "file that every event is appended to, for tests"};
 inline const Setting<int64_t> EventRing{
--- a/Source/Programs/sardineford-entry.cpp
+++ b/Source/Programs/sardineford-entry.cpp
@@ -5,9 +5,9 @@
 int main(int argc, char **argv) {
   return node::runDaemon(argc, argv,
                          "The data path of sardineford: serves callers.",
-                         [](IoContext &io, const settings::Settings &s,
+                         [](IoContext &io, node::SettingsFile &settings,
                             std::function<void()> run) {
-                           node::Node node(io, s, false);
+                           node::Node node(io, settings.values(), false);
                            entry::Entry entry(node);
                            entry.start();
                            run();
--- a/Source/Programs/sardineford.cpp
+++ b/Source/Programs/sardineford.cpp
@@ -11,14 +11,16 @@
 int main(int argc, char **argv) {
   return node::runDaemon(
       argc, argv, "Serves models and services on the users' platform.",
-      [](IoContext &io, const settings::Settings &s,
+      [](IoContext &io, node::SettingsFile &settings,
          std::function<void()> run) {
+        const settings::Settings &s = settings.values();
         http::Client storeConnections(io);
         platform::ObjectStoreClient store(
             storeConnections, http::parseEndpoint(s.get(node::Platform)));
         platform::FleetAdapter fleet;
         platform::TrafficAdapter traffic;
         gateway::Gateway gateway(io, s, store, fleet, traffic);
+        settings.onChange([&] { gateway.takeSettings(); });
         gateway.start();
         run();
       });
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -118,15 +118,21 @@
 Setting<T>::Setting(std::string key, T byDefault, double min, double max,
                     std::string unit, std::string help)
     : Key(key) {
-  registry()[key] = {
-      key, byDefault, min, max, std::move(unit), std::move(help), false};
+  Declaration d{key, byDefault, min, max, std::move(unit), std::move(help)};
+  registry()[key] = std::move(d);
 }
 
 template <class T>
 Setting<T>::Setting(std::string key, T byDefault, std::string help,
                     bool required)
     : Key(key) {
-  registry()[key] = {key, byDefault, 0, 0, "", std::move(help), required};
+  Declaration d{key, byDefault, 0, 0, "", std::move(help), required};
+  registry()[key] = std::move(d);
+}
+
+template <class T> Setting<T> Setting<T>::whileRunning() const {
+  registry()[Key].Live = true;
+  return *this;
 }
 
 template class Setting<bool>;
@@ -160,19 +166,34 @@
   return parse(text.str(), file);
 }
 
+std::vector<Change> Settings::adopt(const Settings &newer) {
+  std::vector<Change> out;
+  for (auto &[key, value] : Values) {
+    const Value &other = newer.Values.at(key);
+    if (value == other)
+      continue;
+    bool live = declarations().at(key).Live;
+    out.push_back({key, valueText(value), valueText(other), live});
+    if (live)
+      value = other;
+  }
+  return out;
+}
+
 const Value &Settings::valueOf(const std::string &key) const {
   return Values.at(key);
 }
 
 std::string describeAll() {
-  std::string out = "| key | type | default | range | unit | meaning |\n"
-                    "| --- | --- | --- | --- | --- | --- |\n";
+  std::string out =
+      "| key | type | default | range | unit | changes | meaning |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n";
   for (const auto &[key, d] : declarations()) {
     bool isNumber = d.Default.index() == 1 || d.Default.index() == 2;
     std::string range = isNumber ? fmt::format("{} to {}", d.Min, d.Max) : "";
-    out += fmt::format("| `{}` | {} | {} | {} | {} | {} |\n", key,
+    out += fmt::format("| `{}` | {} | {} | {} | {} | {} | {} |\n", key,
                        typeName(d.Default), valueText(d.Default), range, d.Unit,
-                       d.Help);
+                       d.Live ? "while running" : "at a restart", d.Help);
   }
   return out;
 }
--- a/include/Sardineford/Common/Log.h
+++ b/include/Sardineford/Common/Log.h
@@ -51,6 +51,9 @@
 /// false when the name or the level is unknown.
 bool setLevel(std::string_view category, std::string_view level);
 
+/// Changes the bound of the bounded standard output.
+void setBytesPerSecond(uint64_t n);
+
 /// True when a line of that category and level would be written.
 bool enabled(Category c, Level l);
 
--- a/include/Sardineford/Gateway/AttemptRecord.h
+++ b/include/Sardineford/Gateway/AttemptRecord.h
@@ -45,10 +45,10 @@
 
 /// Why a request was given up on.
 enum class GiveUpCause {
-  /// No server can take it now.
+  /// No server is known that takes it.
   NoServer,
-  /// It cannot be answered in the time that is left.
-  NoTime,
+  /// Servers are known, and none can begin it in time.
+  Overloaded,
   /// Servers failed it or turned it away.
   Failed,
   /// Its time is over.
--- a/include/Sardineford/Metrics/Metrics.h
+++ b/include/Sardineford/Metrics/Metrics.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardineford::metrics {
@@ -26,12 +27,15 @@
 
   /// Adds to a counter; its name ends in "_total".
   void count(const std::string &name, const Labels &labels, double n = 1);
-  /// Takes a sample of a duration; its name ends in "_seconds". Quantiles are
-  /// those of all samples since the start.
+  /// Takes a sample of a duration into a histogram; its name ends in
+  /// "_seconds".
   void observe(const std::string &name, const Labels &labels, Seconds value);
   /// Registers a figure that is read when the metrics are.
   void gauge(const std::string &name, const Labels &labels,
              std::function<double()> read);
+  /// As above, for figures of which the labels are not known before.
+  using Family = std::vector<std::pair<Labels, double>>;
+  void gauges(const std::string &name, std::function<Family()> read);
 
   std::string render() const;
 
--- a/include/Sardineford/Retry/WindowBudget.h
+++ b/include/Sardineford/Retry/WindowBudget.h
@@ -27,6 +27,7 @@
 
   /// Number of processes that share the slack.
   void setProcesses(unsigned n) { Processes = n == 0 ? 1 : n; }
+  void setBounds(BudgetBounds bounds) { Bounds = bounds; }
   void noteRequest(MonoTime now);
   /// Takes one further attempt; false when there is none left.
   bool withdraw(MonoTime now);
--- a/include/Sardineford/Settings/Settings.h
+++ b/include/Sardineford/Settings/Settings.h
@@ -26,6 +26,8 @@
   std::string Help;
   /// Text that must not be empty.
   bool Required = false;
+  /// A running process takes a new value over; others need a restart.
+  bool Live = false;
 };
 
 /// All declared settings, in the order of their keys.
@@ -40,11 +42,22 @@
           bool required = false);
 
   const std::string &key() const { return Key; }
+  /// The same setting, of which a running process takes new values over.
+  Setting whileRunning() const;
 
 private:
   std::string Key;
 };
 
+/// A value that differs between two versions of a settings file.
+struct Change {
+  std::string Key;
+  std::string From;
+  std::string To;
+  /// It was taken over; else the process must be started anew for it.
+  bool Taken = false;
+};
+
 /// The values of one process, from its settings file.
 class Settings {
 public:
@@ -62,6 +75,10 @@
     return Milliseconds(get(s));
   }
 
+  /// Takes over those values of a newer version that a running process may
+  /// change. Returns all that differ.
+  std::vector<Change> adopt(const Settings &newer);
+
 private:
   const Value &valueOf(const std::string &key) const;
 
