Load reports go through groups: sends grow with the root of the processes

Each of 58 processes told all others, 316 datagrams a second and process, and summed all reports of all peers anew for each that came. Now about the root of the number form a group, which passes on what it was told; sums are kept up by difference. Silent peers are told now and then, so that one that was frozen or cut off over 5 s is not left alone until the list is read again (up to 20 s before).

--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -25,20 +25,21 @@
 /// Within this time few requests arrive, so that placing knows nearly all of
 /// what is in flight.
 constexpr Milliseconds SendEvery{60};
+/// Datagrams that a process sends in a second, at most about: each costs some
+/// 40 us at both ends, and half a percent of a core is enough for them.
+constexpr double MostPerSecond = 120;
 /// An unchanged report is repeated so that peers know the sender alive.
 constexpr Milliseconds RepeatEvery{500};
-/// Each process sends to all others: the more there are, the seldomer.
-constexpr unsigned ProcessesAtFullRate = 15;
 /// A new process lists the others and is known to them by its reports, so that
 /// the list is read again only to find what was missed.
 constexpr Milliseconds ListEvery{20'000};
-/// Members that are not heard any more are gone.
-constexpr Milliseconds MemberLife{5'000};
 constexpr Milliseconds FirstRetry{200};
 constexpr Milliseconds LongestRetry{3'000};
 /// Each part is told twice, since datagrams are lost at times.
 constexpr int PartRepeats = 2;
 constexpr size_t MaxDatagram = size_t{60} * 1024;
+/// Passed on reports are split into datagrams of about this size.
+constexpr size_t RelayBytes = size_t{8} * 1024;
 
 uint32_t wholeTokens(double n) {
   return static_cast<uint32_t>(std::max(0.0, n));
@@ -61,7 +62,10 @@
                            metrics::Metrics &metrics)
     : Io(io), Store(store), Node(std::move(node)),
       Incarnation(makeIncarnation()), Listen(std::move(listen)),
-      Servers(directory), Metrics(metrics), Socket(io) {}
+      Servers(directory), Metrics(metrics), Socket(io), Peers(Listen),
+      Own(std::make_unique<messages::LoadShare>()) {}
+
+LoadExchange::~LoadExchange() = default;
 
 void LoadExchange::start() {
   udp::endpoint at(asio::ip::make_address(Listen.Host), Listen.Port);
@@ -77,8 +81,9 @@
   return static_cast<unsigned>(View.peers() + 1);
 }
 
-Milliseconds LoadExchange::sendInterval() const {
-  return SendEvery * std::max(1U, processes() / ProcessesAtFullRate);
+Milliseconds LoadExchange::sendInterval(const PeerSet::Sends &to) const {
+  auto n = static_cast<double>(to.Near.size() + to.Far.size());
+  return std::max(SendEvery, toMilliseconds(Seconds(n / MostPerSecond)));
 }
 
 Awaitable<void> LoadExchange::registerOwn() {
@@ -98,8 +103,7 @@
       json::value v = json::parse(it.Value);
       http::Endpoint at =
           http::parseEndpoint(json::value_to<std::string>(v.at("address")));
-      if (at != Listen)
-        Members.try_emplace(at, now);
+      Peers.noteListed(at, now);
     } catch (const std::exception &e) {
       log::event(Category::Peers, log::Level::Warning, "member_skipped",
                  {{"name", it.Name}, {"error", std::string_view(e.what())}});
@@ -124,7 +128,7 @@
       failed = true;
     }
     // Others that start at the same time register a moment later.
-    Milliseconds pause = Members.empty() ? FirstRetry * 4 : ListEvery;
+    Milliseconds pause = Peers.empty() ? FirstRetry * 4 : ListEvery;
     co_await sleepFor(failed ? backoff.next() : jittered(pause));
   }
 }
@@ -134,10 +138,12 @@
   Parts.push_back({server, part, tokens, PartRepeats});
 }
 
-std::string LoadExchange::reportBytes() {
-  messages::LoadShare out;
+bool LoadExchange::renewReport() {
+  messages::LoadShare &out = *Own;
+  out.Clear();
   out.set_node(Node);
   out.set_incarnation(Incarnation);
+  out.set_address(http::toString(Listen));
   Servers.forEach([&](const fleet::Server &s) {
     if (s.Own.Requests == 0)
       return;
@@ -162,69 +168,131 @@
   }
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
-  if (body == LastSent && now - LastSentAt < RepeatEvery)
-    return "";
-  LastSent = body;
-  LastSentAt = now;
-  out.set_sequence(++Sequence);
-  return out.SerializeAsString();
+  bool due = body != LastSent || now - LastSentAt >= RepeatEvery;
+  if (due) {
+    LastSent = std::move(body);
+    LastSentAt = now;
+    ++Sequence;
+  }
+  out.set_sequence(Sequence);
+  return due;
 }
 
-void LoadExchange::sendReport(const std::string &message) {
+void LoadExchange::send(const std::string &bytes,
+                        const std::vector<http::Endpoint> &to) {
   boost::system::error_code ec;
-  std::erase_if(Members, [now = MonoClock::now()](const auto &it) {
-    return now - it.second > MemberLife;
-  });
-  for (const auto &[it, heard] : Members) {
-    udp::endpoint to(asio::ip::make_address(it.Host, ec), it.Port);
+  for (const http::Endpoint &it : to) {
+    udp::endpoint at(asio::ip::make_address(it.Host, ec), it.Port);
     // A datagram that cannot be sent is replaced by the next one.
     if (!ec)
-      Socket.send_to(asio::buffer(message), to, 0, ec);
+      Socket.send_to(asio::buffer(bytes), at, 0, ec);
     if (ec)
       Metrics.count("sardineford_load_reports_unsent_total", {});
   }
 }
 
+void LoadExchange::sendOwn(const std::vector<http::Endpoint> &to) {
+  if (!to.empty())
+    send(Own->SerializeAsString(), to);
+}
+
+void LoadExchange::sendWithRelayed(const std::vector<http::Endpoint> &to) {
+  size_t size = 0;
+  auto flush = [&] {
+    send(Own->SerializeAsString(), to);
+    Own->clear_relayed();
+    size = 0;
+  };
+  for (const auto &[node, report] : ToRelay) {
+    size_t n = report->ByteSizeLong();
+    if (size > 0 && size + n > RelayBytes)
+      flush();
+    *Own->add_relayed() = *report;
+    size += n;
+  }
+  ToRelay.clear();
+  flush();
+}
+
 Awaitable<void> LoadExchange::sendLoop() {
+  Milliseconds pause = SendEvery;
   for (;;) {
-    co_await sleepFor(sendInterval());
-    View.forget(MonoClock::now());
+    co_await sleepFor(pause);
+    MonoTime now = MonoClock::now();
+    View.forget(now);
     applyTotals();
     if (PeersChanged)
       PeersChanged();
-    std::string message = reportBytes();
-    if (!message.empty())
-      sendReport(message);
+    PeerSet::Sends to = Peers.next(now);
+    pause = sendInterval(to);
+    bool changed = renewReport();
+    if (changed)
+      sendOwn(to.Near);
+    sendOwn(to.Silent);
+    if (to.Far.empty())
+      ToRelay.clear();
+    else if (changed || !ToRelay.empty())
+      sendWithRelayed(to.Far);
   }
 }
 
-void LoadExchange::takeReport(const std::string &bytes,
-                              const http::Endpoint &from) {
+void LoadExchange::takeDatagram(const std::string &bytes,
+                                const http::Endpoint &from) {
   messages::LoadShare in;
   if (!in.ParseFromString(bytes) || in.node() == Node) {
     Metrics.count("sardineford_load_reports_bad_total", {});
     return;
   }
+  takeReport(in, from);
+  try {
+    for (const messages::LoadShare &it : in.relayed())
+      if (it.node() != Node)
+        takeReport(it, http::parseEndpoint(it.address()));
+  } catch (const Error &e) {
+    log::debug(Category::Peers, "a relayed report: {}", e.what());
+    Metrics.count("sardineford_load_reports_bad_total", {});
+  }
+  applyChanged();
+  if (Peers.isNear(from))
+    keepForRelay(in);
+}
+
+void LoadExchange::takeReport(const messages::LoadShare &in,
+                              const http::Endpoint &from) {
   PeerReport report{in.node(), in.incarnation(), in.sequence(), {}};
   for (const messages::ServerShare &it : in.servers())
-    report.Servers[it.server()] = decodeShare(it);
+    report.Servers.emplace_back(it.server(), decodeShare(it));
   MonoTime now = MonoClock::now();
   for (const messages::PartUse &it : in.parts())
     if (fleet::ServerPtr server = Servers.find(it.server()))
       server->Parts.use(it.part(), it.tokens(), now);
-  Members[from] = now;
+  Peers.noteHeard(from, now);
   if (PeerDigests)
     PeerDigests({in.configuration_digest(), in.servers_digest()});
-  if (View.take(std::move(report), now))
-    applyTotals();
+  View.take(std::move(report), now);
 }
 
+void LoadExchange::keepForRelay(const messages::LoadShare &in) {
+  auto kept = std::make_unique<messages::LoadShare>(in);
+  kept->clear_relayed();
+  std::unique_ptr<messages::LoadShare> &slot = ToRelay[in.node()];
+  // Parts are told a few times only: those of a report that is replaced before
+  // it was passed on go with the newer one.
+  if (slot)
+    kept->mutable_parts()->MergeFrom(slot->parts());
+  slot = std::move(kept);
+}
+
+void LoadExchange::applyChanged() {
+  for (const std::string &it : View.takeChanged())
+    if (fleet::ServerPtr server = Servers.find(it))
+      server->Others = View.total(it);
+}
+
+/// Servers that were found since may have been told of before.
 void LoadExchange::applyTotals() {
-  std::map<std::string, fleet::WorkInFlight> total = View.total();
-  Servers.forEach([&](fleet::Server &s) {
-    auto it = total.find(s.Entry.Id);
-    s.Others = it == total.end() ? fleet::WorkInFlight{} : it->second;
-  });
+  View.takeChanged();
+  Servers.forEach([&](fleet::Server &s) { s.Others = View.total(s.Entry.Id); });
 }
 
 Awaitable<void> LoadExchange::receiveLoop() {
@@ -238,7 +306,7 @@
     // An earlier datagram met no listener; the next receive goes on.
     if (ec)
       continue;
-    takeReport(buf.substr(0, n), {from.address().to_string(), from.port()});
+    takeDatagram(buf.substr(0, n), {from.address().to_string(), from.port()});
   }
 }
 
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Peers/PeerSet.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Metrics/Metrics.h"
 #include "Sardineford/Peers/LoadView.h"
@@ -9,6 +10,11 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+
+namespace sardineford::messages {
+class LoadShare;
+} // namespace sardineford::messages
 
 namespace sardineford::peers {
 
@@ -20,6 +26,7 @@
   LoadExchange(IoContext &io, store::ObjectStore &store, std::string node,
                http::Endpoint listen, fleet::Directory &directory,
                metrics::Metrics &metrics);
+  ~LoadExchange();
 
   void start();
   /// Number of processes that share the work, this one included.
@@ -45,11 +52,19 @@
   Awaitable<void> readMembers();
   Awaitable<void> sendLoop();
   Awaitable<void> receiveLoop();
-  void sendReport(const std::string &message);
-  void takeReport(const std::string &bytes, const http::Endpoint &from);
-  Milliseconds sendInterval() const;
+  /// Renews the own report. Returns false when it has not changed and peers
+  /// know the process alive.
+  bool renewReport();
+  void sendOwn(const std::vector<http::Endpoint> &to);
+  /// Passes on what the near peers told since the last time.
+  void sendWithRelayed(const std::vector<http::Endpoint> &to);
+  void send(const std::string &bytes, const std::vector<http::Endpoint> &to);
+  void takeDatagram(const std::string &bytes, const http::Endpoint &from);
+  void takeReport(const messages::LoadShare &in, const http::Endpoint &from);
+  void keepForRelay(const messages::LoadShare &in);
+  Milliseconds sendInterval(const PeerSet::Sends &to) const;
   void applyTotals();
-  std::string reportBytes();
+  void applyChanged();
 
   IoContext &Io;
   store::ObjectStore &Store;
@@ -63,8 +78,9 @@
   std::function<Digests()> OwnDigests;
   std::function<void(Digests)> PeerDigests;
   LoadView View;
-  /// Peers and when they were listed or heard last.
-  std::map<http::Endpoint, MonoTime> Members;
+  PeerSet Peers;
+  /// Newest reports of near peers that are not passed on yet, by node.
+  std::map<std::string, std::unique_ptr<messages::LoadShare>> ToRelay;
   uint64_t Sequence = 0;
   struct PartUse {
     std::string Server;
@@ -74,6 +90,8 @@
   };
 
   std::vector<PartUse> Parts;
+  /// The own report, and its bytes without the sequence.
+  std::unique_ptr<messages::LoadShare> Own;
   std::string LastSent;
   MonoTime LastSentAt{};
   bool Registered = false;
--- a/Source/Peers/LoadView.cpp
+++ b/Source/Peers/LoadView.cpp
@@ -1,5 +1,7 @@
 #include "Sardineford/Peers/LoadView.h"
 
+#include <utility>
+
 namespace sardineford::peers {
 
 namespace {
@@ -9,12 +11,32 @@
 
 } // namespace
 
+void LoadView::add(const PeerReport &report) {
+  for (const auto &[server, share] : report.Servers) {
+    Totals[server] += share;
+    Changed.push_back(server);
+  }
+}
+
+void LoadView::subtract(const PeerReport &report) {
+  for (const auto &[server, share] : report.Servers) {
+    auto it = Totals.find(server);
+    it->second -= share;
+    if (it->second == fleet::WorkInFlight{})
+      Totals.erase(it);
+    Changed.push_back(server);
+  }
+}
+
 bool LoadView::take(PeerReport report, MonoTime now) {
   auto it = Reports.find(report.Node);
-  if (it != Reports.end() &&
-      it->second.Report.Incarnation == report.Incarnation &&
-      it->second.Report.Sequence >= report.Sequence)
-    return false;
+  if (it != Reports.end()) {
+    bool sameRun = it->second.Report.Incarnation == report.Incarnation;
+    if (sameRun && it->second.Report.Sequence >= report.Sequence)
+      return false;
+    subtract(it->second.Report);
+  }
+  add(report);
   std::string node = report.Node;
   Reports[node] = {std::move(report), now};
   return true;
@@ -22,16 +44,20 @@
 
 void LoadView::forget(MonoTime now) {
   std::erase_if(Reports, [&](const auto &it) {
-    return now - it.second.Heard > SilenceLimit;
+    bool silent = now - it.second.Heard > SilenceLimit;
+    if (silent)
+      subtract(it.second.Report);
+    return silent;
   });
 }
 
-std::map<std::string, fleet::WorkInFlight> LoadView::total() const {
-  std::map<std::string, fleet::WorkInFlight> out;
-  for (const auto &[node, known] : Reports)
-    for (const auto &[server, share] : known.Report.Servers)
-      out[server] += share;
-  return out;
+fleet::WorkInFlight LoadView::total(const std::string &server) const {
+  auto it = Totals.find(server);
+  return it == Totals.end() ? fleet::WorkInFlight{} : it->second;
+}
+
+std::vector<std::string> LoadView::takeChanged() {
+  return std::exchange(Changed, {});
 }
 
 } // namespace sardineford::peers
--- a/include/Sardineford/Fleet/WorkInFlight.h
+++ b/include/Sardineford/Fleet/WorkInFlight.h
@@ -46,6 +46,16 @@
     Requests += o.Requests;
     return *this;
   }
+
+  /// Exact for figures that were added before: tokens are whole numbers.
+  WorkInFlight &operator-=(const WorkInFlight &o) {
+    for (size_t i = 0; i < WorkRanks; ++i)
+      Tokens[i] -= o.Tokens[i];
+    Requests -= o.Requests;
+    return *this;
+  }
+
+  bool operator==(const WorkInFlight &) const = default;
 };
 
 } // namespace sardineford::fleet
--- a/include/Sardineford/Peers/LoadView.h
+++ b/include/Sardineford/Peers/LoadView.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardineford::peers {
@@ -15,7 +16,7 @@
   std::string Node;
   std::string Incarnation;
   uint64_t Sequence = 0;
-  std::map<std::string, fleet::WorkInFlight> Servers;
+  std::vector<std::pair<std::string, fleet::WorkInFlight>> Servers;
 };
 
 /// The newest report of each peer. A peer that is silent for some time counts
@@ -26,8 +27,10 @@
   bool take(PeerReport report, MonoTime now);
   /// Forgets peers that have been silent too long.
   void forget(MonoTime now);
-  /// Sum over all peers, by backend server.
-  std::map<std::string, fleet::WorkInFlight> total() const;
+  /// Sum over all peers of the work at a backend server.
+  fleet::WorkInFlight total(const std::string &server) const;
+  /// Servers of which the sum has changed since this was asked last.
+  std::vector<std::string> takeChanged();
   size_t peers() const { return Reports.size(); }
 
 private:
@@ -36,7 +39,14 @@
     MonoTime Heard;
   };
 
+  void add(const PeerReport &report);
+  void subtract(const PeerReport &report);
+
   std::map<std::string, Known> Reports;
+  /// Kept up with each report: summing all of them again for each would cost
+  /// the more the more processes there are.
+  std::map<std::string, fleet::WorkInFlight> Totals;
+  std::vector<std::string> Changed;
 };
 
 } // namespace sardineford::peers
