--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -23,8 +23,11 @@
 constexpr Milliseconds WatchWaitPerProcess{500};
 constexpr Milliseconds LeastWatchWait{1'500};
 constexpr Milliseconds MostWatchWait{20'000};
-/// Changes that come together are read together.
+/// Changes that come together are read together. While they go on coming, as
+/// when a fleet starts, the pause grows; it stays well below the time in which
+/// a change must be in force.
 constexpr Milliseconds GatherTime{250};
+constexpr Milliseconds LongestGatherTime{1'000};
 /// The news of a change reaches all watches within this time.
 constexpr Milliseconds DigestPatience{250};
 /// Digests that are remembered as looked into.
@@ -201,6 +204,7 @@
 FleetWatch::follow(Feed &feed, std::function<Awaitable<uint64_t>()> readAll,
                    std::function<void(const store::Object &)> apply) {
   store::Backoff backoff(FirstRetry, LongestRetry);
+  store::Backoff gather(GatherTime, LongestGatherTime);
   bool current = false;
   for (;;) {
     bool failed = false;
@@ -224,8 +228,10 @@
         apply(it);
       }
       backoff.reset();
+      if (MonoClock::now() - asked > LongestGatherTime)
+        gather.reset();
       if (!seen.Objects.empty())
-        co_await sleepFor(GatherTime);
+        co_await sleepFor(gather.next());
     } catch (const store::StoreError &e) {
       bool onlyHistory = e.Reason == store::Failure::HistoryGone;
       if (!onlyHistory)
