Log lines mended after twenty failed requests were explained

Attempts tell their patience and the server's status, requests why they were not repeated, what attempts the route allows and what the budget holds, early refusals the version and since when the process stops; tokens are written as whole numbers.

--- a/Source/Common/BoundedSink.cpp
+++ b/Source/Common/BoundedSink.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-BoundedSink::BoundedSink(int descriptor, uint64_t bytesPerSecond)
-    : Descriptor(descriptor),
+BoundedSink::BoundedSink(int descriptor, uint64_t bytesPerSecond, DropNote note)
+    : Descriptor(descriptor), Note(std::move(note)),
       BytesPerSecond(static_cast<double>(bytesPerSecond)),
       Allowance(BytesPerSecond * BurstSeconds), Refilled(MonoClock::now()) {
   int flags = ::fcntl(Descriptor, F_GETFL);
@@ -58,10 +58,7 @@
     return;
   }
   if (Dropped > Reported) {
-    std::string note = fmt::format(
-        R"({{"category":"common","event":"lines_dropped","total":{}}})"
-        "\n",
-        Dropped);
+    std::string note = Note(Dropped) + "\n";
     if (send(note.data(), note.size()))
       Reported = Dropped;
   }
--- a/Source/Common/BoundedSink.h
+++ b/Source/Common/BoundedSink.h
@@ -6,6 +6,8 @@
 #include <spdlog/sinks/base_sink.h>
 
 #include <cstdint>
+#include <functional>
+#include <string>
 
 namespace sardineford::log {
 
@@ -15,7 +17,10 @@
 class BoundedSink
     : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
-  BoundedSink(int descriptor, uint64_t bytesPerSecond);
+  /// Writes the line that tells how many were dropped so far.
+  using DropNote = std::function<std::string(uint64_t dropped)>;
+
+  BoundedSink(int descriptor, uint64_t bytesPerSecond, DropNote note);
 
   uint64_t dropped() const { return Dropped; }
   void setBytesPerSecond(uint64_t n) {
@@ -31,6 +36,7 @@
   void refill();
 
   int Descriptor;
+  DropNote Note;
   double BytesPerSecond;
   double Allowance;
   MonoTime Refilled;
--- a/Source/Common/Log.cpp
+++ b/Source/Common/Log.cpp
@@ -65,6 +65,25 @@
   return std::nullopt;
 }
 
+boost::json::value toJson(const Field::Value &v) {
+  return std::visit([](const auto &it) { return boost::json::value(it); }, v);
+}
+
+std::string eventLine(Category c, Level l, std::string_view name,
+                      std::initializer_list<Field> fields) {
+  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  boost::json::object line = {
+      {"time_ms", now.count()},
+      {"level", LevelNames[static_cast<size_t>(l)]},
+      {"process", state().Process},
+      {"category", CategoryNames[static_cast<size_t>(c)]},
+      {"event", name}};
+  for (const Field &it : fields)
+    line[it.Name] = toJson(it.Data);
+  return boost::json::serialize(line);
+}
+
 } // namespace
 
 void start(const Options &options) {
@@ -73,7 +92,11 @@
   s.Process = options.Process;
   s.Levels.fill(options.DefaultLevel);
   if (options.BoundedStdout) {
-    s.Bounded = std::make_shared<BoundedSink>(1, options.BytesPerSecond);
+    s.Bounded = std::make_shared<BoundedSink>(
+        1, options.BytesPerSecond, [](uint64_t dropped) {
+          return eventLine(Category::Common, Level::Warning, "lines_dropped",
+                           {{"total", dropped}});
+        });
     s.Logger = std::make_shared<spdlog::logger>("sardineford", s.Bounded);
     s.Logger->set_level(spdlog::level::trace);
   }
@@ -122,30 +145,10 @@
   return state().Bounded ? state().Bounded->dropped() : 0;
 }
 
-namespace {
-
-boost::json::value toJson(const Field::Value &v) {
-  return std::visit([](const auto &it) { return boost::json::value(it); }, v);
-}
-
-} // namespace
-
 void event(Category c, Level l, std::string_view name,
            std::initializer_list<Field> fields) {
-  if (!enabled(c, l))
-    return;
-  State &s = state();
-  auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch());
-  boost::json::object line = {
-      {"time_ms", now.count()},
-      {"level", LevelNames[static_cast<size_t>(l)]},
-      {"process", s.Process},
-      {"category", CategoryNames[static_cast<size_t>(c)]},
-      {"event", name}};
-  for (const Field &it : fields)
-    line[it.Name] = toJson(it.Data);
-  s.Logger->log(toSpdlog(l), "{}", boost::json::serialize(line));
+  if (enabled(c, l))
+    state().Logger->log(toSpdlog(l), "{}", eventLine(c, l, name, fields));
 }
 
 } // namespace sardineford::log
--- a/Source/Explain/Story.cpp
+++ b/Source/Explain/Story.cpp
@@ -28,7 +28,8 @@
       "readiness",       "started",
       "stopping",        "stopped",
       "reload",          "watch_renewed",
-      "lines_dropped"};
+      "lines_dropped",   "server_return",
+      "object_skipped"};
   return events.contains(line.Event);
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -186,13 +186,19 @@
                                      std::string detail) {
   Metrics.count("sardineford_requests_total",
                 {{"route", "none"}, {"status", std::to_string(status)}});
+  uint64_t version = Watch.routes() ? Watch.routes()->config().Version : 0;
+  Milliseconds stoppingFor{0};
+  if (Stopping)
+    stoppingFor = toMilliseconds(MonoClock::now() - StopBegan);
   log::event(Category::Gateway, log::Level::Info, "request",
              {{"request", r.Id},
               {"host", r.Host},
               {"target", r.Target},
               {"status", status},
               {"outcome", detail},
-              {"configuration_age_ms", Watch.configurationAge().count()}});
+              {"configuration_version", version},
+              {"configuration_age_ms", Watch.configurationAge().count()},
+              {"stopping_for_ms", stoppingFor.count()}});
   std::optional<Milliseconds> comeBack;
   if (status == StatusUnavailable)
     comeBack = jittered(Stopping ? RetryAfterStop : RetryAfterStart);
@@ -266,6 +272,7 @@
 }
 
 void Gateway::logRequest(const Call &c) {
+  MonoTime now = MonoClock::now();
   std::string sends;
   for (const Send &it : c.Record.all())
     sends += (sends.empty() ? "" : ",") + it.Server + ":" +
@@ -285,6 +292,9 @@
               {"took_ms", c.elapsed().count()},
               {"left_ms", c.left().count()},
               {"sends", sends},
+              {"most_attempts", c.Route->MaxAttempts},
+              {"not_repeated", c.NotRepeated},
+              {"budget_left", Shared.service(c.Service).Budget.left(now)},
               {"configuration_version", c.Routes->config().Version},
               {"servers_age_ms", Watch.serversAge().count()}});
   Metrics.count("sardineford_requests_total",
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -12,6 +12,8 @@
 using fleet::FaultKind;
 using fleet::ServerPtr;
 
+/// From this status on a server says that it failed.
+constexpr unsigned StatusServerFailed = 500;
 /// A repeatable call that takes this many times the typical time is tried
 /// elsewhere.
 constexpr double PatienceFactor = 5;
@@ -98,6 +100,8 @@
       co_return out;
     }
     out.Outcome = SendOutcome::Answered;
+    if (r.Status >= StatusServerFailed)
+      out.Detail = "the server answered " + std::to_string(r.Status);
     out.Response = std::move(r);
   } catch (const http::TransportError &e) {
     out.Detail = e.what();
@@ -110,7 +114,7 @@
 
 void learn(State &s, Call &c, const ServerPtr &server, const Answer &a,
            Milliseconds took) {
-  if (a.Response->Status >= 500) {
+  if (a.Response->Status >= StatusServerFailed) {
     server->Faults.failed(FaultKind::Failed, MonoClock::now());
     return;
   }
@@ -136,12 +140,15 @@
   GiveUpCause cause = GiveUpCause::NoServer;
   for (;;) {
     if (c.left() <= Milliseconds(0)) {
+      c.NotRepeated = "no time is left";
       cause = GiveUpCause::TimedOut;
       break;
     }
     ServerPtr server = choose(s, c, tried);
-    if (!server)
+    if (!server) {
+      c.NotRepeated = "no other server is known";
       break;
+    }
     if (!tried.empty() && !takeFurtherAttempt(s, c))
       break;
     tried.insert(server->Entry.Id);
@@ -155,8 +162,9 @@
     }
     c.Record.close(send, a.Outcome);
     Milliseconds took = toMilliseconds(MonoClock::now() - start);
-    logAttempt(c, *server, "run", a.Outcome, took,
-               s.service(c.Service).TypicalAnswer, a.Detail);
+    logAttempt(c, *server,
+               {"run", a.Outcome, s.service(c.Service).TypicalAnswer, timeout,
+                took, a.Detail});
     if (c.CallerGone)
       co_return;
     cause = GiveUpCause::Failed;
@@ -165,7 +173,7 @@
       continue;
     }
     learn(s, c, server, a, took);
-    bool serverFailed = a.Response->Status >= 500;
+    bool serverFailed = a.Response->Status >= StatusServerFailed;
     if (!serverFailed || !c.Route->mayRepeat()) {
       co_await pass(s, c, std::move(*a.Response));
       co_return;
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -74,15 +74,21 @@
         return it.Outcome == SendOutcome::Unknown ||
                it.Outcome == SendOutcome::Answered;
       }));
-  if (ran > 0 && !c.Route->mayRepeat())
+  if (ran > 0 && !c.Route->mayRepeat()) {
+    c.NotRepeated = "it may have run, and its route lets it run once";
     return false;
-  if (ran >= c.Route->MaxAttempts)
+  }
+  if (ran >= c.Route->MaxAttempts) {
+    c.NotRepeated = "its route's attempts are used up";
     return false;
+  }
   if (c.Record.sends() == 0)
     return true;
   bool taken = s.service(c.Service).Budget.withdraw(MonoClock::now());
   s.Metrics.count("sardineford_further_attempts_total",
                   {{"service", c.Service}, {"taken", taken ? "yes" : "no"}});
+  if (!taken)
+    c.NotRepeated = "the retry budget is used up";
   return taken;
 }
 
@@ -147,22 +153,24 @@
 }
 
 void logAttempt(const Call &c, const fleet::Server &server,
-                std::string_view step, SendOutcome outcome, Milliseconds took,
-                Seconds estimate, std::string_view detail) {
-  log::event(
-      log::Category::Gateway, log::Level::Info, "attempt",
-      {{"request", c.Request.Id},
-       {"step", step},
-       {"server", server.Entry.Id},
-       {"own_requests", server.Own.Requests},
-       {"others_requests", server.Others.Requests},
-       {"urgent_tokens_ahead", server.tokensAhead(fleet::WorkRank::Urgent)},
-       {"tokens_ahead", server.tokensAhead(fleet::WorkRank::Background)},
-       {"estimate_ms", toMilliseconds(estimate).count()},
-       {"took_ms", took.count()},
-       {"left_ms", c.left().count()},
-       {"outcome", toString(outcome)},
-       {"detail", detail}});
+                const AttemptLine &line) {
+  auto ahead = [&](fleet::WorkRank r) {
+    return static_cast<int64_t>(server.tokensAhead(r));
+  };
+  log::event(log::Category::Gateway, log::Level::Info, "attempt",
+             {{"request", c.Request.Id},
+              {"step", line.Step},
+              {"server", server.Entry.Id},
+              {"own_requests", server.Own.Requests},
+              {"others_requests", server.Others.Requests},
+              {"urgent_tokens_ahead", ahead(fleet::WorkRank::Urgent)},
+              {"tokens_ahead", ahead(fleet::WorkRank::Background)},
+              {"estimate_ms", toMilliseconds(line.Estimate).count()},
+              {"patience_ms", line.Patience.count()},
+              {"took_ms", line.Took.count()},
+              {"left_ms", c.left().count()},
+              {"outcome", toString(line.Outcome)},
+              {"detail", line.Detail}});
 }
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -69,6 +69,8 @@
   /// For the log: how the request ended.
   unsigned Status = 0;
   std::string Outcome;
+  /// Why no further attempt was made, where one was thought of.
+  std::string_view NotRepeated;
   Milliseconds FirstByte{-1};
   uint64_t Events = 0;
 
@@ -122,10 +124,19 @@
 Awaitable<void> giveUp(State &s, Call &c, GiveUpCause cause, std::string detail,
                        std::optional<Milliseconds> retryAfter);
 
-/// Writes the line of one attempt.
+/// What the line of one attempt tells.
+struct AttemptLine {
+  std::string_view Step;
+  SendOutcome Outcome = SendOutcome::Unknown;
+  Seconds Estimate{0};
+  /// Longest time that it was given.
+  Milliseconds Patience{0};
+  Milliseconds Took{0};
+  std::string_view Detail;
+};
+
 void logAttempt(const Call &c, const fleet::Server &server,
-                std::string_view step, SendOutcome outcome, Milliseconds took,
-                Seconds estimate, std::string_view detail);
+                const AttemptLine &line);
 
 Awaitable<void> servePlain(State &s, Call &c);
 Awaitable<void> serveStream(State &s, Call &c);
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -59,6 +59,7 @@
   Progress p;
   for (bool isFirst = true;; isFirst = false) {
     if (c.left() <= Milliseconds(0)) {
+      c.NotRepeated = "no time is left";
       p.Cause = GiveUpCause::TimedOut;
       break;
     }
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -25,8 +25,8 @@
   http::Request request = s.Protocol.prefillCall(c.Request, send);
   Milliseconds patience = std::max(
       LeastFirstEventPatience, toMilliseconds(estimate * FirstEventPatience));
-  http::CallOptions options =
-      callOptions(c, false, std::min(patience, c.left()));
+  patience = std::min(patience, c.left());
+  http::CallOptions options = callOptions(c, false, patience);
   MonoTime start = MonoClock::now();
   std::optional<KvHandle> handle;
   SendOutcome outcome = SendOutcome::Unknown;
@@ -59,8 +59,9 @@
   } else {
     p.Detail = detail;
   }
-  logAttempt(c, *server, "prefill", outcome, toMilliseconds(took), estimate,
-             detail);
+  logAttempt(
+      c, *server,
+      {"prefill", outcome, estimate, patience, toMilliseconds(took), detail});
   co_return handle;
 }
 
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -126,8 +126,8 @@
   if (p.Events.lastId())
     send.ResumeAfter = p.Events.lastId();
   http::Request request = s.Protocol.runCall(c.Request, send);
-  http::CallOptions options =
-      callOptions(c, !c.Route->mayRepeat(), firstEventPatience(s, c, plan));
+  Milliseconds patience = firstEventPatience(s, c, plan);
+  http::CallOptions options = callOptions(c, !c.Route->mayRepeat(), patience);
   size_t record = c.Record.open(server->Entry.Id);
   MonoTime start = MonoClock::now();
   RunEnd end = RunEnd::Broken;
@@ -174,8 +174,9 @@
   c.Record.close(record, outcome);
   if (end != RunEnd::Complete)
     p.Detail = detail;
-  logAttempt(c, *server, plan.Handle ? "run with fetched cache" : "run",
-             outcome, toMilliseconds(first), plan.Estimate, detail);
+  logAttempt(c, *server,
+             {plan.Handle ? "run with fetched cache" : "run", outcome,
+              plan.Estimate, patience, toMilliseconds(first), detail});
   co_return end;
 }
 
--- a/Tests/Common/BoundedSinkTest.cpp
+++ b/Tests/Common/BoundedSinkTest.cpp
@@ -29,11 +29,16 @@
   std::array<int, 2> Ends{};
 };
 
+std::string noteDropped(uint64_t n) {
+  return "lines_dropped " + std::to_string(n);
+}
+
 } // namespace
 
 TEST_CASE("a full pipe drops lines and never holds up the writer") {
   FullPipe pipe;
-  auto sink = std::make_shared<log::BoundedSink>(pipe.Ends[1], 1 << 30);
+  auto sink =
+      std::make_shared<log::BoundedSink>(pipe.Ends[1], 1 << 30, noteDropped);
   spdlog::logger logger("test", sink);
   logger.set_pattern("%v");
   const std::string line(200, 'x');
@@ -51,7 +56,8 @@
 
 TEST_CASE("lines over the allowed bytes are dropped") {
   FullPipe pipe;
-  auto sink = std::make_shared<log::BoundedSink>(pipe.Ends[1], 1'000);
+  auto sink =
+      std::make_shared<log::BoundedSink>(pipe.Ends[1], 1'000, noteDropped);
   spdlog::logger logger("test", sink);
   for (int i = 0; i < 200; ++i)
     logger.info(std::string(100, 'x'));
