A prompt part counts as cached from the send on

Cause: a part was noted at an engine with the first event. Requests with the same part that came meanwhile went to other engines, though behind the first they would have found it cached.

--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -21,6 +21,8 @@
                                            Seconds estimate) {
   double ahead = server->tokensAhead(p.Rank);
   Reservation inFlight(server, p.Rank, tokens);
+  // What comes behind it there finds its shared parts cached.
+  noteParts(s, c, *server);
   SendOptions send = sendOptions(c, p, server);
   http::Request request = s.Protocol.prefillCall(c.Request, send);
   Milliseconds patience = std::max(
@@ -55,7 +57,6 @@
     server->Faults.succeeded(MonoClock::now());
     learnPhase(s.service(c.Service).Speeds.Prefill, *server, ahead + tokens,
                took);
-    noteParts(s, c, *server);
   } else {
     p.Detail = detail;
   }
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -86,7 +86,6 @@
     learnPhase(m.Fetch, *plan.Server, plan.Tokens, took);
   else
     learnPhase(m.Alone, *plan.Server, ahead + plan.Tokens, took);
-  noteParts(s, c, *plan.Server);
 }
 
 Awaitable<RunEnd> useAnswer(State &s, Call &c, Progress &p,
@@ -118,6 +117,8 @@
   const ServerPtr &server = plan.Server;
   double ahead = server->tokensAhead(p.Rank);
   Reservation inFlight(server, p.Rank, plan.Handle ? 0 : plan.Tokens);
+  // What comes behind it there finds its shared parts cached.
+  noteParts(s, c, *server);
   SendOptions send = sendOptions(c, p, server);
   send.From = plan.Handle;
   if (plan.Handle)
