A peer that knows more has everything read, not another watch

Traced with a line for each store call: while history is dropped, the watch that a process began because its peers knew more was neither cut nor told of the change; it got its 410 with the next change. One renewal for each digest then left it. Now all is read. A peer that is behind, by the newest version it knows, is looked into only when the difference stays for 1.5 s: it may know of a removal. Renewals asked for while no watch waits did nothing but mark the digest as settled; they are left out. The new case fails (version 4 instead of 7) when the poke begins only a new watch. The old check counted lists with renewed watches (1); it counts the one read of each digest now (2). Ruled out: the mesh (the digest had come), a hung connection (the same watch answered later), lost log lines.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -30,6 +30,9 @@
 constexpr Milliseconds LongestGatherTime{1'000};
 /// The news of a change reaches all watches within this time.
 constexpr Milliseconds DigestPatience{250};
+/// A peer that knows older objects only is behind, as a rule, and mends that
+/// within this time. Else it may know of a removal that the own watch missed.
+constexpr Milliseconds BehindPatience{1'500};
 /// Digests that are remembered as looked into.
 constexpr size_t KeptDigests = 64;
 /// Events that are there at once, after a watch that saw none, were missed.
@@ -94,6 +97,7 @@
 void FleetWatch::noteAnswer(Feed &feed) {
   feed.Confirmed = MonoClock::now();
   feed.DifferentSince = {};
+  feed.AheadSince = {};
   if (!feed.Lost)
     return;
   feed.Lost = false;
@@ -132,18 +136,17 @@
   other.Poke.expires_at(MonoClock::now());
 }
 
-/// Waits for changes. Ends early, without any, when it is poked.
-Awaitable<store::Changes> FleetWatch::watchOnce(Feed &feed) {
+/// Waits for changes. Empty when it is poked instead.
+Awaitable<std::optional<store::Changes>> FleetWatch::watchOnce(Feed &feed) {
   using namespace asio::experimental::awaitable_operators;
   feed.Poke.expires_at(MonoTime::max());
+  feed.Waiting = true;
   std::variant<Seen, std::tuple<boost::system::error_code>> first =
       co_await (watchSettled(feed) ||
                 feed.Poke.async_wait(asio::as_tuple(asio::use_awaitable)));
-  if (first.index() == 1) {
-    store::Changes none;
-    none.Revision = feed.Revision;
-    co_return none;
-  }
+  feed.Waiting = false;
+  if (first.index() == 1)
+    co_return std::nullopt;
   Seen &seen = std::get<0>(first);
   if (seen.Failed)
     throw store::StoreError(*seen.Failed);
@@ -170,36 +173,58 @@
     noteObject(feed, it);
 }
 
-void FleetWatch::comparePeer(Feed &feed, uint64_t digest) {
+uint64_t FleetWatch::newestOf(const Feed &feed) {
+  uint64_t newest = 0;
+  for (const auto &[name, version] : feed.Revisions)
+    newest = std::max(newest, version);
+  return newest;
+}
+
+StoreView FleetWatch::view() const {
+  return {{ConfigurationFeed.Digest, newestOf(ConfigurationFeed)},
+          {ServerFeed.Digest, newestOf(ServerFeed)}};
+}
+
+/// A watch that was begun while the store dropped its history can wait for
+/// long without being told of what was dropped, and so can its successor: only
+/// reading everything settles the difference.
+void FleetWatch::comparePeer(Feed &feed, const FeedView &peer) {
   bool known = std::find(feed.LookedInto.begin(), feed.LookedInto.end(),
-                         digest) != feed.LookedInto.end();
-  if (digest == feed.Digest || known || feed.Lost)
+                         peer.Digest) != feed.LookedInto.end();
+  if (peer.Digest == feed.Digest || known || feed.Lost)
     return;
   MonoTime now = MonoClock::now();
+  bool behind = peer.Newest != 0 && peer.Newest < newestOf(feed);
   // Many peers may know many different things: the time counts from the first.
   if (feed.DifferentSince == MonoTime{})
     feed.DifferentSince = now;
-  if (now - feed.DifferentSince < DigestPatience ||
-      now - feed.Confirmed < DigestPatience)
+  if (!behind && feed.AheadSince == MonoTime{})
+    feed.AheadSince = now;
+  bool tooEarly = behind ? now - feed.DifferentSince < BehindPatience
+                         : now - feed.AheadSince < DigestPatience;
+  if (!feed.Waiting || tooEarly || now - feed.Confirmed < DigestPatience)
     return;
   feed.DifferentSince = {};
-  feed.LookedInto.push_back(digest);
+  feed.AheadSince = {};
+  feed.LookedInto.push_back(peer.Digest);
   if (feed.LookedInto.size() > KeptDigests)
     feed.LookedInto.pop_front();
   log::event(Category::Store, log::Level::Info, "watch_renewed",
              {{"feed", feed.Kind},
               {"revision", feed.Revision},
-              {"age_ms", since(feed.Confirmed).count()}});
+              {"age_ms", since(feed.Confirmed).count()},
+              {"because",
+               behind ? "a peer knows other things" : "a peer knows more"}});
   feed.Poke.expires_at(now);
 }
 
-void FleetWatch::notePeerDigests(uint64_t configuration, uint64_t servers) {
-  comparePeer(ConfigurationFeed, configuration);
-  comparePeer(ServerFeed, servers);
+void FleetWatch::notePeer(const StoreView &peer) {
+  comparePeer(ConfigurationFeed, peer.Configuration);
+  comparePeer(ServerFeed, peer.Servers);
 }
 
-/// Reads everything, then follows the changes. Whenever a watch fails, all is
-/// read again, since changes may have been missed.
+/// Reads everything, then follows the changes. Whenever a watch fails or was
+/// poked, all is read again, since changes may have been missed.
 Awaitable<void>
 FleetWatch::follow(Feed &feed, std::function<Awaitable<uint64_t>()> readAll,
                    std::function<void(const store::Object &)> apply) {
@@ -215,22 +240,26 @@
         noteAnswer(feed);
       }
       MonoTime asked = MonoClock::now();
-      store::Changes seen = co_await watchOnce(feed);
+      std::optional<store::Changes> seen = co_await watchOnce(feed);
+      if (!seen) {
+        current = false;
+        continue;
+      }
       noteAnswer(feed);
-      bool missed = feed.SawNone && !seen.Objects.empty() &&
+      bool missed = feed.SawNone && !seen->Objects.empty() &&
                     MonoClock::now() - asked < AtOnce;
-      feed.SawNone = seen.Objects.empty();
+      feed.SawNone = seen->Objects.empty();
       if (missed)
         renewOther(feed);
-      feed.Revision = std::max(feed.Revision, seen.Revision);
-      for (const store::Object &it : seen.Objects) {
+      feed.Revision = std::max(feed.Revision, seen->Revision);
+      for (const store::Object &it : seen->Objects) {
         noteObject(feed, it);
         apply(it);
       }
       backoff.reset();
       if (MonoClock::now() - asked > LongestGatherTime)
         gather.reset();
-      if (!seen.Objects.empty())
+      if (!seen->Objects.empty())
         co_await sleepFor(gather.next());
     } catch (const store::StoreError &e) {
       bool onlyHistory = e.Reason == store::Failure::HistoryGone;
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/FleetCodec.h"
+#include "Sardineford/Fleet/StoreView.h"
 #include "Sardineford/Metrics/Metrics.h"
 #include "Sardineford/Store/ObjectStore.h"
 
@@ -29,12 +30,11 @@
   /// each one's watch waits: some watch is always young enough to be sound,
   /// and its process tells the others of a change that theirs did not show.
   void setProcesses(unsigned n) { Processes = n == 0 ? 1 : n; }
-  /// Digests of what is known of the store; equal where the same is known.
-  uint64_t configurationDigest() const { return ConfigurationFeed.Digest; }
-  uint64_t serversDigest() const { return ServerFeed.Digest; }
-  /// Another process knows this. Where it differs for some time, the own
-  /// watch is begun anew, once for each digest.
-  void notePeerDigests(uint64_t configuration, uint64_t servers);
+  /// What is known of the store.
+  StoreView view() const;
+  /// Another process knows this. Where it differs for some time although the
+  /// own watch is silent, all is read again, once for each digest.
+  void notePeer(const StoreView &peer);
 
   /// Empty until one is known.
   const std::shared_ptr<const RouteTable> &routes() const { return Routes; }
@@ -51,10 +51,14 @@
     /// Revision of each object that is known, and their digest.
     std::map<std::string, uint64_t> Revisions;
     uint64_t Digest = 0;
-    /// Since when some peer knows other things, and the digests for which the
-    /// watch was renewed already.
+    /// Since when some peer knows other things, and since when one that is not
+    /// behind does.
     MonoTime DifferentSince{};
+    MonoTime AheadSince{};
+    /// Digests for which all was read again already.
     std::deque<uint64_t> LookedInto;
+    /// A watch is waiting for an answer.
+    bool Waiting = false;
     /// Expires to end a watch that waits.
     boost::asio::steady_timer Poke;
     uint64_t Revision = 0;
@@ -79,12 +83,13 @@
   };
 
   Awaitable<Seen> watchSettled(Feed &feed);
-  Awaitable<store::Changes> watchOnce(Feed &feed);
+  Awaitable<std::optional<store::Changes>> watchOnce(Feed &feed);
   Milliseconds watchWait() const;
   void renewOther(const Feed &feed);
   static void noteObject(Feed &feed, const store::Object &o);
   static void resetDigest(Feed &feed, const store::ObjectList &list);
-  static void comparePeer(Feed &feed, uint64_t digest);
+  static uint64_t newestOf(const Feed &feed);
+  static void comparePeer(Feed &feed, const FeedView &peer);
   void noteFailure(Feed &feed, const std::string &what);
   void noteAnswer(Feed &feed);
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -70,14 +70,9 @@
     Shared.Processes = Peers.processes();
     Watch.setProcesses(Peers.processes());
   });
-  Peers.exchangeDigests(
-      [this] {
-        return peers::LoadExchange::Digests{Watch.configurationDigest(),
-                                            Watch.serversDigest()};
-      },
-      [this](peers::LoadExchange::Digests d) {
-        Watch.notePeerDigests(d.Configuration, d.Servers);
-      });
+  Peers.exchangeViews(
+      [this] { return Watch.view(); },
+      [this](const fleet::StoreView &peer) { Watch.notePeer(peer); });
   Servers.onReturn([this](const fleet::ServerEntry &e) {
     spawn(Io, "check-return", [this, e] { return checkReturn(Shared, e); });
   });
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -161,10 +161,12 @@
     --it.Repeats;
   }
   std::erase_if(Parts, [](const PartUse &it) { return it.Repeats <= 0; });
-  if (OwnDigests) {
-    Digests d = OwnDigests();
-    out.set_configuration_digest(d.Configuration);
-    out.set_servers_digest(d.Servers);
+  if (OwnView) {
+    fleet::StoreView v = OwnView();
+    out.set_configuration_digest(v.Configuration.Digest);
+    out.set_configuration_newest(v.Configuration.Newest);
+    out.set_servers_digest(v.Servers.Digest);
+    out.set_servers_newest(v.Servers.Newest);
   }
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
@@ -267,8 +269,9 @@
     if (fleet::ServerPtr server = Servers.find(it.server()))
       server->Parts.use(it.part(), it.tokens(), now);
   Peers.noteHeard(from, now);
-  if (PeerDigests)
-    PeerDigests({in.configuration_digest(), in.servers_digest()});
+  if (PeerView)
+    PeerView({{in.configuration_digest(), in.configuration_newest()},
+              {in.servers_digest(), in.servers_newest()}});
   View.take(std::move(report), now);
 }
 
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -2,6 +2,7 @@
 
 #include "Peers/PeerSet.h"
 #include "Sardineford/Fleet/Directory.h"
+#include "Sardineford/Fleet/StoreView.h"
 #include "Sardineford/Metrics/Metrics.h"
 #include "Sardineford/Peers/LoadView.h"
 #include "Sardineford/Store/ObjectStore.h"
@@ -33,15 +34,11 @@
   unsigned processes() const;
   /// Tells the others that a prompt part is cached at a server from now on.
   void tellPart(const std::string &server, uint64_t part, uint64_t tokens);
-  /// Digests of what is known of the store, to tell and to be told.
-  struct Digests {
-    uint64_t Configuration = 0;
-    uint64_t Servers = 0;
-  };
-  void exchangeDigests(std::function<Digests()> own,
-                       std::function<void(Digests)> peer) {
-    OwnDigests = std::move(own);
-    PeerDigests = std::move(peer);
+  /// What is known of the store, to tell and to be told.
+  void exchangeViews(std::function<fleet::StoreView()> own,
+                     std::function<void(const fleet::StoreView &)> peer) {
+    OwnView = std::move(own);
+    PeerView = std::move(peer);
   }
   /// Called when the number of processes may have changed.
   void onPeers(std::function<void()> f) { PeersChanged = std::move(f); }
@@ -75,8 +72,8 @@
   metrics::Metrics &Metrics;
   boost::asio::ip::udp::socket Socket;
   std::function<void()> PeersChanged;
-  std::function<Digests()> OwnDigests;
-  std::function<void(Digests)> PeerDigests;
+  std::function<fleet::StoreView()> OwnView;
+  std::function<void(const fleet::StoreView &)> PeerView;
   LoadView View;
   PeerSet Peers;
   /// Newest reports of near peers that are not passed on yet, by node.
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -117,9 +117,9 @@
     t.Store.Lists["config"] = {config(7, 12)};
     t.Store.Watches["config"].push_back({f, {}});
     // The pending watch waits for a minute: a peer knows more.
-    t.Watch.notePeerDigests(1, 0);
+    t.Watch.notePeer({{1, 0}, {}});
     t.runFor(Milliseconds(450));
-    t.Watch.notePeerDigests(1, 0);
+    t.Watch.notePeer({{1, 0}, {}});
     t.runFor(Milliseconds(400));
     CHECK(t.version() == 7);
   }
@@ -132,7 +132,7 @@
   t.Store.Lists["config"] = {config(7, 12)};
   t.Store.Watches["config"].push_back({Failure::HistoryGone, {}});
   for (uint64_t i = 0; i < 12; ++i) {
-    t.Watch.notePeerDigests(100 + i % 5, 0);
+    t.Watch.notePeer({{100 + i % 5, 0}, {}});
     t.runFor(Milliseconds(50));
   }
   CHECK(t.version() == 7);
@@ -152,13 +152,43 @@
   t.Watch.start();
   t.runFor(Milliseconds(20));
   for (int i = 0; i < 6; ++i) {
-    t.Store.Watches["config"].push_back({std::nullopt, {}});
-    t.Watch.notePeerDigests(1, t.Watch.serversDigest());
+    t.Watch.notePeer({{1, 0}, t.Watch.view().Servers});
     t.runFor(Milliseconds(300));
   }
-  // One watch was ended and one step of the script taken in its place; after
-  // that step the next watch follows at once.
+  CHECK(t.Store.ListCalls["config"] == 2);
+}
+
+// A day of 59 processes: watches that were begun as the store dropped its
+// history heard nothing of the change before, and were not cut.
+TEST_CASE(
+    "a peer that knows more has everything read, whatever the watch says") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(20));
+  t.Store.Lists["config"] = {config(7, 12)};
+  // No step of the script: each watch, also a new one, is silent.
+  for (int i = 0; i < 8; ++i) {
+    t.Watch.notePeer({{1, 12}, t.Watch.view().Servers});
+    t.runFor(Milliseconds(60));
+  }
+  CHECK(t.version() == 7);
+}
+
+TEST_CASE("a peer that is behind costs no read, unless it stays different") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(20));
+  for (int i = 0; i < 10; ++i) {
+    t.Watch.notePeer({{1, 3}, t.Watch.view().Servers});
+    t.runFor(Milliseconds(100));
+  }
   CHECK(t.Store.ListCalls["config"] == 1);
+  // It may know of a removal.
+  for (int i = 0; i < 10; ++i) {
+    t.Watch.notePeer({{1, 3}, t.Watch.view().Servers});
+    t.runFor(Milliseconds(100));
+  }
+  CHECK(t.Store.ListCalls["config"] == 2);
 }
 
 TEST_CASE("an object that names no server is taken as gone") {
