Processes that do not hear one another ask before they give one another up

Cause: a test of 20 real exchanges on one loop never came to a state in which all counted 20 (9 to 20 after 5 s): groups are formed of the processes that a process hears, and whom it hears depends on how the others form theirs. One that is silent for 0.9 s is asked directly and answers directly; it leaves the groups after 2 s. Ruled out: a longer life alone, which keeps dead ones in the groups.

--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -230,7 +230,10 @@
     bool changed = renewReport();
     if (changed)
       sendOwn(to.Near);
+    sendOwn(std::exchange(ToAnswer, {}));
+    Own->set_wants_answer(true);
     sendOwn(to.Silent);
+    Own->set_wants_answer(false);
     if (to.Far.empty())
       ToRelay.clear();
     else if (changed || !ToRelay.empty())
@@ -255,6 +258,8 @@
     Metrics.count("sardineford_load_reports_bad_total", {});
   }
   applyChanged();
+  if (in.wants_answer())
+    ToAnswer.push_back(from);
   if (Peers.isNear(from))
     keepForRelay(in);
 }
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -78,6 +78,8 @@
   PeerSet Peers;
   /// Newest reports of near peers that are not passed on yet, by node.
   std::map<std::string, std::unique_ptr<messages::LoadShare>> ToRelay;
+  /// Processes that asked for a report.
+  std::vector<http::Endpoint> ToAnswer;
   uint64_t Sequence = 0;
   struct PartUse {
     std::string Server;
--- a/Source/Peers/PeerSet.cpp
+++ b/Source/Peers/PeerSet.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
-/// Reports come several times a second, passed on ones too.
-constexpr Milliseconds ActiveLife{1'500};
-/// A silent process is told at least this seldom, and the seldomer the longer
-/// it is silent.
-constexpr Milliseconds LeastProbePause{500};
+/// Every process repeats its report twice a second, and what is passed on comes
+/// a fraction of a second later. Whoever is silent for longer is asked.
+constexpr Milliseconds ProbeAfter{900};
+/// A process that does not answer either is left out of the groups.
+constexpr Milliseconds ActiveLife{2'000};
+/// Pause between two questions; it grows with the silence.
+constexpr Milliseconds LeastProbePause{400};
 constexpr int ProbeShare = 4;
 /// A process that was silent for so long is gone, until it is listed again.
 constexpr Milliseconds SilentLife{60'000};
@@ -39,12 +41,13 @@
   Sends out;
   std::vector<http::Endpoint> active = {Own};
   for (auto &[at, peer] : Known) {
-    if (peer.Heard && now - peer.Since <= ActiveLife) {
+    auto silence = now - peer.Since;
+    if (peer.Heard && silence <= ActiveLife)
       active.push_back(at);
+    if (peer.Heard && silence <= ProbeAfter)
       continue;
-    }
-    auto pause = std::max<MonoClock::duration>(LeastProbePause,
-                                               (now - peer.Since) / ProbeShare);
+    auto pause =
+        std::max<MonoClock::duration>(LeastProbePause, silence / ProbeShare);
     if (now - peer.Probed < pause)
       continue;
     peer.Probed = now;
--- a/Source/Peers/PeerSet.h
+++ b/Source/Peers/PeerSet.h
@@ -22,11 +22,12 @@
   struct Sends {
     std::vector<http::Endpoint> Near;
     std::vector<http::Endpoint> Far;
-    /// Silent ones that are told directly now and then: they may just have
-    /// been started, woken, or joined again.
+    /// Silent ones, which are asked for a report now and then: they may just
+    /// have been started, woken, or joined again, or count other processes to
+    /// their groups.
     std::vector<http::Endpoint> Silent;
   };
-  /// Whom to send to now. Silent ones count as told.
+  /// Whom to send to now. Silent ones count as asked.
   Sends next(MonoTime now);
   /// The endpoint is of the group that tells one another directly.
   bool isNear(const http::Endpoint &at) const { return Group.contains(at); }
--- /dev/null
+++ b/Tests/Peers/LoadExchangeTest.cpp
@@ -0,0 +1,160 @@
+#include "Peers/LoadExchange.h"
+
+#include "StandIns/Deployment/Deployment.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+
+using namespace sardineford;
+using namespace sardineford::peers;
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Longest time that the processes may take; they need well under a second.
+constexpr Milliseconds Limit{20'000};
+
+/// A store of one kind of objects, in memory.
+class MemoryStore : public store::ObjectStore {
+public:
+  Awaitable<std::optional<store::Object>> get(std::string,
+                                              std::string name) override {
+    auto it = Objects.find(name);
+    if (it == Objects.end())
+      co_return std::nullopt;
+    co_return it->second;
+  }
+  Awaitable<store::ObjectList> list(std::string) override {
+    store::ObjectList out;
+    out.Revision = Revision;
+    for (const auto &[name, it] : Objects)
+      out.Objects.push_back(it);
+    co_return out;
+  }
+  Awaitable<uint64_t> put(std::string kind, std::string name, std::string value,
+                          uint64_t) override {
+    Objects[name] = {kind, name, ++Revision, value};
+    co_return Revision;
+  }
+  Awaitable<void> remove(std::string, std::string name, uint64_t) override {
+    Objects.erase(name);
+    co_return;
+  }
+  Awaitable<store::Changes> watch(std::string, uint64_t,
+                                  Milliseconds) override {
+    co_return store::Changes{};
+  }
+
+private:
+  std::map<std::string, store::Object> Objects;
+  uint64_t Revision = 1;
+};
+
+/// One process as far as the exchange goes, with one backend server known.
+struct Node {
+  Node(IoContext &io, store::ObjectStore &store, const std::string &name,
+       http::Endpoint at)
+      : Exchange(io, store, name, std::move(at), Servers, Metrics) {
+    fleet::ServerEntry e;
+    e.Id = "engine";
+    e.Service = "model";
+    Servers.put(e);
+    Exchange.start();
+  }
+
+  fleet::ServerPtr engine() { return Servers.find("engine"); }
+
+  fleet::Directory Servers{[](const fleet::Server &, std::string_view) {}};
+  metrics::Metrics Metrics;
+  LoadExchange Exchange;
+};
+
+struct Fleet {
+  explicit Fleet(size_t n) {
+    for (size_t i = 0; i < n; ++i) {
+      Addresses.push_back(standins::freeEndpoint());
+      Nodes.push_back(std::make_unique<Node>(
+          Io, Store, "node-" + std::to_string(i), Addresses.back()));
+    }
+  }
+
+  /// Runs until the condition holds for every node. False when it never does.
+  bool runUntil(const std::function<bool(Node &)> &condition) {
+    MonoTime end = MonoClock::now() + Limit;
+    for (;;) {
+      bool all = true;
+      for (auto &it : Nodes)
+        all = all && condition(*it);
+      if (all || MonoClock::now() > end)
+        return all;
+      Io.restart();
+      Io.run_for(Milliseconds(20));
+    }
+  }
+
+  IoContext Io{1};
+  MemoryStore Store;
+  std::vector<http::Endpoint> Addresses;
+  std::vector<std::unique_ptr<Node>> Nodes;
+};
+
+} // namespace
+
+// 20 processes form groups: most of what one knows was passed on.
+TEST_CASE("every process learns of the work of all others") {
+  constexpr size_t N = 20;
+  Fleet f(N);
+  CHECK(f.runUntil([](Node &it) { return it.Exchange.processes() == N; }));
+  for (auto &it : f.Nodes) {
+    it->engine()->Own.Requests = 1;
+    it->engine()->Own.tokens(fleet::WorkRank::Urgent) = 100;
+  }
+  CHECK(f.runUntil([](Node &it) {
+    return it.engine()->Others ==
+           fleet::WorkInFlight{{0, 100.0 * (N - 1), 0}, N - 1};
+  }));
+  for (auto &it : f.Nodes)
+    it->engine()->Own = {};
+  CHECK(f.runUntil(
+      [](Node &it) { return it.engine()->Others == fleet::WorkInFlight{}; }));
+}
+
+TEST_CASE("a cached prompt part is told to all processes") {
+  Fleet f(20);
+  CHECK(f.runUntil([](Node &it) { return it.Exchange.processes() == 20; }));
+  f.Nodes[7]->Exchange.tellPart("engine", 42, 500);
+  f.Nodes[7]->engine()->Parts.use(42, 500, MonoClock::now());
+  CHECK(f.runUntil([](Node &it) { return it.engine()->Parts.holds(42); }));
+}
+
+TEST_CASE("no datagram ends the exchange") {
+  Fleet f(3);
+  CHECK(f.runUntil([](Node &it) { return it.Exchange.processes() == 3; }));
+  asio::ip::udp::socket socket(f.Io, asio::ip::udp::v4());
+  asio::ip::udp::endpoint to(asio::ip::make_address(f.Addresses[0].Host),
+                             f.Addresses[0].Port);
+  std::mt19937_64 random(1);
+  // A report that passes on one without an address, then any bytes.
+  std::string sound("\x0a\x01x\x4a\x03\x0a\x01y", 8);
+  for (int i = 0; i < 2'000; ++i) {
+    std::string bytes = sound;
+    if (i > 0)
+      bytes.resize(random() % 60);
+    for (size_t at = 0; i > 0 && at < bytes.size(); ++at)
+      if (random() % 3 == 0)
+        bytes[at] = static_cast<char>(random());
+    socket.send_to(asio::buffer(bytes), to);
+    if (i % 100 == 0) {
+      f.Io.restart();
+      f.Io.run_for(Milliseconds(1));
+    }
+  }
+  f.Nodes[1]->engine()->Own.Requests = 5;
+  CHECK(f.runUntil([&](Node &it) {
+    return &it != f.Nodes[0].get() || it.engine()->Others.Requests == 5;
+  }));
+}
--- a/Tests/Peers/PeerSetTest.cpp
+++ b/Tests/Peers/PeerSetTest.cpp
@@ -28,6 +28,19 @@
   CHECK(s.isNear(at(2)));
 }
 
+// Processes that count different ones to their groups may not hear one another:
+// they ask before they give one another up.
+TEST_CASE("a process is asked before it is left out") {
+  PeerSet s(at(1));
+  MonoTime now{std::chrono::seconds(100)};
+  s.noteHeard(at(2), now);
+  CHECK(s.next(now + Milliseconds(800)).Silent.empty());
+  PeerSet::Sends asked = s.next(now + Milliseconds(1'000));
+  CHECK(asked.Silent.size() == 1);
+  CHECK(asked.Near.size() == 1);
+  CHECK(s.next(now + Milliseconds(2'100)).Near.empty());
+}
+
 // A process that was frozen or cut off for some seconds, and so has heard
 // nobody, must not wait for the next reading of the list.
 TEST_CASE("silent processes are told now and then, the seldomer the longer") {
