Fields that nothing read are not decoded

Cause: load, handle size, model, priority of routes and limits of links were decoded with each answer or configuration and read by no decision. No test looked at them. Ruled out: keeping them for later policies; they come with what reads them.

--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -47,8 +47,6 @@
   Milliseconds GapObjective{0};
   /// Callers leave a stream when nothing has come for this long.
   Milliseconds Patience{2'000};
-  /// Rank among the routes of a service; 0 goes first.
-  int Priority = 0;
   /// Backend servers that one request may be sent to.
   int MaxAttempts = 1;
   std::vector<Target> Targets;
@@ -62,17 +60,13 @@
 
 /// Limits of the engines of one service.
 struct EngineLimits {
-  unsigned Slots = 1;
+  /// Prompt and output tokens that its key-value memory holds.
   uint64_t KvTokens = 0;
-  uint64_t KvBytesPerToken = 0;
-  double LinkBitsPerSecond = 0;
-  Milliseconds HandleLife{1'000};
 };
 
 struct ServiceSpec {
   std::string Name;
   std::string HealthPath;
-  unsigned MaxConnections = 0;
   /// Only model engines have it.
   std::optional<EngineLimits> Engine;
 };
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -29,7 +29,6 @@
   std::optional<routing::EngineRole> Role;
   /// Time of its start, by its own clock. Tells two runs under one id apart.
   int64_t StartedMs = 0;
-  std::vector<std::string> Models;
 
   bool operator==(const ServerEntry &) const = default;
 };
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -13,7 +13,6 @@
 struct KvHandle {
   http::Endpoint Engine;
   std::string Name;
-  uint64_t Tokens = 0;
 };
 
 /// How a request is sent to one backend server.
@@ -27,13 +26,6 @@
   std::optional<uint64_t> ResumeAfter;
 };
 
-/// What a server says of its load with an answer.
-struct ReportedLoad {
-  unsigned Running = 0;
-  unsigned Waiting = 0;
-  unsigned Slots = 0;
-};
-
 /// What the head of an answer says.
 struct AnswerHead {
   /// The server says that it did not run the request.
@@ -49,7 +41,6 @@
   bool IsEventStream = false;
   /// Empty when the answer names no request.
   std::optional<std::string> RequestId;
-  std::optional<ReportedLoad> Load;
 };
 
 /// Translates between this slice and what callers and backend servers speak.
--- a/include/Sardineford/Gateway/CallerRequest.h
+++ b/include/Sardineford/Gateway/CallerRequest.h
@@ -28,7 +28,6 @@
   std::string Body;
   /// Time that the caller waits, counted from its sending.
   std::optional<Milliseconds> TimeLeft;
-  std::string Model;
   uint64_t PromptTokens = 0;
   uint64_t MaxOutputTokens = 0;
   std::vector<PromptPart> Parts;
