The callers' patience is derived in the product, not in the adapter

Cause: the adapter decides nothing, yet it chose how long callers wait, and the configuration held what follows from two other fields. One function now, with a test of each of its three terms; the adapter's check is the same figure.

--- a/Source/Fleet/Configuration.cpp
+++ b/Source/Fleet/Configuration.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+/// Callers are patient for this long, for some of their objectives or for some
+/// of the pauses that they accept, whichever is longest. Assumed; callers do
+/// not tell.
+constexpr Milliseconds LeastPatience{2'000};
+constexpr int PatienceObjectives = 4;
+constexpr int PatienceGaps = 8;
+
 std::string lowerCase(std::string_view text) {
   std::string out(text);
   std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) {
@@ -29,6 +36,11 @@
   return "at_most_once";
 }
 
+Milliseconds callerPatience(const Route &route) {
+  return std::max({LeastPatience, route.Objective * PatienceObjectives,
+                   route.GapObjective * PatienceGaps});
+}
+
 RouteTable::RouteTable(ConfigurationPtr config) : Config(std::move(config)) {
   for (const Route &it : Config->Routes)
     ByHost[lowerCase(it.Host)].push_back(&it);
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -124,7 +124,7 @@
     o.OwnWork = last.Choice->OwnWork;
   o.Elapsed = c.elapsed();
   o.Objective = c.Route->Objective;
-  o.Patience = c.Route->Patience;
+  o.Patience = fleet::callerPatience(*c.Route);
   o.Left = c.left();
   o.IsBehind = s.Fairness[c.Route->Name].isBehind(sizeOf(c));
   admission::StreamDecision d = admission::decideStream(o);
--- a/Tests/Fleet/ConfigurationTest.cpp
+++ b/Tests/Fleet/ConfigurationTest.cpp
@@ -42,3 +42,13 @@
   CHECK(n["b"] > 120);
   CHECK(n["c"] == 0);
 }
+
+TEST_CASE("callers are patient for the longest of three times") {
+  Route r = route("r", "h", "/");
+  r.Objective = Milliseconds(100);
+  CHECK(callerPatience(r) == Milliseconds(2'000));
+  r.Objective = Milliseconds(600);
+  CHECK(callerPatience(r) == Milliseconds(2'400));
+  r.GapObjective = Milliseconds(400);
+  CHECK(callerPatience(r) == Milliseconds(3'200));
+}
--- a/Tests/Platform/FleetAdapterTest.cpp
+++ b/Tests/Platform/FleetAdapterTest.cpp
@@ -62,7 +62,7 @@
   CHECK(c->Routes[0].mayRepeat());
   CHECK(c->Routes[0].Targets.size() == 2);
   // 8 pauses of 300 ms are longer than 2 s and than 4 objectives.
-  CHECK(c->Routes[0].Patience == Milliseconds(2'400));
+  CHECK(fleet::callerPatience(c->Routes[0]) == Milliseconds(2'400));
   CHECK(c->Limits.IdleTimeout == Milliseconds(15'000));
   o.Value = R"({"version":8})";
   CHECK_FALSE(FleetAdapter().decodeConfiguration(o));
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -45,8 +45,6 @@
   Milliseconds Objective{1'000};
   /// Longest pause between events that callers ask for; 0 if not told.
   Milliseconds GapObjective{0};
-  /// Callers leave a stream when nothing has come for this long.
-  Milliseconds Patience{2'000};
   /// Backend servers that one request may be sent to.
   int MaxAttempts = 1;
   std::vector<Target> Targets;
@@ -58,6 +56,10 @@
   }
 };
 
+/// Time after which callers are expected to leave a stream when nothing has
+/// come.
+Milliseconds callerPatience(const Route &route);
+
 /// Limits of the engines of one service.
 struct EngineLimits {
   /// Prompt and output tokens that its key-value memory holds.
