--- a/Source/Engine/HttpEngineClient.cpp
+++ b/Source/Engine/HttpEngineClient.cpp
@@ -1,5 +1,7 @@
 #include "Sardineford/Engine/HttpEngineClient.h"
 
+#include "Sardineford/Http/Status.h"
+
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -10,10 +12,6 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusUnavailable = 503;
 constexpr Milliseconds ConnectTimeout{500};
 constexpr Milliseconds CancelTimeout{1'000};
 
@@ -43,9 +41,9 @@
 }
 
 [[noreturn]] void throwStatus(unsigned status, const std::string &body) {
-  if (status == StatusNotFound)
+  if (status == http::StatusNotFound)
     throw EngineError(EngineFailure::Gone, "the engine does not know it");
-  if (status != StatusUnavailable)
+  if (status != http::StatusUnavailable)
     throw EngineError(EngineFailure::Broken,
                       "the engine answered " + std::to_string(status));
   bool leaving = body.find("leaving") != std::string::npos;
@@ -141,7 +139,7 @@
   } catch (const http::TransportError &e) {
     throw fromTransport(e);
   }
-  if (body->head().Status != StatusOk) {
+  if (body->head().Status != http::StatusOk) {
     std::string text = co_await body->read(timeout);
     throwStatus(body->head().Status, text);
   }
@@ -164,7 +162,7 @@
   } catch (const http::TransportError &e) {
     throw fromTransport(e);
   }
-  if (body->head().Status != StatusOk)
+  if (body->head().Status != http::StatusOk)
     throwStatus(body->head().Status, "");
   co_return std::make_unique<LineStream>(std::move(body));
 }
@@ -189,7 +187,7 @@
   options.Timeout = timeout;
   http::Response r = co_await call(
       at, "/v1/prefill", json::serialize(encodeAttempt(attempt)), options);
-  if (r.Status != StatusOk)
+  if (r.Status != http::StatusOk)
     throwStatus(r.Status, r.Body);
   std::string handle =
       json::value_to<std::string>(json::parse(r.Body).at("handle"));
@@ -205,7 +203,7 @@
   options.Timeout = timeout;
   http::Response r =
       co_await call(at, "/v1/export", json::serialize(body), options);
-  if (r.Status != StatusOk)
+  if (r.Status != http::StatusOk)
     throwStatus(r.Status, r.Body);
   co_return KvHandle{at, std::move(attempt)};
 }
@@ -266,11 +264,11 @@
   options.BeforeSend = std::move(gate);
   http::Response r =
       co_await call(at, "/v1/orders", json::serialize(body), options);
-  if (r.Status == StatusConflict)
+  if (r.Status == http::StatusConflict)
     co_return OrderOutcome::OldFencingNumber;
-  if (r.Status == StatusUnavailable)
+  if (r.Status == http::StatusUnavailable)
     co_return OrderOutcome::Busy;
-  if (r.Status != StatusOk)
+  if (r.Status != http::StatusOk)
     throwStatus(r.Status, r.Body);
   co_return OrderOutcome::Done;
 }
--- a/Source/Entry/ServiceCall.cpp
+++ b/Source/Entry/ServiceCall.cpp
@@ -2,6 +2,7 @@
 
 #include "Entry/EntrySettings.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -20,7 +21,6 @@
 /// Set to "true" by callers that have not sent this key before.
 constexpr std::string_view FirstAttemptHeader = "X-First-Attempt";
 constexpr int MaxAttempts = 4;
-constexpr unsigned StatusUnavailable = 503;
 constexpr Milliseconds NotRunRetryAfter{1'000};
 constexpr Milliseconds UnknownRetryAfter{2'000};
 
@@ -63,7 +63,7 @@
               ? "ask for the outcome with the same Idempotency-Key; the call "
                 "will not be run again"
               : "send the request again after the time given");
-  return http::problem(isUnknown ? 502 : StatusUnavailable, e, run,
+  return http::problem(isUnknown ? 502 : http::StatusUnavailable, e, run,
                        jittered(retryAfter));
 }
 
@@ -138,7 +138,7 @@
   try {
     http::Response answer =
         co_await Node.Client.call(target.Address, std::move(request), options);
-    bool leaving = answer.Status == StatusUnavailable &&
+    bool leaving = answer.Status == http::StatusUnavailable &&
                    answer.Body.find("\"run\":\"no\"") != std::string::npos;
     if (leaving) {
       Ejections.eject(target.Instance, MonoClock::now());
--- a/Source/Gateway/AttemptRecord.cpp
+++ b/Source/Gateway/AttemptRecord.cpp
@@ -1,17 +1,11 @@
 #include "Sardineford/Gateway/AttemptRecord.h"
 
+#include "Sardineford/Http/Status.h"
+
 #include <algorithm>
 
 namespace sardineford::gateway {
 
-namespace {
-
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
-
-} // namespace
-
 std::string_view toString(SendOutcome o) {
   switch (o) {
   case SendOutcome::NeverSent:
@@ -65,9 +59,9 @@
 
 unsigned finalStatus(const AttemptRecord &record, GiveUpCause cause) {
   if (record.hasNotRun())
-    return StatusUnavailable;
-  return cause == GiveUpCause::TimedOut ? StatusGatewayTimeout
-                                        : StatusBadGateway;
+    return http::StatusUnavailable;
+  return cause == GiveUpCause::TimedOut ? http::StatusGatewayTimeout
+                                        : http::StatusBadGateway;
 }
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,10 +26,6 @@
 /// Left of the grace time for the end of the process itself.
 constexpr Milliseconds EndReserve{400};
 constexpr Milliseconds DrainPoll{20};
-/// Without a deadline of the caller's own the route's time-out holds.
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusBadRequest = 400;
 constexpr Milliseconds RetryAfterStart{500};
 /// Other processes can take a request at once.
 constexpr Milliseconds RetryAfterStop{50};
@@ -164,7 +161,8 @@
   WasReady = ready;
   bool known = http::pathOf(request.Target) == Protocol.readinessPath();
   http::Response r = http::jsonResponse(
-      !known ? StatusNotFound : (ready ? 200 : StatusUnavailable), "{}");
+      !known ? http::StatusNotFound : (ready ? 200 : http::StatusUnavailable),
+      "{}");
   co_await out.send(std::move(r));
 }
 
@@ -195,7 +193,7 @@
               {"configuration_age_ms", Watch.configurationAge().count()},
               {"stopping_for_ms", stoppingFor.count()}});
   std::optional<Milliseconds> comeBack;
-  if (status == StatusUnavailable)
+  if (status == http::StatusUnavailable)
     comeBack = jittered(Stopping ? RetryAfterStop : RetryAfterStart);
   http::Response answer = Protocol.failure(status, r, detail, comeBack);
   co_await out.send(std::move(answer));
@@ -211,7 +209,7 @@
     fault = e.what();
   }
   if (!fault.empty()) {
-    co_await refuseEarly(r, out, StatusBadRequest, fault);
+    co_await refuseEarly(r, out, http::StatusBadRequest, fault);
     co_return;
   }
   co_await serve(std::move(r), out);
@@ -221,19 +219,19 @@
                                http::ResponseWriter &out) {
   std::shared_ptr<const fleet::RouteTable> routes = Watch.routes();
   if (!routes) {
-    co_await refuseEarly(request, out, StatusUnavailable,
+    co_await refuseEarly(request, out, http::StatusUnavailable,
                          "no configuration is known yet");
     co_return;
   }
   const fleet::Route *route =
       routes->find(request.Host, http::pathOf(request.Target));
   if (!route) {
-    co_await refuseEarly(request, out, StatusNotFound,
+    co_await refuseEarly(request, out, http::StatusNotFound,
                          "no route for this host and path");
     co_return;
   }
   if (endsBefore(*route)) {
-    co_await refuseEarly(request, out, StatusUnavailable,
+    co_await refuseEarly(request, out, http::StatusUnavailable,
                          "the process stops before an answer is complete");
     co_return;
   }
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/State.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Status.h"
 #include "Sardineford/Routing/ServiceChoice.h"
 
 #include <algorithm>
@@ -12,8 +13,6 @@
 using fleet::FaultKind;
 using fleet::ServerPtr;
 
-/// From this status on a server says that it failed.
-constexpr unsigned StatusServerFailed = 500;
 /// A repeatable call that takes this many times the typical time is tried
 /// elsewhere.
 constexpr double PatienceFactor = 5;
@@ -100,7 +99,7 @@
       co_return out;
     }
     out.Outcome = SendOutcome::Answered;
-    if (r.Status >= StatusServerFailed)
+    if (r.Status >= http::StatusServerFailed)
       out.Detail = "the server answered " + std::to_string(r.Status);
     out.Response = std::move(r);
   } catch (const http::TransportError &e) {
@@ -114,7 +113,7 @@
 
 void learn(State &s, Call &c, const ServerPtr &server, const Answer &a,
            Milliseconds took) {
-  if (a.Response->Status >= StatusServerFailed) {
+  if (a.Response->Status >= http::StatusServerFailed) {
     server->Faults.failed(FaultKind::Failed, MonoClock::now());
     return;
   }
@@ -173,7 +172,7 @@
       continue;
     }
     learn(s, c, server, a, took);
-    bool serverFailed = a.Response->Status >= StatusServerFailed;
+    bool serverFailed = a.Response->Status >= http::StatusServerFailed;
     if (!serverFailed || !c.Route->mayRepeat()) {
       co_await pass(s, c, std::move(*a.Response));
       co_return;
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/EngineView.h"
 #include "Gateway/Stream.h"
+#include "Sardineford/Http/Status.h"
 
 #include <algorithm>
 
@@ -94,7 +95,8 @@
   http::Response head = stream.head();
   bool isStream = s.Protocol.decodeHead(head).IsEventStream;
   if (!isStream || head.Status != 200) {
-    bool canRetry = c.Route->Resumable && head.Status >= 500;
+    bool canRetry =
+        c.Route->Resumable && head.Status >= http::StatusServerFailed;
     if (c.Out.started() || canRetry) {
       p.Detail = "the engine answered " + std::to_string(head.Status);
       server.Faults.failed(FaultKind::Failed, MonoClock::now());
--- a/Source/Rpc/Rpc.cpp
+++ b/Source/Rpc/Rpc.cpp
@@ -2,6 +2,7 @@
 
 #include "Rpc/Session.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Status.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -13,14 +14,6 @@
 using asio::use_awaitable;
 using asio::ip::tcp;
 
-namespace {
-
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusFailed = 500;
-
-} // namespace
-
 struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
   Impl(IoContext &io, http::Endpoint listen)
       : Io(io), Listen(std::move(listen)), Acceptor(io) {}
@@ -71,16 +64,16 @@
       co_return;
     auto it = Handlers.find(stream->Path);
     if (it == Handlers.end()) {
-      session->respond(id, StatusNotFound, "");
+      session->respond(id, http::StatusNotFound, "");
       co_return;
     }
-    unsigned status = StatusOk;
+    unsigned status = http::StatusOk;
     std::string body;
     try {
       body = co_await it->second(stream->Received);
     } catch (const std::exception &e) {
       log::warn(log::Category::Common, "call {}: {}", stream->Path, e.what());
-      status = StatusFailed;
+      status = http::StatusServerFailed;
     }
     session->respond(id, status, std::move(body));
   }
@@ -160,7 +153,7 @@
                 timer.async_wait(asio::as_tuple(use_awaitable)));
     if (!stream->Complete)
       drop(to, s);
-    if (!stream->Complete || stream->Failed || stream->Status != StatusOk)
+    if (!stream->Complete || stream->Failed || stream->Status != http::StatusOk)
       throw Error(ErrorKind::NotReady,
                   http::toString(to) + path + " did not answer",
                   "check that the process runs and can be reached");
--- a/Source/Store/HttpObjectStore.cpp
+++ b/Source/Store/HttpObjectStore.cpp
@@ -1,5 +1,6 @@
 #include "Sardineford/Store/HttpObjectStore.h"
 
+#include "Sardineford/Http/Status.h"
 #include "Sardineford/Store/StoreCall.h"
 
 #include <boost/json.hpp>
@@ -60,7 +61,7 @@
   ++Counts.Gets;
   http::Response r =
       co_await call("GET", objectTarget(kind, name), "", Timeout);
-  if (r.Status == StatusNotFound)
+  if (r.Status == http::StatusNotFound)
     co_return std::nullopt;
   co_return parseObject(json::parse(r.Body).as_object());
 }
--- a/Source/Store/StoreCall.cpp
+++ b/Source/Store/StoreCall.cpp
@@ -1,26 +1,23 @@
 #include "Sardineford/Store/StoreCall.h"
 
+#include "Sardineford/Http/Status.h"
+
 namespace sardineford::store {
 
 namespace {
 
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusGone = 410;
-constexpr unsigned StatusLimited = 429;
-constexpr unsigned StatusUnavailable = 503;
-
 void requireSuccess(const http::Response &r, bool isWrite, CallCounts &counts) {
-  if (r.Status < 400 || r.Status == StatusNotFound)
+  if (r.Status < 400 || r.Status == http::StatusNotFound)
     return;
-  if (r.Status == StatusConflict)
+  if (r.Status == http::StatusConflict)
     throw StoreError(Failure::VersionConflict, "version conflict: " + r.Body);
-  if (r.Status == StatusGone)
+  if (r.Status == http::StatusGone)
     throw StoreError(Failure::HistoryGone, "the store's history is gone");
   ++counts.Failures;
-  if (r.Status == StatusLimited)
+  if (r.Status == http::StatusLimited)
     throw StoreError(Failure::Limited, "the store limits its rate");
   std::string what = "the store answered " + std::to_string(r.Status);
-  bool noEffect = r.Status == StatusUnavailable || !isWrite;
+  bool noEffect = r.Status == http::StatusUnavailable || !isWrite;
   throw StoreError(noEffect ? Failure::Unavailable : Failure::Ambiguous, what);
 }
 
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -1,6 +1,7 @@
 #include "StandIns/Platform/PlatformWorker.h"
 
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 #include "platform/Names.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -22,7 +23,6 @@
 constexpr size_t BodyRepeats = 20;
 /// A plain call looks this often whether its caller has gone.
 constexpr Milliseconds WorkPiece{10};
-constexpr unsigned StatusMisdirected = 421;
 constexpr std::string_view HealthPath = "/health";
 
 /// Engines that are fast enough for tests.
@@ -160,7 +160,7 @@
   bool wrongStage = !Options.Stage.empty() &&
                     prefillOnly != (Options.Stage == names::PrefillStage);
   if (meant.value_or("") != Options.Id || wrongStage) {
-    http::Response r = answer(StatusMisdirected, id, "");
+    http::Response r = answer(http::StatusMisdirected, id, "");
     r.Fields.add(std::string(names::InstanceId), Options.Id);
     co_await out.send(std::move(r));
     co_return;
--- a/include/Sardineford/Store/StoreCall.h
+++ b/include/Sardineford/Store/StoreCall.h
@@ -5,8 +5,6 @@
 
 namespace sardineford::store {
 
-inline constexpr unsigned StatusNotFound = 404;
-
 /// Sends one call of a store that speaks HTTP. The answer is a success or says
 /// that there is no such object; anything else is thrown as StoreError, and
 /// counted when the store failed.
