--- a/Source/Node/Daemon.cpp
+++ b/Source/Node/Daemon.cpp
@@ -22,34 +22,27 @@
 constexpr int ExitBadSettings = 2;
 constexpr int ExitFailed = 1;
 
-log::Level levelOf(const std::string &name) {
-  if (name == "debug")
-    return log::Level::Debug;
-  if (name == "warning")
-    return log::Level::Warning;
-  if (name == "error")
-    return log::Level::Error;
-  if (name == "off")
-    return log::Level::Off;
-  return name == "trace" ? log::Level::Trace : log::Level::Info;
-}
-
 uint64_t bytesPerSecond(const settings::Settings &s) {
   return static_cast<uint64_t>(s.get(LogBytesPerSecond));
 }
 
+void setLevel(const settings::Settings &s) {
+  if (!log::setLevel("all", s.get(LogLevel)))
+    log::warn(log::Category::Common,
+              "{} is no log level; the former one stays, see --print_settings",
+              s.get(LogLevel));
+}
+
 void startLog(const settings::Settings &s) {
-  log::Options o{s.get(LogJson), levelOf(s.get(LogLevel)), s.get(Name)};
+  log::Options o{s.get(LogJson), log::Level::Info, s.get(Name)};
   o.BoundedStdout = s.get(LogToStdout);
   o.BytesPerSecond = bytesPerSecond(s);
   log::start(o);
+  setLevel(s);
 }
 
 void changeLog(const settings::Settings &s) {
-  if (!log::setLevel("all", s.get(LogLevel)))
-    log::warn(log::Category::Common,
-              "{} is no log level; the former one stays, give one of {}",
-              s.get(LogLevel), "trace, debug, info, warning, error, off");
+  setLevel(s);
   log::setBytesPerSecond(bytesPerSecond(s));
 }
 
