A stream's end is noted in one place

Cause: serveStream told fairness of an end in four places and asked for the time in two; one loop runs engines, its caller notes the end. A time that ran out between placing and run is now named in the request's line as well.

--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -55,49 +55,59 @@
   return static_cast<double>(c.Request.PromptTokens);
 }
 
-Awaitable<void> serveStream(State &s, Call &c) {
-  Progress p;
+namespace {
+
+bool isOver(Call &c, Progress &p) {
+  if (c.left() > Milliseconds(0))
+    return false;
+  c.NotRepeated = "no time is left";
+  p.Cause = GiveUpCause::TimedOut;
+  return true;
+}
+
+/// Has one engine after another serve the stream. Returns how the last run
+/// ended, or nothing when there is no engine or no time for a further one.
+Awaitable<std::optional<RunEnd>> runOnEngines(State &s, Call &c, Progress &p) {
   for (bool isFirst = true;; isFirst = false) {
-    if (c.left() <= Milliseconds(0)) {
-      c.NotRepeated = "no time is left";
-      p.Cause = GiveUpCause::TimedOut;
-      break;
-    }
-    if (!isFirst && !takeFurtherAttempt(s, c))
-      break;
+    if (isOver(c, p) || (!isFirst && !takeFurtherAttempt(s, c)))
+      co_return std::nullopt;
     std::optional<RunPlan> next = co_await planRun(s, c, p);
-    if (c.CallerGone) {
-      s.Fairness[c.Route->Name].note(sizeOf(c), false);
-      co_return;
-    }
+    if (c.CallerGone)
+      co_return RunEnd::CallerLost;
     if (!next)
-      break;
-    if (c.left() <= Milliseconds(0)) {
-      if (next->Handle)
-        freeHandle(s, *next->Handle);
-      p.Cause = GiveUpCause::TimedOut;
-      break;
-    }
+      co_return std::nullopt;
     std::string id = next->Server->Entry.Id;
     std::optional<KvHandle> handle = next->Handle;
+    if (isOver(c, p)) {
+      if (handle)
+        freeHandle(s, *handle);
+      co_return std::nullopt;
+    }
     RunEnd end = co_await runAt(s, c, p, std::move(*next));
     if (end == RunEnd::NotRun && handle)
       freeHandle(s, *handle);
-    if (end == RunEnd::Complete) {
-      c.Outcome = "answered";
-      s.Fairness[c.Route->Name].note(sizeOf(c), true);
-      co_return;
-    }
-    if (end == RunEnd::CallerLost || c.CallerGone) {
-      s.Fairness[c.Route->Name].note(sizeOf(c), false);
-      c.CallerGone = true;
-      co_return;
-    }
+    if (end == RunEnd::Complete)
+      co_return end;
+    if (end == RunEnd::CallerLost || c.CallerGone)
+      co_return RunEnd::CallerLost;
     p.Events.dropPending();
     p.Tried.push_back(id);
     p.Cause = GiveUpCause::Failed;
   }
-  s.Fairness[c.Route->Name].note(sizeOf(c), false);
+}
+
+} // namespace
+
+Awaitable<void> serveStream(State &s, Call &c) {
+  Progress p;
+  std::optional<RunEnd> end = co_await runOnEngines(s, c, p);
+  s.Fairness[c.Route->Name].note(sizeOf(c), end == RunEnd::Complete);
+  if (end == RunEnd::Complete)
+    c.Outcome = "answered";
+  if (end == RunEnd::CallerLost)
+    c.CallerGone = true;
+  if (end)
+    co_return;
   std::string detail = p.Detail;
   co_await giveUp(s, c, p.Cause, std::move(detail), p.RetryAfter);
 }
