What is known of the store, and the comparison with peers, are parts of their own

Cause: FleetWatch held digests, their comparison and the loop; the newest version was searched among all objects for each report of each peer. Two pure parts with tests without a store or a clock. The condition on the last answer fell away: a difference counts from the begin of a watch, which is later. Behaviour is the same.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -28,13 +28,6 @@
 /// a change must be in force.
 constexpr Milliseconds GatherTime{250};
 constexpr Milliseconds LongestGatherTime{1'000};
-/// The news of a change reaches all watches within this time.
-constexpr Milliseconds DigestPatience{250};
-/// A peer that knows older objects only is behind, as a rule, and mends that
-/// within this time. Else it may know of a removal that the own watch missed.
-constexpr Milliseconds BehindPatience{1'500};
-/// Digests that are remembered as looked into.
-constexpr size_t KeptDigests = 64;
 /// Events that are there at once, after a watch that saw none, were missed.
 constexpr Milliseconds AtOnce{60};
 constexpr Milliseconds FirstRetry{60};
@@ -123,23 +116,21 @@
   co_return out;
 }
 
-/// The watches of a process go silent together, as a rule.
-void FleetWatch::renewOther(const Feed &feed) {
-  Feed &other = &feed == &ServerFeed ? ConfigurationFeed : ServerFeed;
+/// Ends a watch that waits; all is read again then.
+void FleetWatch::poke(Feed &feed, std::string_view because) {
   log::event(Category::Store, log::Level::Info, "watch_renewed",
-             {{"feed", other.Kind},
-              {"revision", other.Revision},
-              {"age_ms", since(other.Confirmed).count()},
-              {"because", "a watch missed changes"}});
-  other.Poke.expires_at(MonoClock::now());
+             {{"feed", feed.Kind},
+              {"revision", feed.Revision},
+              {"age_ms", since(feed.Confirmed).count()},
+              {"because", because}});
+  feed.Poke.expires_at(MonoClock::now());
 }
 
 /// Waits for changes. Empty when it is poked instead.
 Awaitable<std::optional<store::Changes>> FleetWatch::watchOnce(Feed &feed) {
   using namespace asio::experimental::awaitable_operators;
   feed.Poke.expires_at(MonoTime::max());
-  feed.DifferentSince = {};
-  feed.AheadSince = {};
+  feed.Peers.restart();
   feed.Waiting = true;
   std::variant<Seen, std::tuple<boost::system::error_code>> first =
       co_await (watchSettled(feed) ||
@@ -153,70 +144,20 @@
   co_return std::move(seen.Changes);
 }
 
-void FleetWatch::noteObject(Feed &feed, const store::Object &o) {
-  auto term = [&](uint64_t revision) { return hash64(o.Name, revision); };
-  auto it = feed.Revisions.find(o.Name);
-  if (it != feed.Revisions.end()) {
-    feed.Digest ^= term(it->second);
-    feed.Revisions.erase(it);
-  }
-  if (o.Version == 0)
-    return;
-  feed.Revisions[o.Name] = o.Version;
-  feed.Digest ^= term(o.Version);
-}
-
-void FleetWatch::resetDigest(Feed &feed, const store::ObjectList &list) {
-  feed.Revisions.clear();
-  feed.Digest = 0;
-  for (const store::Object &it : list.Objects)
-    noteObject(feed, it);
-}
-
-uint64_t FleetWatch::newestOf(const Feed &feed) {
-  uint64_t newest = 0;
-  for (const auto &[name, version] : feed.Revisions)
-    newest = std::max(newest, version);
-  return newest;
-}
-
 StoreView FleetWatch::view() const {
-  return {{ConfigurationFeed.Digest, newestOf(ConfigurationFeed)},
-          {ServerFeed.Digest, newestOf(ServerFeed)}};
+  return {ConfigurationFeed.Objects.view(), ServerFeed.Objects.view()};
 }
 
-/// A watch that was begun while the store dropped its history can wait for
-/// long without being told of what was dropped, and so can its successor: only
-/// reading everything settles the difference.
 void FleetWatch::comparePeer(Feed &feed, const FeedView &peer) {
-  bool known = std::find(feed.LookedInto.begin(), feed.LookedInto.end(),
-                         peer.Digest) != feed.LookedInto.end();
   // A process that asks in a moment anyhow needs no peer to tell it.
-  if (peer.Digest == feed.Digest || known || feed.Lost || !feed.Waiting)
-    return;
-  MonoTime now = MonoClock::now();
-  bool behind = peer.Newest != 0 && peer.Newest < newestOf(feed);
-  // Many peers may know many different things: the time counts from the first.
-  if (feed.DifferentSince == MonoTime{})
-    feed.DifferentSince = now;
-  if (!behind && feed.AheadSince == MonoTime{})
-    feed.AheadSince = now;
-  bool tooEarly = behind ? now - feed.DifferentSince < BehindPatience
-                         : now - feed.AheadSince < DigestPatience;
-  if (tooEarly || now - feed.Confirmed < DigestPatience)
+  if (feed.Lost || !feed.Waiting)
     return;
-  feed.DifferentSince = {};
-  feed.AheadSince = {};
-  feed.LookedInto.push_back(peer.Digest);
-  if (feed.LookedInto.size() > KeptDigests)
-    feed.LookedInto.pop_front();
-  log::event(Category::Store, log::Level::Info, "watch_renewed",
-             {{"feed", feed.Kind},
-              {"revision", feed.Revision},
-              {"age_ms", since(feed.Confirmed).count()},
-              {"because",
-               behind ? "a peer knows other things" : "a peer knows more"}});
-  feed.Poke.expires_at(now);
+  using Difference = PeerComparison::Difference;
+  Difference found =
+      feed.Peers.compare(feed.Objects.view(), peer, MonoClock::now());
+  if (found != Difference::None)
+    poke(feed, found == Difference::Newer ? "a peer knows more"
+                                          : "a peer knows other things");
 }
 
 void FleetWatch::notePeer(const StoreView &peer) {
@@ -250,11 +191,13 @@
       bool missed = feed.SawNone && !seen->Objects.empty() &&
                     MonoClock::now() - asked < AtOnce;
       feed.SawNone = seen->Objects.empty();
+      // The watches of a process go silent together, as a rule.
       if (missed)
-        renewOther(feed);
+        poke(&feed == &ServerFeed ? ConfigurationFeed : ServerFeed,
+             "a watch missed changes");
       feed.Revision = std::max(feed.Revision, seen->Revision);
       for (const store::Object &it : seen->Objects) {
-        noteObject(feed, it);
+        feed.Objects.note(it);
         apply(it);
       }
       backoff.reset();
@@ -276,7 +219,7 @@
 
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
-  resetDigest(ConfigurationFeed, list);
+  ConfigurationFeed.Objects.replaceAll(list);
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
   co_return list.Revision;
@@ -284,7 +227,7 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
-  resetDigest(ServerFeed, list);
+  ServerFeed.Objects.replaceAll(list);
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
     std::optional<ServerEntry> e = Codec.decodeServer(it);
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Fleet/KnownObjects.h"
+#include "Fleet/PeerComparison.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/FleetCodec.h"
 #include "Sardineford/Fleet/StoreView.h"
@@ -8,9 +10,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include <deque>
 #include <functional>
-#include <map>
+#include <string_view>
 #include <variant>
 
 namespace sardineford::fleet {
@@ -48,15 +49,8 @@
     explicit Feed(IoContext &io) : Poke(io, MonoTime::max()) {}
 
     std::string Kind;
-    /// Revision of each object that is known, and their digest.
-    std::map<std::string, uint64_t> Revisions;
-    uint64_t Digest = 0;
-    /// Since when some peer knows other things, and since when one that is not
-    /// behind does.
-    MonoTime DifferentSince{};
-    MonoTime AheadSince{};
-    /// Digests for which all was read again already.
-    std::deque<uint64_t> LookedInto;
+    KnownObjects Objects;
+    PeerComparison Peers;
     /// A watch is waiting for an answer.
     bool Waiting = false;
     /// Expires to end a watch that waits.
@@ -85,10 +79,7 @@
   Awaitable<Seen> watchSettled(Feed &feed);
   Awaitable<std::optional<store::Changes>> watchOnce(Feed &feed);
   Milliseconds watchWait() const;
-  void renewOther(const Feed &feed);
-  static void noteObject(Feed &feed, const store::Object &o);
-  static void resetDigest(Feed &feed, const store::ObjectList &list);
-  static uint64_t newestOf(const Feed &feed);
+  static void poke(Feed &feed, std::string_view because);
   static void comparePeer(Feed &feed, const FeedView &peer);
   void noteFailure(Feed &feed, const std::string &what);
   void noteAnswer(Feed &feed);
--- /dev/null
+++ b/Tests/Fleet/KnownObjectsTest.cpp
@@ -0,0 +1,35 @@
+#include "Fleet/KnownObjects.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using namespace sardineford::fleet;
+
+namespace {
+
+store::Object object(const std::string &name, uint64_t version) {
+  return {"servers", name, version, ""};
+}
+
+} // namespace
+
+TEST_CASE("the same objects have the same view, whatever came between") {
+  KnownObjects a;
+  a.note(object("x", 3));
+  a.note(object("y", 5));
+  a.note(object("x", 9));
+  a.note(object("y", 0));
+  KnownObjects b;
+  b.replaceAll({12, {object("x", 9)}});
+  CHECK(a.view().Digest == b.view().Digest);
+  CHECK(a.view().Newest == 9);
+  CHECK(b.view().Newest == 9);
+  b.note(object("z", 10));
+  CHECK(a.view().Digest != b.view().Digest);
+  b.note(object("z", 0));
+  CHECK(a.view().Digest == b.view().Digest);
+  CHECK(b.view().Newest == 9);
+  b.replaceAll({13, {}});
+  CHECK(b.view().Digest == 0);
+  CHECK(b.view().Newest == 0);
+}
