--- a/Source/Common/Log.cpp
+++ b/Source/Common/Log.cpp
@@ -92,11 +92,8 @@
   s.Process = options.Process;
   s.Levels.fill(options.DefaultLevel);
   if (options.BoundedStdout) {
-    s.Bounded = std::make_shared<BoundedSink>(
-        1, options.BytesPerSecond, [](uint64_t dropped) {
-          return eventLine(Category::Common, Level::Warning, "lines_dropped",
-                           {{"total", dropped}});
-        });
+    s.Bounded =
+        std::make_shared<BoundedSink>(1, options.BytesPerSecond, droppedNote);
     s.Logger = std::make_shared<spdlog::logger>("sardineford", s.Bounded);
     s.Logger->set_level(spdlog::level::trace);
   }
@@ -141,6 +138,11 @@
   s.Logger->log(toSpdlog(l), "{} {}: {}", s.Process, category, message);
 }
 
+std::string droppedNote(uint64_t dropped) {
+  return eventLine(Category::Common, Level::Warning, "lines_dropped",
+                   {{"total", dropped}});
+}
+
 uint64_t droppedLines() {
   return state().Bounded ? state().Bounded->dropped() : 0;
 }
--- a/StandIns/Deployment/Deployment.cpp
+++ b/StandIns/Deployment/Deployment.cpp
@@ -57,6 +57,14 @@
 
 } // namespace
 
+std::string newFolder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "sardineford-XXXXXX").string();
+  if (!mkdtemp(pattern.data()))
+    throw std::runtime_error("no temporary folder can be made");
+  return pattern;
+}
+
 http::Endpoint freeEndpoint() {
   // Ports below the range from which the system takes those of outgoing
   // connections, so that a restarted process finds its port free.
--- a/StandIns/Deployment/Deployment.h
+++ b/StandIns/Deployment/Deployment.h
@@ -113,6 +113,9 @@
 /// A free port on loopback.
 http::Endpoint freeEndpoint();
 
+/// A new empty folder among the temporary ones.
+std::string newFolder();
+
 /// One call, with a thread of control of its own.
 http::Response callNow(const http::Endpoint &to, http::Request request,
                        Milliseconds timeout);
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Milliseconds ReadyPoll{50};
+/// Time in which the store listens, and all backend servers are registered.
+constexpr Milliseconds StoreStart{200};
+constexpr Milliseconds RegistrationTime{800};
 
 json::object route(const std::string &prefix, const std::string &kind,
                    const std::string &service, bool resumable) {
@@ -101,6 +104,15 @@
   }
 }
 
+Awaitable<bool> PlatformDeployment::bringUp(Milliseconds most) {
+  start();
+  co_await sleepFor(StoreStart);
+  co_await writeConfiguration(0);
+  bool ready = co_await waitReady(most);
+  co_await sleepFor(RegistrationTime);
+  co_return ready;
+}
+
 void PlatformDeployment::startDaemon(DeployedDaemon &d) { d.Run->start(); }
 
 void PlatformDeployment::startWorker(DeployedWorker &w, bool keepId) {
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -63,6 +63,9 @@
   PlatformDeployment(IoContext &io, PlatformDeploymentOptions options);
 
   void start();
+  /// Starts everything, writes the configuration and waits until all daemons
+  /// are ready and all backend servers listed. False when the time ends.
+  Awaitable<bool> bringUp(Milliseconds most);
   void startDaemon(DeployedDaemon &d);
   /// Starts it, under a new id unless the old one is to be kept.
   void startWorker(DeployedWorker &w, bool keepId);
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -39,7 +39,6 @@
         Deployment(Io, {.Programs = o.Programs, .Folder = o.Folder}) {}
 
   SoakReport run() {
-    Deployment.start();
     spawn(Io, "soak", [this] { return play(); });
     Io.run();
     for (const std::string &it : checkPromises(Calls, Deployment.historyFile()))
@@ -53,15 +52,11 @@
   using Fault = std::function<Awaitable<void>()>;
 
   Awaitable<void> play() {
-    co_await sleepFor(Milliseconds(200));
-    co_await Deployment.writeConfiguration(0);
-    if (!co_await Deployment.waitReady(StartTime)) {
+    if (!co_await Deployment.bringUp(StartTime)) {
       Report.Violations.push_back("the daemons do not become ready");
       Io.stop();
       co_return;
     }
-    // Engines register with their first heartbeat.
-    co_await sleepFor(Milliseconds(800));
     for (unsigned i = 0; i < Options.Callers; ++i)
       spawn(Io, "caller", [this, i] { return callLoop(i); });
     MonoTime end = MonoClock::now() + Options.Length;
--- a/Tests/Common/BoundedSinkTest.cpp
+++ b/Tests/Common/BoundedSinkTest.cpp
@@ -1,11 +1,15 @@
 #include "Common/BoundedSink.h"
 
+#include "Explain/Story.h"
+#include "Sardineford/Common/Log.h"
+
 #include <catch2/catch.hpp>
 #include <spdlog/logger.h>
 
 #include <unistd.h>
 
 #include <array>
+#include <sstream>
 
 using namespace sardineford;
 
@@ -29,16 +33,12 @@
   std::array<int, 2> Ends{};
 };
 
-std::string noteDropped(uint64_t n) {
-  return "lines_dropped " + std::to_string(n);
-}
-
 } // namespace
 
 TEST_CASE("a full pipe drops lines and never holds up the writer") {
   FullPipe pipe;
-  auto sink =
-      std::make_shared<log::BoundedSink>(pipe.Ends[1], 1 << 30, noteDropped);
+  auto sink = std::make_shared<log::BoundedSink>(pipe.Ends[1], 1 << 30,
+                                                 log::droppedNote);
   spdlog::logger logger("test", sink);
   logger.set_pattern("%v");
   const std::string line(200, 'x');
@@ -52,12 +52,19 @@
   std::string rest = pipe.read();
   CHECK(rest.find("lines_dropped") != std::string::npos);
   CHECK(rest.find("after") != std::string::npos);
+  // A story of the logs finds it: it has a time and a process.
+  std::istringstream in(rest);
+  std::vector<explain::Line> lines = explain::readLines(in);
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].Event == "lines_dropped");
+  CHECK(lines[0].Fields.at("total").to_number<uint64_t>() == sink->dropped());
+  CHECK(lines[0].Fields.contains("process"));
 }
 
 TEST_CASE("lines over the allowed bytes are dropped") {
   FullPipe pipe;
   auto sink =
-      std::make_shared<log::BoundedSink>(pipe.Ends[1], 1'000, noteDropped);
+      std::make_shared<log::BoundedSink>(pipe.Ends[1], 1'000, log::droppedNote);
   spdlog::logger logger("test", sink);
   for (int i = 0; i < 200; ++i)
     logger.info(std::string(100, 'x'));
--- a/Tests/Node/SettingsFileTest.cpp
+++ b/Tests/Node/SettingsFileTest.cpp
@@ -1,5 +1,7 @@
 #include "Node/SettingsFile.h"
 
+#include "StandIns/Deployment/Deployment.h"
+
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -21,10 +23,8 @@
 class WrittenFile {
 public:
   WrittenFile() {
-    std::string pattern =
-        (std::filesystem::temp_directory_path() / "sardineford-XXXXXX")
-            .string();
-    Path = std::string(mkdtemp(pattern.data())) + "/settings.json";
+    Path = standins::newFolder() + "/settings.json";
+    write("info", "127.0.0.1:1");
   }
 
   void write(const std::string &level, const std::string &listen) const {
@@ -35,38 +35,41 @@
   std::string Path;
 };
 
+/// A file that was read, and how often its reader told of a change.
+struct Reading {
+  Reading() {
+    File.onChange([this] { ++Told; });
+  }
+
+  WrittenFile On;
+  SettingsFile File{On.Path};
+  int Told = 0;
+};
+
 } // namespace
 
 TEST_CASE("a settings file that is read again changes what may change") {
-  WrittenFile on;
-  on.write("info", "127.0.0.1:1");
-  SettingsFile file(on.Path);
-  int told = 0;
-  file.onChange([&] { ++told; });
-  on.write("debug", "127.0.0.1:2");
-  file.reread("test");
-  CHECK(file.values().get(Level) == "debug");
-  CHECK(file.values().get(Listen) == "127.0.0.1:1");
-  CHECK(told == 1);
+  Reading r;
+  r.On.write("debug", "127.0.0.1:2");
+  r.File.reread("test");
+  CHECK(r.File.values().get(Level) == "debug");
+  CHECK(r.File.values().get(Listen) == "127.0.0.1:1");
+  CHECK(r.Told == 1);
 }
 
 TEST_CASE("a settings file with faults changes nothing") {
-  WrittenFile on;
-  on.write("info", "127.0.0.1:1");
-  SettingsFile file(on.Path);
-  int told = 0;
-  file.onChange([&] { ++told; });
-  std::ofstream(on.Path) << R"({"node":)";
-  file.reread("test");
-  std::filesystem::remove(on.Path);
-  file.reread("test");
-  CHECK(file.values().get(Level) == "info");
-  CHECK(told == 0);
+  Reading r;
+  std::ofstream(r.On.Path) << R"({"file_test":)";
+  r.File.reread("test");
+  std::filesystem::remove(r.On.Path);
+  r.File.reread("test");
+  CHECK(r.File.values().get(Level) == "info");
+  CHECK(r.File.values().get(Listen) == "127.0.0.1:1");
+  CHECK(r.Told == 0);
 }
 
 TEST_CASE("a settings file is followed, at a signal and without one") {
   WrittenFile on;
-  on.write("info", "127.0.0.1:1");
   SettingsFile file(on.Path);
   IoContext io(1);
   file.onChange([&] { io.stop(); });
--- a/Tests/Process/EndToEndTest.cpp
+++ b/Tests/Process/EndToEndTest.cpp
@@ -19,12 +19,6 @@
 
 constexpr Milliseconds CallTimeout{10'000};
 
-std::string makeFolder() {
-  std::string pattern =
-      (std::filesystem::temp_directory_path() / "sardineford-XXXXXX").string();
-  return mkdtemp(pattern.data());
-}
-
 DeploymentOptions smallDeployment(const std::string &folder) {
   writeScaledObjects(std::string(SARDINEFORD_EXAMPLES) +
                          "/nilebridge/objects.json",
@@ -64,7 +58,7 @@
   FaultRunOptions o;
   o.Programs = SARDINEFORD_PROGRAMS;
   o.Examples = SARDINEFORD_EXAMPLES;
-  o.Folder = makeFolder();
+  o.Folder = newFolder();
   o.Where = where;
   o.Seed = seed;
   o.Schedule = std::move(schedule);
@@ -81,7 +75,7 @@
 } // namespace
 
 TEST_CASE("bad input gets a clear error and is not run", "[process]") {
-  std::string folder = makeFolder();
+  std::string folder = newFolder();
   Deployment d(smallDeployment(folder));
   d.start();
   http::Endpoint entry = d.httpOf("entry-0");
@@ -116,7 +110,7 @@
 }
 
 TEST_CASE("a broken stream is taken up at another entry", "[process]") {
-  std::string folder = makeFolder();
+  std::string folder = newFolder();
   Deployment d(smallDeployment(folder));
   d.start();
   IoContext io(1);
@@ -150,7 +144,7 @@
 }
 
 TEST_CASE("a filing is answered again from its record", "[process]") {
-  std::string folder = makeFolder();
+  std::string folder = newFolder();
   Deployment d(smallDeployment(folder));
   d.start();
   http::Request filing = post("/services/filing-api/filings", "{\"a\":1}");
@@ -182,7 +176,7 @@
 
 TEST_CASE("the time line gathers every process and names silent ones",
           "[process]") {
-  std::string folder = makeFolder();
+  std::string folder = newFolder();
   Deployment d(smallDeployment(folder));
   d.start();
   callNow(d.httpOf("entry-0"),
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -3,7 +3,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <filesystem>
 #include <iostream>
 
 using namespace sardineford;
@@ -15,9 +14,7 @@
   SoakOptions o;
   o.Seed = seed;
   o.Programs = SARDINEFORD_PROGRAMS;
-  std::string pattern =
-      (std::filesystem::temp_directory_path() / "sardineford-XXXXXX").string();
-  o.Folder = mkdtemp(pattern.data());
+  o.Folder = newFolder();
   return o;
 }
 
--- a/Tests/Process/PromiseTest.cpp
+++ b/Tests/Process/PromiseTest.cpp
@@ -1,11 +1,11 @@
 #include "Sardineford/Common/Random.h"
+#include "StandIns/Deployment/Deployment.h"
 #include "StandIns/Platform/PlatformCaller.h"
 #include "StandIns/Platform/PlatformDeployment.h"
 #include "StandIns/Platform/WorkerHistory.h"
 
 #include <catch2/catch.hpp>
 
-#include <filesystem>
 #include <map>
 
 using namespace sardineford;
@@ -16,27 +16,16 @@
 constexpr Milliseconds StartTime{20'000};
 constexpr Milliseconds Deadline{4'000};
 
-std::string newFolder() {
-  std::string pattern =
-      (std::filesystem::temp_directory_path() / "sardineford-XXXXXX").string();
-  return mkdtemp(pattern.data());
-}
-
 /// Starts a deployment and plays a case on it.
-class Stage {
+class Scenario {
 public:
-  explicit Stage(PlatformDeploymentOptions o)
+  explicit Scenario(PlatformDeploymentOptions o)
       : Folder(newFolder()), Deployment(Io, withPlaces(std::move(o))),
         Client(Io) {}
 
   void play(std::function<Awaitable<void>()> body) {
-    Deployment.start();
     spawn(Io, "case", [this, body]() -> Awaitable<void> {
-      co_await sleepFor(Milliseconds(200));
-      co_await Deployment.writeConfiguration(0);
-      Ready = co_await Deployment.waitReady(StartTime);
-      // Engines register with their first heartbeat.
-      co_await sleepFor(Milliseconds(800));
+      Ready = co_await Deployment.bringUp(StartTime);
       if (Ready)
         co_await body();
       Io.stop();
@@ -82,7 +71,7 @@
 };
 
 /// Sends a request and closes the connection while it is served.
-Awaitable<std::string> callAndLeave(Stage &s, std::string route,
+Awaitable<std::string> callAndLeave(Scenario &s, std::string route,
                                     Milliseconds after) {
   std::string id = makeId();
   http::CallOptions options;
@@ -108,6 +97,17 @@
   co_return id;
 }
 
+/// Time of the last note of a kind, by request or by server.
+std::map<std::string, Milliseconds>
+timesOf(const std::vector<WorkerNote> &history, std::string WorkerNote::*key,
+        const std::string &what) {
+  std::map<std::string, Milliseconds> out;
+  for (const WorkerNote &it : history)
+    if (it.What == what)
+      out[it.*key] = it.Time;
+  return out;
+}
+
 } // namespace
 
 // The platform allows half a second from the caller's close to the end of the
@@ -119,7 +119,7 @@
   // Nothing is answered before the callers leave and the half second is over.
   o.WorkTime = Milliseconds(3'000);
   o.StepTime = Milliseconds(1'500);
-  Stage s(o);
+  Scenario s(o);
   std::map<std::string, Milliseconds> left;
   std::vector<WorkerNote> history;
   s.play([&]() -> Awaitable<void> {
@@ -132,10 +132,7 @@
     history = s.history();
   });
   REQUIRE(left.size() == 4);
-  std::map<std::string, Milliseconds> cancelled;
-  for (const WorkerNote &it : history)
-    if (it.What == "cancelled")
-      cancelled[it.Request] = it.Time;
+  auto cancelled = timesOf(history, &WorkerNote::Request, "cancelled");
   for (const auto &[id, at] : left) {
     INFO(id);
     REQUIRE(cancelled.contains(id));
@@ -148,7 +145,7 @@
   PlatformDeploymentOptions o;
   o.Daemons = 2;
   o.StepTime = Milliseconds(50);
-  Stage s(o);
+  Scenario s(o);
   bool ended = false;
   Milliseconds took{0};
   s.play([&]() -> Awaitable<void> {
@@ -184,7 +181,7 @@
           "[process]") {
   PlatformDeploymentOptions o;
   o.DrainTime = Milliseconds(4'500);
-  Stage s(o);
+  Scenario s(o);
   std::vector<std::string> leaving;
   std::vector<WorkerNote> history;
   s.play([&]() -> Awaitable<void> {
@@ -204,10 +201,7 @@
     history = s.history();
   });
   REQUIRE(leaving.size() == 2);
-  std::map<std::string, Milliseconds> since;
-  for (const WorkerNote &it : history)
-    if (it.What == "draining")
-      since[it.Server] = it.Time;
+  auto since = timesOf(history, &WorkerNote::Server, "draining");
   REQUIRE(since.size() == 2);
   std::map<std::string, int> runsBefore;
   for (const WorkerNote &it : history) {
--- a/include/Sardineford/Common/Log.h
+++ b/include/Sardineford/Common/Log.h
@@ -60,6 +60,9 @@
 /// Writes one line.
 void write(Category c, Level l, std::string_view message);
 
+/// The line that tells how many lines were dropped.
+std::string droppedNote(uint64_t dropped);
+
 /// Lines that were dropped because of the bounds.
 uint64_t droppedLines();
 
