Log and count the longest pause of each stream

A stream with a pause over its route's objective is late however soon it began, and nothing in logs or metrics said so: operators saw the time of the first event only. The request's line now carries the longest pause and the objective that was missed; a histogram by route and a counter by cause stand beside them. No decision uses them yet.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/ReturnCheck.h"
 #include "Gateway/StateGauges.h"
+#include "Gateway/StreamTiming.h"
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
@@ -281,6 +282,13 @@
     attempts += (attempts.empty() ? "" : ",") + it.Server + ":" +
                 std::string(toString(it.Outcome));
   std::string outcome = context.CallerGone ? "caller gone" : context.Outcome;
+  bool isCompleteStream = context.Route->Kind == fleet::RequestKind::Stream &&
+                          context.Status == 200 && !context.CallerGone;
+  std::string_view missed;
+  if (isCompleteStream)
+    missed = missedObjective(
+        {context.TimeToFirstByte, context.LongestPause},
+        {context.Route->Objective, context.Route->GapObjective});
   log::event(Category::Gateway, log::Level::Info, "request",
              {{"request", context.Request.Id},
               {"route", context.Route->Name},
@@ -292,6 +300,8 @@
               {"status", context.Status},
               {"outcome", outcome},
               {"first_byte_ms", context.TimeToFirstByte.count()},
+              {"longest_pause_ms", context.LongestPause.count()},
+              {"missed_objective", missed},
               {"took_ms", context.elapsed().count()},
               {"left_ms", context.remainingTime().count()},
               {"sends", attempts},
@@ -310,6 +320,14 @@
     Metrics.observe("sardineford_first_byte_seconds",
                     {{"route", context.Route->Name}},
                     Seconds(context.TimeToFirstByte));
+  if (isCompleteStream)
+    Metrics.observe("sardineford_longest_pause_seconds",
+                    {{"route", context.Route->Name}},
+                    Seconds(context.LongestPause));
+  if (!missed.empty())
+    Metrics.count(
+        "sardineford_objectives_missed_total",
+        {{"route", context.Route->Name}, {"by", std::string(missed)}});
   Metrics.observe("sardineford_request_seconds",
                   {{"route", context.Route->Name},
                    {"answered", context.Status == 200 ? "yes" : "no"}},
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -76,6 +76,8 @@
   /// -1 until the first byte.
   Milliseconds TimeToFirstByte{-1};
   uint64_t EventCount = 0;
+  /// Longest time between two events that were forwarded to the caller.
+  Milliseconds LongestPause{0};
 
   Milliseconds remainingTime() const {
     return toMilliseconds(Deadline - MonoClock::now());
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -28,6 +28,7 @@
   Milliseconds gapTimeout = std::max(
       MinEventGapTimeout, Milliseconds(context.Route->GapObjective.count() *
                                        EventGapTimeoutFactor));
+  MonoTime lastEventAt{};
   for (;;) {
     Milliseconds readTimeout =
         context.Route->Resumable ? std::min(gapTimeout, context.remainingTime())
@@ -40,6 +41,11 @@
     if (completeEvents.empty())
       continue;
     context.EventCount = progress.Events.events();
+    MonoTime now = MonoClock::now();
+    if (lastEventAt != MonoTime{})
+      context.LongestPause =
+          std::max(context.LongestPause, toMilliseconds(now - lastEventAt));
+    lastEventAt = now;
     if (context.TimeToFirstByte < Milliseconds(0))
       context.TimeToFirstByte = context.elapsed();
     try {
