Ask trackers for the load of a few engines when a request is placed

Cause: at 195 processes each heard of the others' work about every 225 ms, and once more through a relay, while a prefill takes about 100 ms.

Change: in a fleet of more than 12 processes each backend server has one process as its tracker, by rendezvous hashing. Changes of a process's work go there at once, repeated every 500 ms; a placement asks for the load and the cached parts at ten engines and takes the best. Reports to all carry only what is known of the store. Smaller fleets keep the reports to all.

The handle of a prompt whose caller left during its prefill is freed.

--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -1,8 +1,10 @@
 #include "Gateway/EngineView.h"
 
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Routing/EngineProbes.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace sardineford::gateway {
 
@@ -36,34 +38,82 @@
   return tokens;
 }
 
-/// Returns the preferred engine of a phase, by rendezvous hashing of the
-/// longest shared prefix. All processes choose the same one.
-std::optional<size_t> preferredEngine(const EngineView &view,
-                                      const CallerRequest &request,
-                                      bool prefill) {
+/// Returns the engines in the order in which the longest shared prefix prefers
+/// them, by rendezvous hashing. All processes agree on it.
+std::vector<size_t> rankEngines(const EngineView &view,
+                                const CallerRequest &request) {
   if (request.Parts.size() < 2)
-    return std::nullopt;
+    return {};
   uint64_t part = request.Parts[request.Parts.size() - 2].Id;
-  std::optional<size_t> preferred;
-  uint64_t highest = 0;
-  for (size_t i = 0; i < view.Servers.size(); ++i) {
-    bool isPrefill = view.Candidates[i].Role == routing::EngineRole::Prefill;
-    if (isPrefill != prefill || view.Candidates[i].Ejected)
-      continue;
-    uint64_t score = hash64(view.Servers[i]->Entry.Id, part);
-    if (preferred && score <= highest)
-      continue;
-    preferred = i;
-    highest = score;
+  std::vector<std::pair<uint64_t, size_t>> ranked;
+  for (size_t i = 0; i < view.Servers.size(); ++i)
+    if (!view.Candidates[i].Ejected)
+      ranked.emplace_back(hash64(view.Servers[i]->Entry.Id, part), i);
+  std::sort(ranked.begin(), ranked.end(), std::greater<>());
+  std::vector<size_t> out;
+  out.reserve(ranked.size());
+  for (const auto &[score, i] : ranked)
+    out.push_back(i);
+  return out;
+}
+
+/// Marks the first engine of each role.
+void markPreferred(EngineView &view, const std::vector<size_t> &ranked) {
+  for (bool prefill : {false, true}) {
+    auto it = std::find_if(ranked.begin(), ranked.end(), [&](size_t i) {
+      return (view.Candidates[i].Role == routing::EngineRole::Prefill) ==
+             prefill;
+    });
+    if (it != ranked.end())
+      view.Candidates[*it].IsPreferred = true;
   }
-  return preferred;
+}
+
+/// Returns the parts of the prompt that other requests may share.
+std::vector<peers::PartSize> sharedParts(const CallerRequest &request) {
+  std::vector<peers::PartSize> out;
+  for (size_t i = 0; i + 1 < request.Parts.size(); ++i)
+    out.push_back({request.Parts[i].Id, request.Parts[i].Tokens});
+  return out;
 }
 
 } // namespace
 
+Awaitable<ProbedEngines>
+probeEngines(SharedState &shared, const RequestContext &context,
+             const std::vector<std::string> &excludedServers,
+             std::optional<routing::EngineRole> role) {
+  ProbedEngines out;
+  if (!shared.Tracking.isActive())
+    co_return out;
+  EngineView view = collectEngines(
+      shared, context, fleet::WorkPriority::Background, excludedServers, {});
+  std::vector<std::string> servers;
+  for (size_t i : routing::chooseProbes(view.Candidates,
+                                        rankEngines(view, context.Request),
+                                        role, shared.Random))
+    servers.push_back(view.Servers[i]->Entry.Id);
+  std::vector<peers::TrackedAnswer> answers = co_await shared.Tracking.query(
+      std::move(servers), sharedParts(context.Request));
+  bool hasDecodeEngine = false;
+  for (const peers::TrackedAnswer &it : answers) {
+    fleet::ServerPtr server = shared.Servers.find(it.Server);
+    if (!server || server->Leaving)
+      continue;
+    server->PeerWork = it.Work;
+    out.CachedTokens[it.Server] = it.CachedTokens;
+    hasDecodeEngine =
+        hasDecodeEngine || server->Entry.Role != routing::EngineRole::Prefill;
+  }
+  if (!hasDecodeEngine)
+    out.CachedTokens.clear();
+  co_return out;
+}
+
 EngineView collectEngines(SharedState &shared, const RequestContext &context,
                           fleet::WorkPriority priority,
-                          const std::vector<std::string> &excludedServers) {
+                          const std::vector<std::string> &excludedServers,
+                          const ProbedEngines &probed) {
   EngineView view;
   MonoTime now = MonoClock::now();
   Seconds meanStreamDuration =
@@ -72,6 +122,10 @@
     if (std::find(excludedServers.begin(), excludedServers.end(),
                   it->Entry.Id) != excludedServers.end())
       continue;
+    auto answer = probed.CachedTokens.find(it->Entry.Id);
+    bool isProbed = answer != probed.CachedTokens.end();
+    if (!probed.CachedTokens.empty() && !isProbed)
+      continue;
     routing::EngineCandidate candidate;
     candidate.Role = it->Entry.Role.value_or(routing::EngineRole::Decode);
     candidate.SameDomain = it->Entry.FailureDomain == shared.FailureDomain;
@@ -82,17 +136,15 @@
       candidate.SlotWait = meanStreamDuration *
                            (candidate.Requests - candidate.Slots + 1.0) /
                            candidate.Slots;
-    candidate.CachedTokens = knownCachedTokens(*it, context.Request);
+    candidate.CachedTokens =
+        isProbed ? answer->second : knownCachedTokens(*it, context.Request);
     candidate.Slowness = it->Slowness;
     candidate.FailureRatio = it->Health.failureRatio();
     candidate.Ejected = it->Health.isEjected(now);
     view.Servers.push_back(it);
     view.Candidates.push_back(candidate);
   }
-  for (bool prefill : {false, true})
-    if (std::optional<size_t> preferred =
-            preferredEngine(view, context.Request, prefill))
-      view.Candidates[*preferred].IsPreferred = true;
+  markPreferred(view, rankEngines(view, context.Request));
   for (routing::EngineCandidate &it : view.Candidates) {
     uint64_t sharedPartTokens = sharedTokens(context.Request);
     it.UncachedSharedTokens =
--- a/Source/Gateway/EngineView.h
+++ b/Source/Gateway/EngineView.h
@@ -11,10 +11,27 @@
   std::vector<routing::EngineCandidate> Candidates;
 };
 
+/// Engines whose load was just asked for. The others are not considered,
+/// because what is known of them is old.
+struct ProbedEngines {
+  /// Cached tokens of the request's prompt, by server. Empty if every engine is
+  /// considered by what is known of it: in a small fleet, or if no answer
+  /// allows a placement.
+  std::map<std::string, uint64_t> CachedTokens;
+};
+
+/// Asks for the loads of a few engines, of one role or of all. Returns an empty
+/// result at once in a small fleet, where all loads are known.
+Awaitable<ProbedEngines>
+probeEngines(SharedState &shared, const RequestContext &context,
+             const std::vector<std::string> &excludedServers,
+             std::optional<routing::EngineRole> role);
+
 /// Collects the engines for a request, without the excluded servers.
 EngineView collectEngines(SharedState &shared, const RequestContext &context,
                           fleet::WorkPriority priority,
-                          const std::vector<std::string> &excludedServers);
+                          const std::vector<std::string> &excludedServers,
+                          const ProbedEngines &probed);
 
 /// Records that the parts of a prompt are cached at a server from now on, and
 /// reports shared parts to the peers.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -62,7 +62,8 @@
                Peers.publishPart(server, part, tokens);
              },
              {},
-             {}} {
+             {},
+             Peers.tracking()} {
   Watch.onConfiguration([this] { applyLimits(); });
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.processes();
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -168,7 +168,7 @@
     MonoTime start = MonoClock::now();
     AttemptResponse result;
     {
-      Reservation inFlight(server, fleet::WorkPriority::Urgent, 0);
+      Reservation inFlight(shared, server, fleet::WorkPriority::Urgent, 0);
       result = co_await sendAttempt(shared, context, server, timeout);
     }
     context.Attempts.setOutcome(attempt, result.Outcome);
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -38,22 +38,27 @@
     it.RetryBudget.setBounds(bounds);
 }
 
-Reservation::Reservation(fleet::ServerPtr server, fleet::WorkPriority priority,
-                         double promptTokens)
-    : Server(std::move(server)), Priority(priority),
+Reservation::Reservation(SharedState &shared, fleet::ServerPtr server,
+                         fleet::WorkPriority priority, double promptTokens)
+    : Shared(shared), Server(std::move(server)), Priority(priority),
       PromptTokens(promptTokens) {
   ++Server->LocalWork.Requests;
   Server->LocalWork.tokens(Priority) += PromptTokens;
+  Shared.Tracking.recordChange(Server->Entry.Id);
 }
 
 Reservation::~Reservation() {
   releasePromptTokens();
   --Server->LocalWork.Requests;
+  Shared.Tracking.recordChange(Server->Entry.Id);
 }
 
 void Reservation::releasePromptTokens() {
+  if (PromptTokens == 0)
+    return;
   Server->LocalWork.tokens(Priority) -= PromptTokens;
   PromptTokens = 0;
+  Shared.Tracking.recordChange(Server->Entry.Id);
 }
 
 http::CallOptions attemptCallOptions(RequestContext &context, bool fresh,
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/FleetWatch.h"
+#include "Peers/LoadTracking.h"
 #include "Sardineford/Admission/SizeFairness.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Gateway/AttemptRecord.h"
@@ -49,6 +50,8 @@
   std::map<std::string, ServiceState> Services;
   /// Keyed by the name of the route.
   std::map<std::string, admission::SizeFairness> Fairness;
+  /// Work of the other processes, in a fleet that uses trackers.
+  peers::LoadTracking &Tracking;
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
@@ -91,8 +94,8 @@
 /// exists.
 class Reservation {
 public:
-  Reservation(fleet::ServerPtr server, fleet::WorkPriority priority,
-              double promptTokens);
+  Reservation(SharedState &shared, fleet::ServerPtr server,
+              fleet::WorkPriority priority, double promptTokens);
   ~Reservation();
   Reservation(const Reservation &) = delete;
   Reservation &operator=(const Reservation &) = delete;
@@ -101,6 +104,7 @@
   void releasePromptTokens();
 
 private:
+  SharedState &Shared;
   fleet::ServerPtr Server;
   fleet::WorkPriority Priority;
   double PromptTokens;
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -82,12 +82,15 @@
       co_return std::nullopt;
     std::optional<AttemptPlan> next =
         co_await planAttempt(shared, context, progress);
-    if (context.CallerGone)
+    std::optional<KvHandle> handle = next ? next->Handle : std::nullopt;
+    if (context.CallerGone) {
+      if (handle)
+        freeHandle(shared, *handle);
       co_return StreamAttemptResult::CallerGone;
+    }
     if (!next)
       co_return std::nullopt;
     std::string serverId = next->Server->Entry.Id;
-    std::optional<KvHandle> handle = next->Handle;
     if (checkTimedOut(context, progress)) {
       if (handle)
         freeHandle(shared, *handle);
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -20,7 +20,7 @@
 prefill(SharedState &shared, RequestContext &context, StreamProgress &progress,
         ServerPtr server, double tokens, Seconds estimate) {
   double queuedTokens = server->tokensAhead(progress.Priority);
-  Reservation inFlight(server, progress.Priority, tokens);
+  Reservation inFlight(shared, server, progress.Priority, tokens);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
   AttemptOptions attemptOptions = makeAttemptOptions(context, progress, server);
@@ -93,9 +93,10 @@
 EnginePlacement findPlacement(SharedState &shared,
                               const RequestContext &context,
                               const StreamProgress &progress,
+                              const ProbedEngines &probed,
                               fleet::WorkPriority priority) {
   EnginePlacement out{
-      collectEngines(shared, context, priority, progress.TriedServers),
+      collectEngines(shared, context, priority, progress.TriedServers, probed),
       std::nullopt};
   EngineView &view = out.Engines;
   if (progress.PrefillAttempts >= MaxPrefillAttempts)
@@ -119,10 +120,11 @@
 /// Returns nothing if it is rejected.
 std::optional<EnginePlacement> admit(SharedState &shared,
                                      const RequestContext &context,
-                                     StreamProgress &progress) {
+                                     StreamProgress &progress,
+                                     const ProbedEngines &probed) {
   std::array<EnginePlacement, fleet::NumWorkPriorities> placements;
   for (size_t i = 0; i < fleet::NumWorkPriorities; ++i)
-    placements[i] = findPlacement(shared, context, progress,
+    placements[i] = findPlacement(shared, context, progress, probed,
                                   static_cast<fleet::WorkPriority>(i));
   auto firstEvent = [&](fleet::WorkPriority priority) {
     const auto &choice = placements[static_cast<size_t>(priority)].Choice;
@@ -177,11 +179,16 @@
                                                   StreamProgress &progress) {
   routing::PromptSize demand{context.Request.PromptTokens};
   for (;;) {
+    ProbedEngines probed = co_await probeEngines(
+        shared, context, progress.TriedServers, std::nullopt);
+    if (context.CallerGone)
+      co_return std::nullopt;
     std::optional<EnginePlacement> placement;
     if (context.Attempts.sentCount() == 0 && progress.PrefillAttempts == 0)
-      placement = admit(shared, context, progress);
+      placement = admit(shared, context, progress, probed);
     else
-      placement = findPlacement(shared, context, progress, progress.Priority);
+      placement =
+          findPlacement(shared, context, progress, probed, progress.Priority);
     if (!placement || !placement->Choice)
       co_return std::nullopt;
     const EngineView &view = placement->Engines;
@@ -208,14 +215,20 @@
     std::optional<KvHandle> handle =
         co_await prefill(shared, context, progress, view.Servers[prefillIndex],
                          tokens, choice.TimeToFirstEvent);
-    if (context.CallerGone)
+    if (context.CallerGone) {
+      if (handle)
+        freeHandle(shared, *handle);
       co_return std::nullopt;
+    }
     if (!handle) {
       progress.TriedServers.push_back(view.Servers[prefillIndex]->Entry.Id);
       continue;
     }
-    EngineView currentView = collectEngines(shared, context, progress.Priority,
-                                            progress.TriedServers);
+    ProbedEngines decodeEngines = co_await probeEngines(
+        shared, context, progress.TriedServers, routing::EngineRole::Decode);
+    EngineView currentView =
+        collectEngines(shared, context, progress.Priority,
+                       progress.TriedServers, decodeEngines);
     std::optional<size_t> decodeIndex =
         chooseDecodeEngine(shared, currentView, demand);
     if (!decodeIndex) {
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -148,7 +148,7 @@
                                           AttemptPlan plan) {
   const ServerPtr &server = plan.Server;
   double queuedTokens = server->tokensAhead(progress.Priority);
-  Reservation inFlight(server, progress.Priority,
+  Reservation inFlight(shared, server, progress.Priority,
                        plan.Handle ? 0 : plan.Tokens);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -1,6 +1,7 @@
 #include "Peers/LoadExchange.h"
 
 #include "Messages/Messages.pb.h"
+#include "Peers/ShareCodec.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
 #include "Sardineford/Store/Write.h"
@@ -42,19 +43,6 @@
 /// Approximate size of the datagrams into which relayed reports are split.
 constexpr size_t RelayDatagramBytes = size_t{8} * 1024;
 
-uint32_t wholeTokens(double n) {
-  return static_cast<uint32_t>(std::max(0.0, n));
-}
-
-fleet::WorkInFlight decodeShare(const messages::ServerShare &in) {
-  fleet::WorkInFlight out;
-  out.Requests = in.requests();
-  for (int i = 0; i < in.prompt_tokens_size(); ++i)
-    if (static_cast<size_t>(i) < fleet::NumWorkPriorities)
-      out.Tokens[static_cast<size_t>(i)] = in.prompt_tokens(i);
-  return out;
-}
-
 } // namespace
 
 LoadExchange::LoadExchange(IoContext &io, store::ObjectStore &store,
@@ -64,6 +52,11 @@
     : Io(io), Store(store), Node(std::move(node)),
       Incarnation(makeIncarnation()), Listen(std::move(listen)),
       Servers(directory), Metrics(metrics), Socket(io), Peers(Listen),
+      Tracking(io, directory, metrics, {Node, Incarnation, 0}, Listen,
+               [this](const messages::LoadShare &datagram,
+                      const http::Endpoint &to) {
+                 send(datagram.SerializeAsString(), {to});
+               }),
       LocalReport(std::make_unique<messages::LoadShare>()) {}
 
 LoadExchange::~LoadExchange() = default;
@@ -78,6 +71,8 @@
   spawn(Io, "load-receive", [this] { return receiveLoop(); });
 }
 
+void LoadExchange::stop() { Socket.close(); }
+
 unsigned LoadExchange::processes() const {
   return static_cast<unsigned>(View.peers() + 1);
 }
@@ -138,7 +133,10 @@
 
 void LoadExchange::publishPart(const std::string &server, uint64_t part,
                                uint64_t tokens) {
-  Parts.push_back({server, part, tokens, SendsPerPart});
+  if (Tracking.isActive())
+    Tracking.recordPart(server, {part, tokens});
+  else
+    Parts.push_back({server, part, tokens, SendsPerPart});
 }
 
 bool LoadExchange::updateReport() {
@@ -147,15 +145,11 @@
   out.set_node(Node);
   out.set_incarnation(Incarnation);
   out.set_address(http::toString(Listen));
-  Servers.forEach([&](const fleet::Server &s) {
-    if (s.LocalWork.Requests == 0)
-      return;
-    messages::ServerShare *share = out.add_servers();
-    share->set_server(s.Entry.Id);
-    for (double it : s.LocalWork.Tokens)
-      share->add_prompt_tokens(wholeTokens(it));
-    share->set_requests(s.LocalWork.Requests);
-  });
+  if (!Tracking.isActive())
+    Servers.forEach([&](const fleet::Server &s) {
+      if (s.LocalWork.Requests > 0)
+        encodeShare(s.Entry.Id, s.LocalWork, *out.add_servers());
+    });
   for (PartUse &it : Parts) {
     messages::PartUse *use = out.add_parts();
     use->set_server(it.Server);
@@ -231,6 +225,11 @@
       OnPeersChanged();
     PeerSet::Recipients to = Peers.selectRecipients(now);
     interval = sendInterval(to);
+    Tracking.setProcesses(Peers.activeProcesses());
+    if (now - SharesRepeatedAt >= RepeatInterval) {
+      SharesRepeatedAt = now;
+      Tracking.repeatShares();
+    }
     bool changed = updateReport();
     if (changed)
       sendReport(to.SameGroup);
@@ -253,6 +252,8 @@
     Metrics.count("sardineford_load_reports_bad_total", {});
     return;
   }
+  if (Tracking.handle(in, from))
+    return;
   applyReport(in, from);
   try {
     for (const messages::LoadShare &it : in.relayed())
@@ -288,12 +289,7 @@
 void LoadExchange::queueForRelay(const messages::LoadShare &in) {
   auto copy = std::make_unique<messages::LoadShare>(in);
   copy->clear_relayed();
-  std::unique_ptr<messages::LoadShare> &slot = ToRelay[in.node()];
-  // Each prompt part is sent only a few times: the parts of a report that is
-  // replaced before it was relayed are added to the newer report.
-  if (slot)
-    copy->mutable_parts()->MergeFrom(slot->parts());
-  slot = std::move(copy);
+  ToRelay[in.node()] = std::move(copy);
 }
 
 void LoadExchange::updateChangedPeerWork() {
@@ -305,6 +301,9 @@
 /// Updates all servers, since peers may have reported a server before its entry
 /// was found.
 void LoadExchange::updateAllPeerWork() {
+  // The answers of the trackers are the newest there is.
+  if (Tracking.isActive())
+    return;
   View.takeChanged();
   Servers.forEach(
       [&](fleet::Server &s) { s.PeerWork = View.total(s.Entry.Id); });
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Peers/LoadTracking.h"
 #include "Peers/PeerSet.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/StoreView.h"
@@ -25,7 +26,8 @@
 /// Publishes the work that this process has in flight at each backend server to
 /// its peers and receives theirs. The processes discover each other in the
 /// platform's store. Reports are sent as datagrams, since only the newest
-/// counts.
+/// counts. In a large fleet, reports only show that a process runs and what it
+/// knows of the store, and the work goes to the trackers of the servers.
 class LoadExchange {
 public:
   LoadExchange(IoContext &io, store::ObjectStore &store, std::string node,
@@ -34,10 +36,14 @@
   ~LoadExchange();
 
   void start();
+  /// Stops sending and receiving. The peers count this process as gone after
+  /// some time.
+  void stop();
   /// Returns the number of processes in the exchange, including this one.
   unsigned processes() const;
   /// Publishes that a prompt part is now cached at a server.
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
+  LoadTracking &tracking() { return Tracking; }
   /// Sets the source of the local store view that is published, and the
   /// function that receives the views of peers.
   void
@@ -85,6 +91,8 @@
   std::function<void(const fleet::StoreView &)> OnPeerView;
   LoadView View;
   PeerSet Peers;
+  LoadTracking Tracking;
+  MonoTime SharesRepeatedAt{};
   /// Newest reports of the local group that are not relayed yet, by process.
   std::map<std::string, std::unique_ptr<messages::LoadShare>> ToRelay;
   /// Peers that requested a report.
--- a/Source/Peers/Mesh.cpp
+++ b/Source/Peers/Mesh.cpp
@@ -26,9 +26,11 @@
 
 } // namespace
 
+bool isGrouped(size_t processes) { return processes > MaxUngroupedProcesses; }
+
 MeshPlan planMesh(size_t processes, size_t local) {
   Groups groups{processes, 1};
-  if (processes > MaxUngroupedProcesses)
+  if (isGrouped(processes))
     groups.Count = static_cast<size_t>(
         std::lround(std::sqrt(static_cast<double>(processes))));
   MeshPlan out;
--- a/Source/Peers/Mesh.h
+++ b/Source/Peers/Mesh.h
@@ -13,6 +13,9 @@
   std::vector<size_t> OtherGroups;
 };
 
+/// Returns whether so many processes form several groups.
+bool isGrouped(size_t processes);
+
 /// Plans the distribution of reports among all processes in two steps. The
 /// number of groups is about the square root of the number of processes. Each
 /// process sends its report to its group, and then relays the reports of its
--- a/Source/Peers/PeerSet.cpp
+++ b/Source/Peers/PeerSet.cpp
@@ -65,6 +65,7 @@
   }
   for (size_t it : plan.OtherGroups)
     out.OtherGroups.push_back(active[it]);
+  Active = std::move(active);
   return out;
 }
 
--- a/Source/Peers/PeerSet.h
+++ b/Source/Peers/PeerSet.h
@@ -35,6 +35,9 @@
     return LocalGroup.contains(endpoint);
   }
   bool empty() const { return Peers.empty(); }
+  /// Returns the running processes as of the last selection, sorted, with the
+  /// local one.
+  const std::vector<http::Endpoint> &activeProcesses() const { return Active; }
 
 private:
   struct Peer {
@@ -47,6 +50,7 @@
   http::Endpoint Local;
   std::map<http::Endpoint, Peer> Peers;
   std::set<http::Endpoint> LocalGroup;
+  std::vector<http::Endpoint> Active;
 };
 
 } // namespace sardineford::peers
