Weigh the pauses of running streams when a prompt is placed

Cause: a prompt that a decode engine prefills between the steps of its streams stretches their events.

Change: the time between events is learned by requests in flight, a prompt adds its prefill time to it, and each stream that this carries over the route's objective costs as much as a late first event. A prompt that was prefilled apart avoids engines where others are about to be prefilled. Lines of attempts carry the tokens and what was ahead of them.

--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -130,6 +130,8 @@
     candidate.Role = it->Entry.Role.value_or(routing::EngineRole::Decode);
     candidate.SameDomain = it->Entry.FailureDomain == shared.FailureDomain;
     candidate.PromptTokensAhead = it->tokensAhead(priority);
+    candidate.QueuedPromptTokens =
+        it->tokensAhead(fleet::WorkPriority::Background);
     candidate.Requests = it->requests();
     candidate.Slots = it->Entry.Slots;
     if (candidate.Requests >= candidate.Slots)
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -148,6 +148,10 @@
   Milliseconds Timeout{0};
   Milliseconds Duration{0};
   std::string_view Detail;
+  /// Prompt tokens to prefill or fetch, and those ahead of them when the
+  /// attempt was sent.
+  double Tokens = 0;
+  double QueuedTokens = 0;
 };
 
 void logAttempt(const RequestContext &context, const fleet::Server &server,
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -64,24 +64,12 @@
   }
   logAttempt(context, *server,
              {"prefill", outcome, estimate, timeout, toMilliseconds(duration),
-              detail});
+              detail, tokens, queuedTokens});
   co_return handle;
 }
 
-/// Chooses the decode engine for a prefilled prompt.
-std::optional<size_t> chooseDecodeEngine(SharedState &shared,
-                                         const EngineView &view,
-                                         const routing::PromptSize &demand) {
-  std::vector<routing::EngineCandidate> engines = view.Candidates;
-  // All tokens count as cached, so that only the transfer of the KV cache has a
-  // cost.
-  for (routing::EngineCandidate &it : engines) {
-    it.CachedTokens = demand.PromptTokens;
-    it.PromptTokensAhead = 0;
-  }
-  std::optional<routing::PlacementChoice> choice = routing::placeRequest(
-      engines, demand, routing::initialSpeedModels(), shared.Random);
-  return choice ? std::optional<size_t>(choice->Decode) : std::nullopt;
+routing::PromptSize promptSize(const RequestContext &context) {
+  return {context.Request.PromptTokens, Seconds(context.Route->GapObjective)};
 }
 
 /// Engines that can serve the request, and the best choice among them.
@@ -107,7 +95,7 @@
                               static_cast<ptrdiff_t>(i));
       }
   out.Choice = routing::placeRequest(
-      view.Candidates, {context.Request.PromptTokens},
+      view.Candidates, promptSize(context),
       shared.service(context.Service).SpeedModels, shared.Random);
   return out;
 }
@@ -177,7 +165,6 @@
 Awaitable<std::optional<AttemptPlan>> planAttempt(SharedState &shared,
                                                   RequestContext &context,
                                                   StreamProgress &progress) {
-  routing::PromptSize demand{context.Request.PromptTokens};
   for (;;) {
     ProbedEngines probed = co_await probeEngines(
         shared, context, progress.TriedServers, std::nullopt);
@@ -229,8 +216,9 @@
     EngineView currentView =
         collectEngines(shared, context, progress.Priority,
                        progress.TriedServers, decodeEngines);
-    std::optional<size_t> decodeIndex =
-        chooseDecodeEngine(shared, currentView, demand);
+    std::optional<size_t> decodeIndex = routing::chooseFetchEngine(
+        currentView.Candidates, promptSize(context),
+        shared.service(context.Service).SpeedModels, shared.Random);
     if (!decodeIndex) {
       freeHandle(shared, *handle);
       co_return std::nullopt;
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -113,6 +113,17 @@
                         queuedTokens + plan.Tokens, duration);
 }
 
+/// Records the time from the first event of a complete stream to its last.
+void recordStream(SharedState &shared, const RequestContext &context,
+                  unsigned requests, Seconds duration) {
+  ServiceState &service = shared.service(context.Service);
+  service.MeanStreamDuration +=
+      (duration - service.MeanStreamDuration) * StreamDurationWeight;
+  if (context.EventCount > 1)
+    service.SpeedModels.Pace.observe(
+        requests, duration / static_cast<double>(context.EventCount - 1));
+}
+
 Awaitable<StreamAttemptResult>
 forwardAttemptResponse(SharedState &shared, RequestContext &context,
                        StreamProgress &progress, http::ResponseStream &stream,
@@ -148,6 +159,7 @@
                                           AttemptPlan plan) {
   const ServerPtr &server = plan.Server;
   double queuedTokens = server->tokensAhead(progress.Priority);
+  unsigned requests = server->requests() + 1;
   Reservation inFlight(shared, server, progress.Priority,
                        plan.Handle ? 0 : plan.Tokens);
   // Later requests in the queue of this engine find the shared parts cached.
@@ -190,9 +202,8 @@
       result = co_await forwardAttemptResponse(shared, context, progress,
                                                *stream, *server);
       if (result == StreamAttemptResult::Complete) {
-        Seconds &mean = shared.service(context.Service).MeanStreamDuration;
-        mean += (Seconds(MonoClock::now() - start) - timeToFirstEvent - mean) *
-                StreamDurationWeight;
+        recordStream(shared, context, requests,
+                     Seconds(MonoClock::now() - start) - timeToFirstEvent);
         outcome = AttemptOutcome::Answered;
         server->Health.recordSuccess(MonoClock::now());
       } else {
@@ -213,8 +224,8 @@
     progress.LastDetail = detail;
   logAttempt(context, *server,
              {plan.Handle ? "run with fetched cache" : "run", outcome,
-              plan.Estimate, timeout, toMilliseconds(timeToFirstEvent),
-              detail});
+              plan.Estimate, timeout, toMilliseconds(timeToFirstEvent), detail,
+              plan.Tokens, queuedTokens});
   co_return result;
 }
 
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -15,6 +15,9 @@
 constexpr Seconds InitialFetchFixed{0.060};
 constexpr Seconds InitialFetchPerToken{1e-6};
 constexpr double TypicalPromptTokens = 4'000;
+constexpr Seconds InitialPaceFixed{0.040};
+constexpr Seconds InitialPacePerRequest{0.001};
+constexpr double TypicalRequests = 10;
 
 /// Cost of a failure ratio of 1: a retry takes about as long as the first
 /// attempt.
@@ -41,6 +44,12 @@
 /// first event.
 constexpr double SequenceDelayWeight = 0.25;
 constexpr Seconds EjectionCost{5.0};
+/// Cost of a stream that becomes late by a pause; about as much as its own
+/// first event being late by its objective.
+constexpr Seconds LatePauseCost{0.25};
+/// Ratio of the objective from which a predicted pause may be over it: other
+/// prompts arrive in the meantime.
+constexpr double RiskyPauseRatio = 0.6;
 
 Seconds penalty(const EngineCandidate &e) {
   Seconds cost = FailureCost * e.FailureRatio;
@@ -77,6 +86,30 @@
   return CostPerRequest * static_cast<double>(e.Requests);
 }
 
+/// Returns the probability that a stream at the engine misses its objective for
+/// pauses while this many prompt tokens are prefilled there.
+double latePauseRisk(const EngineCandidate &e, double queuedTokens,
+                     const PromptSize &prompt,
+                     const EngineSpeedModels &speeds) {
+  if (prompt.PauseObjective <= Seconds(0))
+    return 0;
+  Seconds pause = speeds.Pace.estimate(static_cast<double>(e.Requests)) +
+                  speeds.Colocated.perUnit() * queuedTokens * e.Slowness;
+  double ratio = pause / prompt.PauseObjective;
+  return std::clamp((ratio - RiskyPauseRatio) / (1 - RiskyPauseRatio), 0.0,
+                    1.0);
+}
+
+/// Cost of the streams at a decode engine that become late by a pause if the
+/// prompt is prefilled there.
+Seconds latePauseCost(const EngineCandidate &e, const PromptSize &prompt,
+                      const EngineSpeedModels &speeds) {
+  double before = latePauseRisk(e, e.QueuedPromptTokens, prompt, speeds);
+  double after = latePauseRisk(
+      e, e.QueuedPromptTokens + uncachedTokens(e, prompt), prompt, speeds);
+  return LatePauseCost * static_cast<double>(e.Requests) * (after - before);
+}
+
 struct BestCandidate {
   std::optional<size_t> Index;
   Seconds Time{0};
@@ -95,13 +128,31 @@
 
 } // namespace
 
+namespace {
+
+/// Considers a decode engine for a request whose prompt was prefilled apart.
+void considerFetch(size_t i, const EngineCandidate &e, const PromptSize &prompt,
+                   const EngineSpeedModels &speeds, double jitter,
+                   BestCandidate &best) {
+  Seconds t = speeds.Fetch.estimate(static_cast<double>(prompt.PromptTokens)) *
+                  e.Slowness +
+              inFlightCost(e) + e.SlotWait;
+  best.consider(i, t, Seconds(0),
+                t * jitter + penalty(e) +
+                    LatePauseCost *
+                        latePauseRisk(e, e.QueuedPromptTokens, prompt, speeds));
+}
+
+} // namespace
+
 EngineSpeedModels initialSpeedModels() {
   return {
       SpeedModel(InitialPrefillFixed, InitialPrefillPerToken,
                  TypicalPromptTokens),
       SpeedModel(InitialColocatedFixed, InitialColocatedPerToken,
                  TypicalPromptTokens),
-      SpeedModel(InitialFetchFixed, InitialFetchPerToken, TypicalPromptTokens)};
+      SpeedModel(InitialFetchFixed, InitialFetchPerToken, TypicalPromptTokens),
+      SpeedModel(InitialPaceFixed, InitialPacePerRequest, TypicalRequests)};
 }
 
 std::optional<PlacementChoice>
@@ -113,7 +164,6 @@
   BestCandidate prefill;
   BestCandidate colocated;
   BestCandidate fetch;
-  auto tokens = static_cast<double>(prompt.PromptTokens);
   for (size_t i = 0; i < engines.size(); ++i) {
     const EngineCandidate &e = engines[i];
     if (e.Role == EngineRole::Prefill) {
@@ -129,10 +179,9 @@
                        t * jitter(random) + penalty(e) +
                            work * static_cast<double>(e.Requests) *
                                SequenceDelayWeight +
+                           latePauseCost(e, prompt, speeds) +
                            recomputeCost(e, speeds.Colocated));
-    t = speeds.Fetch.estimate(tokens) * e.Slowness + inFlightCost(e) +
-        e.SlotWait;
-    fetch.consider(i, t, Seconds(0), t * jitter(random) + penalty(e));
+    considerFetch(i, e, prompt, speeds, jitter(random), fetch);
   }
   if (!colocated.Index)
     return std::nullopt;
@@ -145,4 +194,17 @@
   return choice;
 }
 
+std::optional<size_t>
+chooseFetchEngine(const std::vector<EngineCandidate> &engines,
+                  const PromptSize &prompt, const EngineSpeedModels &speeds,
+                  std::mt19937_64 &random) {
+  std::uniform_real_distribution<double> jitter(1 - JitterRatio,
+                                                1 + JitterRatio);
+  BestCandidate best;
+  for (size_t i = 0; i < engines.size(); ++i)
+    if (engines[i].Role != EngineRole::Prefill)
+      considerFetch(i, engines[i], prompt, speeds, jitter(random), best);
+  return best.Index;
+}
+
 } // namespace sardineford::routing
--- a/Tests/Load/StreamLoadTest.cpp
+++ b/Tests/Load/StreamLoadTest.cpp
@@ -181,7 +181,8 @@
   EngineSpeedModels Speeds{
       SpeedModel(Seconds(0.01), Seconds(1 / PrefillTokensPerSecond), 4'000),
       SpeedModel(Seconds(0.06), Seconds(4 / PrefillTokensPerSecond), 4'000),
-      SpeedModel(Seconds(0.03), Seconds(1e-7), 4'000)};
+      SpeedModel(Seconds(0.03), Seconds(1e-7), 4'000),
+      SpeedModel(Seconds(0.04), Seconds(0.001), 10)};
   admission::SizeFairness Fairness;
   double Now = 0;
   Outcome Result;
--- a/Tests/Routing/PlacementTest.cpp
+++ b/Tests/Routing/PlacementTest.cpp
@@ -73,6 +73,44 @@
   CHECK(place({v[0]}, 1'000)->Decode == 0);
 }
 
+TEST_CASE("a long prompt is not prefilled beside streams that it would make "
+          "late") {
+  std::vector<EngineCandidate> v = {engine(EngineRole::Prefill),
+                                    engine(EngineRole::Decode)};
+  v[0].PromptTokensAhead = 15'000;
+  v[1].Requests = 1;
+  std::mt19937_64 random(1);
+  PromptSize prompt{6'000, Seconds(0)};
+  CHECK_FALSE(placeRequest(v, prompt, initialSpeedModels(), random)->Prefill);
+  prompt.PauseObjective = Seconds(0.15);
+  CHECK(placeRequest(v, prompt, initialSpeedModels(), random)->Prefill == 0);
+  // The pauses stay within a longer objective.
+  prompt.PauseObjective = Seconds(0.6);
+  CHECK_FALSE(placeRequest(v, prompt, initialSpeedModels(), random)->Prefill);
+}
+
+TEST_CASE("a prompt is prefilled at the engine without running streams") {
+  std::vector<EngineCandidate> v(2, engine(EngineRole::Decode));
+  v[0].Requests = 4;
+  v[1].PromptTokensAhead = v[1].QueuedPromptTokens = 1'500;
+  std::mt19937_64 random(1);
+  PromptSize prompt{3'000, Seconds(0.15)};
+  CHECK(placeRequest(v, prompt, initialSpeedModels(), random)->Decode == 1);
+}
+
+TEST_CASE("a prefilled prompt does not go where prompts would delay its "
+          "events") {
+  std::vector<EngineCandidate> v(2, engine(EngineRole::Decode));
+  v[0].QueuedPromptTokens = 5'000;
+  v[1].Requests = 6;
+  std::mt19937_64 random(1);
+  PromptSize prompt{3'000, Seconds(0.15)};
+  CHECK(chooseFetchEngine(v, prompt, initialSpeedModels(), random) == 1);
+  v.push_back(engine(EngineRole::Prefill));
+  CHECK(chooseFetchEngine(v, prompt, initialSpeedModels(), random) == 1);
+  CHECK_FALSE(chooseFetchEngine({v[2]}, prompt, initialSpeedModels(), random));
+}
+
 TEST_CASE("requests spread over equal engines") {
   std::vector<EngineCandidate> v(6, engine(EngineRole::Decode));
   std::mt19937_64 random(1);
--- a/include/Sardineford/Routing/Placement.h
+++ b/include/Sardineford/Routing/Placement.h
@@ -16,8 +16,10 @@
 struct EngineCandidate {
   EngineRole Role = EngineRole::Decode;
   bool SameDomain = true;
-  /// Prompt tokens sent to the engine and not prefilled yet.
+  /// Prompt tokens that the engine prefills before those of this request.
   double PromptTokensAhead = 0;
+  /// Prompt tokens sent to the engine and not prefilled yet, of all priorities.
+  double QueuedPromptTokens = 0;
   /// Requests in flight at the engine.
   unsigned Requests = 0;
   unsigned Slots = 1;
@@ -40,8 +42,12 @@
   bool Ejected = false;
 };
 
+/// What placement needs to know of a request.
 struct PromptSize {
   uint64_t PromptTokens = 0;
+  /// Longest time between two events for which a stream is in time; 0 for none.
+  /// The streams that run at an engine are taken to have the same one.
+  Seconds PauseObjective{0};
 };
 
 /// Time models of one service's engines, by prompt tokens.
@@ -54,6 +60,8 @@
   /// Time to the first event at a decode engine that fetches the key-value
   /// cache from a prefill engine.
   SpeedModel Fetch;
+  /// Time between two events of a stream, by requests in flight.
+  SpeedModel Pace;
 };
 
 /// Returns the models that apply before any sample is observed.
@@ -73,11 +81,19 @@
 /// Chooses the engines with the least estimated time to the first event. The
 /// load alternates between long prompts and many short ones within seconds, so
 /// the choice between a separate prefill and a prefill at the decode engine is
-/// made for each request. Slow, failing and ejected engines get a higher cost.
-/// Returns nothing if there is no decode engine.
+/// made for each request. Slow, failing and ejected engines get a higher cost,
+/// and so do those where the prefill would stretch the pauses of running
+/// streams over their objective. Returns nothing if there is no decode engine.
 std::optional<PlacementChoice>
 placeRequest(const std::vector<EngineCandidate> &engines,
              const PromptSize &prompt, const EngineSpeedModels &speeds,
              std::mt19937_64 &random);
 
+/// Chooses the decode engine for a prompt whose key-value cache is at a prefill
+/// engine.
+std::optional<size_t>
+chooseFetchEngine(const std::vector<EngineCandidate> &engines,
+                  const PromptSize &prompt, const EngineSpeedModels &speeds,
+                  std::mt19937_64 &random);
+
 } // namespace sardineford::routing
