--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -38,6 +38,9 @@
 /// reappear about 2 s after the store's recovery.
 constexpr Milliseconds MissingGracePeriod{2'300};
 constexpr Milliseconds RemoveMissingInterval{100};
+/// Interval at which a process that learns changes from its peers checks
+/// whether it has to watch the store.
+constexpr Milliseconds DutyCheckInterval{250};
 
 Milliseconds timeSince(MonoTime t) {
   return t == MonoTime{} ? Milliseconds(-1)
@@ -70,11 +73,23 @@
 }
 
 Milliseconds FleetWatch::configurationAge() const {
-  return timeSince(ConfigurationFeed.ConfirmedAt);
+  return timeSince(std::max(ConfigurationFeed.ConfirmedAt,
+                            ConfigurationFeed.Duty.peerAnsweredAt()));
 }
 
 Milliseconds FleetWatch::serversAge() const {
-  return timeSince(ServerFeed.ConfirmedAt);
+  return timeSince(
+      std::max(ServerFeed.ConfirmedAt, ServerFeed.Duty.peerAnsweredAt()));
+}
+
+void FleetWatch::setPosition(FleetPosition position) {
+  Position = position;
+  ConfigurationFeed.Duty.setPosition(position);
+  ServerFeed.Duty.setPosition(position);
+}
+
+Milliseconds FleetWatch::remainingGrace() const {
+  return std::max(Milliseconds(0), toMilliseconds(GraceEnd - MonoClock::now()));
 }
 
 void FleetWatch::recordFailure(Feed &feed, const std::string &error) {
@@ -100,8 +115,9 @@
 }
 
 Milliseconds FleetWatch::watchTimeout() const {
-  Milliseconds wait = std::clamp(WatchTimeoutPerProcess * Processes,
-                                 MinWatchTimeout, MaxWatchTimeout);
+  Milliseconds wait =
+      std::clamp(WatchTimeoutPerProcess * ConfigurationFeed.Duty.watchers(),
+                 MinWatchTimeout, MaxWatchTimeout);
   // Spreads the watches of processes that started together over time.
   return std::max(MinWatchTimeout, jittered(wait * 2 / 3));
 }
@@ -148,8 +164,61 @@
   co_return std::move(result.Changes);
 }
 
+/// Waits until peers know something that this process does not, or until this
+/// process has to watch the store.
+Awaitable<void> FleetWatch::waitForPeers(Feed &feed) {
+  feed.Comparison.reset();
+  feed.Interrupt.expires_at(MonoTime::max());
+  feed.IsWatching = true;
+  while (!feed.Duty.mustWatch(MonoClock::now()) &&
+         feed.Interrupt.expiry() == MonoTime::max())
+    co_await sleepFor(DutyCheckInterval);
+  feed.IsWatching = false;
+}
+
+FeedView FleetWatch::feedView(const Feed &feed) {
+  FeedView out = feed.Objects.view();
+  bool isConfirmed = !feed.Lost && feed.ConfirmedAt != MonoTime{} &&
+                     feed.Duty.mustWatch(MonoClock::now());
+  if (isConfirmed)
+    out.AnswerAge = timeSince(feed.ConfirmedAt);
+  return out;
+}
+
 StoreView FleetWatch::view() const {
-  return {ConfigurationFeed.Objects.view(), ServerFeed.Objects.view()};
+  return {feedView(ConfigurationFeed), feedView(ServerFeed), Position.Rank,
+          remainingGrace()};
+}
+
+void FleetWatch::recordPeerAnswer(Feed &feed, const FeedView &peer,
+                                  unsigned rank) {
+  if (!peer.AnswerAge)
+    return;
+  std::uniform_real_distribution<double> share(0, 1);
+  feed.Duty.recordPeerAnswer(rank, MonoClock::now() - *peer.AnswerAge,
+                             share(randomGenerator()));
+}
+
+/// Sends changes of servers' entries to the peers. They read a new
+/// configuration themselves, because it may be too large for a datagram.
+void FleetWatch::publish(const Feed &feed, uint64_t revision,
+                         std::vector<store::Object> objects) {
+  if (&feed == &ServerFeed && PublishServerChanges && !objects.empty() &&
+      feed.Duty.mustPublish(MonoClock::now()))
+    PublishServerChanges({revision, std::move(objects)}, remainingGrace());
+}
+
+void FleetWatch::applyServerChanges(const store::Changes &changes,
+                                    Milliseconds grace) {
+  MonoTime now = MonoClock::now();
+  bool watches = ServerFeed.Duty.mustWatch(now) && !ServerFeed.Lost;
+  if (watches || !Servers.isLoaded())
+    return;
+  GraceEnd = std::max(GraceEnd, now + grace);
+  for (const store::Object &it : changes.Objects)
+    if (ServerFeed.Objects.updateIfNews(it, changes.Revision))
+      applyServer(it);
+  ServerFeed.Comparison.reset();
 }
 
 void FleetWatch::comparePeer(Feed &feed, const FeedView &peer) {
@@ -166,12 +235,17 @@
 }
 
 void FleetWatch::checkPeerView(const StoreView &peer) {
+  recordPeerAnswer(ConfigurationFeed, peer.Configuration, peer.Rank);
+  recordPeerAnswer(ServerFeed, peer.Servers, peer.Rank);
+  if (peer.Servers.AnswerAge)
+    GraceEnd = std::max(GraceEnd, MonoClock::now() + peer.MissingGrace);
   comparePeer(ConfigurationFeed, peer.Configuration);
   comparePeer(ServerFeed, peer.Servers);
 }
 
-/// Reads all objects, then watches for changes. Reads all objects again after a
-/// watch that failed or was interrupted, since changes may have been missed.
+/// Reads all objects, then watches for changes or waits for those of the peers.
+/// Reads all objects again after a watch that failed or was interrupted, since
+/// changes may have been missed.
 Awaitable<void>
 FleetWatch::follow(Feed &feed, std::function<Awaitable<uint64_t>()> readAll,
                    std::function<void(const store::Object &)> apply) {
@@ -187,6 +261,13 @@
         recordAnswer(feed);
       }
       MonoTime startedAt = MonoClock::now();
+      if (!feed.Duty.mustWatch(startedAt)) {
+        // Limits the reads while changes keep arriving.
+        co_await sleepFor(BatchDelay);
+        co_await waitForPeers(feed);
+        isCurrent = false;
+        continue;
+      }
       std::optional<store::Changes> changes = co_await watchOnce(feed);
       if (!changes) {
         isCurrent = false;
@@ -205,6 +286,7 @@
         feed.Objects.update(it);
         apply(it);
       }
+      publish(feed, changes->Revision, changes->Objects);
       backoff.reset();
       if (MonoClock::now() - startedAt > MaxBatchDelay)
         batch.reset();
@@ -232,6 +314,8 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
+  if (Servers.isLoaded())
+    publish(ServerFeed, list.Revision, ServerFeed.Objects.changesTo(list));
   ServerFeed.Objects.replaceAll(list);
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/KnownObjects.h"
 #include "Fleet/PeerComparison.h"
+#include "Fleet/WatchDuty.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/FleetCodec.h"
 #include "Sardineford/Fleet/StoreView.h"
@@ -29,11 +30,21 @@
     OnConfiguration = std::move(f);
   }
 
-  /// Sets the number of processes that watch the store. The watch timeout grows
-  /// with this number: among many processes, one always has a watch that
-  /// started recently enough to be reliable, and that process reports to its
-  /// peers the changes that their watches missed.
-  void setProcesses(unsigned n) { Processes = n == 0 ? 1 : n; }
+  /// Sets the position of this process among all processes, which decides
+  /// whether it watches the store. The watch timeout grows with the number of
+  /// watchers: among many, one always has a watch that started recently enough
+  /// to be reliable, and that process reports to its peers the changes that
+  /// their watches missed.
+  void setPosition(FleetPosition position);
+  /// Sets the function that sends changes of servers' entries to the peers. The
+  /// duration is the time for which missing entries are kept.
+  void
+  onServerChanges(std::function<void(const store::Changes &, Milliseconds)> f) {
+    PublishServerChanges = std::move(f);
+  }
+  /// Applies changes of servers' entries that a watcher received, unless this
+  /// process watches the store itself.
+  void applyServerChanges(const store::Changes &changes, Milliseconds grace);
   /// Returns the state of the store as known to this process.
   StoreView view() const;
   /// Compares the local store view with that of a peer. If they differ for
@@ -44,8 +55,8 @@
   /// Null until a configuration is applied.
   const std::shared_ptr<const RouteTable> &routes() const { return Routes; }
   bool isLoaded() const { return Routes != nullptr && Servers.isLoaded(); }
-  /// Time since the last answer of the store to this watch; -1 ms before the
-  /// first answer.
+  /// Time since the last answer of the store to this process or to a peer that
+  /// reports it; -1 ms before the first answer.
   Milliseconds configurationAge() const;
   Milliseconds serversAge() const;
 
@@ -57,9 +68,10 @@
     std::string Kind;
     KnownObjects Objects;
     PeerComparison Comparison;
-    /// A watch call is in progress.
+    WatchDuty Duty;
+    /// Waiting for changes, from the store or from peers.
     bool IsWatching = false;
-    /// Expires to interrupt the watch call in progress.
+    /// Expires to interrupt the waiting.
     boost::asio::steady_timer Interrupt;
     uint64_t Revision = 0;
     /// Time of the last answer of the store.
@@ -86,9 +98,15 @@
 
   Awaitable<WatchResult> watchWithoutThrow(Feed &feed);
   Awaitable<std::optional<store::Changes>> watchOnce(Feed &feed);
+  Awaitable<void> waitForPeers(Feed &feed);
+  Milliseconds remainingGrace() const;
+  void publish(const Feed &feed, uint64_t revision,
+               std::vector<store::Object> objects);
   Milliseconds watchTimeout() const;
   static void restartWatch(Feed &feed, std::string_view reason);
   static void comparePeer(Feed &feed, const FeedView &peer);
+  static FeedView feedView(const Feed &feed);
+  void recordPeerAnswer(Feed &feed, const FeedView &peer, unsigned rank);
   void recordFailure(Feed &feed, const std::string &error);
   void recordAnswer(Feed &feed);
 
@@ -101,7 +119,9 @@
   std::shared_ptr<const RouteTable> Routes;
   Feed ConfigurationFeed;
   Feed ServerFeed;
-  unsigned Processes = 1;
+  std::function<void(const store::Changes &, Milliseconds)>
+      PublishServerChanges;
+  FleetPosition Position;
   /// Entries that go missing before this time may have expired during a store
   /// outage.
   MonoTime GraceEnd{};
--- a/Source/Fleet/KnownObjects.h
+++ b/Source/Fleet/KnownObjects.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sardineford::fleet {
 
@@ -14,6 +15,12 @@
 public:
   /// Records a changed or removed object.
   void update(const store::Object &o);
+  /// Records a change that another process received. Returns false if this
+  /// process already knows it or something newer. `revision` is the store's
+  /// revision after the change.
+  bool updateIfNews(const store::Object &o, uint64_t revision);
+  /// Returns the changes that lead to the list.
+  std::vector<store::Object> changesTo(const store::ObjectList &list) const;
   void replaceAll(const store::ObjectList &list);
   FeedView view() const;
 
@@ -22,6 +29,9 @@
   /// The same versions, sorted; the store assigns each version only once.
   std::set<uint64_t> SortedVersions;
   uint64_t Digest = 0;
+  /// Revisions of the removals since the last list, by name: datagrams may
+  /// overtake each other.
+  std::map<std::string, uint64_t> Removals;
 };
 
 } // namespace sardineford::fleet
--- /dev/null
+++ b/Source/Fleet/WatchDuty.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Sardineford/Common/Time.h"
+
+namespace sardineford::fleet {
+
+/// Position of a process in an order of all running processes on which all
+/// agree that know the same peers.
+struct FleetPosition {
+  unsigned Processes = 1;
+  unsigned Rank = 0;
+};
+
+/// Decides whether a process watches the store. In a small fleet every process
+/// does. In a large one, the first few do and the others learn the changes from
+/// them, so that calls to the store do not grow with the fleet.
+///
+/// A process that hears of no watcher with an answer of the store becomes a
+/// substitute. The delays are spread so that a whole fleet makes few attempts a
+/// second while the store is down. A substitute stops when a process before it
+/// has an answer.
+class WatchDuty {
+public:
+  void setPosition(FleetPosition position) { Position = position; }
+  /// Records that a peer of this rank had an answer of the store. `share` is a
+  /// random number in [0, 1) that spreads the substitutes over time.
+  void recordPeerAnswer(unsigned rank, MonoTime answeredAt, double share);
+
+  bool mustWatch(MonoTime now) const;
+  /// Returns whether this process sends the changes that it receives to the
+  /// others. More than one does, because datagrams may be lost.
+  bool mustPublish(MonoTime now) const;
+  /// Returns the number of processes that watch at the same time.
+  unsigned watchers() const;
+  /// Time of the newest answer that a peer had.
+  MonoTime peerAnsweredAt() const { return PeerAnsweredAt; }
+
+private:
+  bool isLarge() const;
+  bool isSubstitute(MonoTime now) const;
+
+  FleetPosition Position;
+  MonoTime PeerAnsweredAt{};
+  /// This process becomes a substitute at this time; from the beginning until
+  /// it hears of a watcher.
+  MonoTime SubstituteAt{};
+};
+
+} // namespace sardineford::fleet
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -67,8 +67,16 @@
   Watch.onConfiguration([this] { applyLimits(); });
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.processes();
-    Watch.setProcesses(Peers.processes());
+    Watch.setPosition(Peers.position());
   });
+  Watch.onServerChanges(
+      [this](const store::Changes &changes, Milliseconds grace) {
+        Peers.publishChanges(changes, grace);
+      });
+  Peers.onServerChanges(
+      [this](const store::Changes &changes, Milliseconds grace) {
+        Watch.applyServerChanges(changes, grace);
+      });
   Peers.exchangeStoreViews(
       [this] { return Watch.view(); },
       [this](const fleet::StoreView &peer) { Watch.checkPeerView(peer); });
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -32,6 +32,14 @@
   Seconds MeanStreamDuration{1.0};
 };
 
+/// Observed values of one route.
+struct RouteState {
+  admission::SizeFairness Fairness;
+  /// Exponential moving average of the time from the first event of a stream to
+  /// its last; 0 before the first stream.
+  Seconds MeanStreamDuration{0};
+};
+
 /// State that all requests of the process share.
 struct SharedState {
   IoContext &Io;
@@ -49,7 +57,7 @@
       PublishCachedPart;
   std::map<std::string, ServiceState> Services;
   /// Keyed by the name of the route.
-  std::map<std::string, admission::SizeFairness> Fairness;
+  std::map<std::string, RouteState> RouteStates;
   /// Work of the other processes, in a fleet that uses trackers.
   peers::LoadTracking &Tracking;
 
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -116,7 +116,7 @@
   StreamProgress progress;
   std::optional<StreamAttemptResult> result =
       co_await serveOnEngines(shared, context, progress);
-  shared.Fairness[context.Route->Name].record(
+  shared.RouteStates[context.Route->Name].Fairness.record(
       fairnessSize(context), result == StreamAttemptResult::Complete);
   if (result == StreamAttemptResult::Complete)
     context.Outcome = "answered";
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -68,8 +68,10 @@
   co_return handle;
 }
 
-routing::PromptSize promptSize(const RequestContext &context) {
-  return {context.Request.PromptTokens, Seconds(context.Route->GapObjective)};
+routing::RequestProfile requestProfile(SharedState &shared,
+                                       const RequestContext &context) {
+  return {context.Request.PromptTokens, Seconds(context.Route->GapObjective),
+          shared.RouteStates[context.Route->Name].MeanStreamDuration};
 }
 
 /// Engines that can serve the request, and the best choice among them.
@@ -95,7 +97,7 @@
                               static_cast<ptrdiff_t>(i));
       }
   out.Choice = routing::placeRequest(
-      view.Candidates, promptSize(context),
+      view.Candidates, requestProfile(shared, context),
       shared.service(context.Service).SpeedModels, shared.Random);
   return out;
 }
@@ -131,7 +133,8 @@
   outlook.CallerTimeout = fleet::estimatedCallerTimeout(*context.Route);
   outlook.RemainingTime = context.remainingTime();
   outlook.IsUnderserved =
-      shared.Fairness[context.Route->Name].isUnderserved(fairnessSize(context));
+      shared.RouteStates[context.Route->Name].Fairness.isUnderserved(
+          fairnessSize(context));
   admission::StreamDecision decision = admission::decideStream(outlook);
   log::event(
       log::Category::Gateway, log::Level::Info, "admission",
@@ -217,7 +220,7 @@
         collectEngines(shared, context, progress.Priority,
                        progress.TriedServers, decodeEngines);
     std::optional<size_t> decodeIndex = routing::chooseFetchEngine(
-        currentView.Candidates, promptSize(context),
+        currentView.Candidates, requestProfile(shared, context),
         shared.service(context.Service).SpeedModels, shared.Random);
     if (!decodeIndex) {
       freeHandle(shared, *handle);
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -17,6 +17,9 @@
 constexpr Milliseconds MinEventGapTimeout{900};
 /// Weight of the newest stream in the mean stream duration.
 constexpr double StreamDurationWeight = 0.05;
+/// The same for one route. Each of many processes sees only a few streams of a
+/// route.
+constexpr double RouteDurationWeight = 0.1;
 /// Engine priority of a request whose prompt is already prefilled: higher than
 /// all others.
 constexpr int FetchPriority = 1;
@@ -119,6 +122,11 @@
   ServiceState &service = shared.service(context.Service);
   service.MeanStreamDuration +=
       (duration - service.MeanStreamDuration) * StreamDurationWeight;
+  Seconds &routeMean =
+      shared.RouteStates[context.Route->Name].MeanStreamDuration;
+  routeMean = routeMean == Seconds(0)
+                  ? duration
+                  : routeMean + (duration - routeMean) * RouteDurationWeight;
   if (context.EventCount > 1)
     service.SpeedModels.Pace.observe(
         requests, duration / static_cast<double>(context.EventCount - 1));
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -43,6 +43,32 @@
 /// Approximate size of the datagrams into which relayed reports are split.
 constexpr size_t RelayDatagramBytes = size_t{8} * 1024;
 
+/// Writes how recent the local store view is. This changes at any time and does
+/// not make a report due.
+void setStoreAnswers(const fleet::StoreView &view, messages::LoadShare &out) {
+  out.set_watch_rank(view.Rank);
+  auto age = [](Milliseconds t) { return static_cast<uint32_t>(t.count()); };
+  if (view.Configuration.AnswerAge)
+    out.set_configuration_age_ms(age(*view.Configuration.AnswerAge));
+  if (view.Servers.AnswerAge)
+    out.set_servers_age_ms(age(*view.Servers.AnswerAge));
+  out.set_grace_ms(age(view.MissingGrace));
+}
+
+fleet::StoreView decodeStoreView(const messages::LoadShare &in) {
+  fleet::StoreView out;
+  out.Configuration = {
+      in.configuration_digest(), in.configuration_newest(), {}};
+  out.Servers = {in.servers_digest(), in.servers_newest(), {}};
+  if (in.has_configuration_age_ms())
+    out.Configuration.AnswerAge = Milliseconds(in.configuration_age_ms());
+  if (in.has_servers_age_ms())
+    out.Servers.AnswerAge = Milliseconds(in.servers_age_ms());
+  out.Rank = in.watch_rank();
+  out.MissingGrace = Milliseconds(in.grace_ms());
+  return out;
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(IoContext &io, store::ObjectStore &store,
@@ -159,13 +185,13 @@
   }
   std::erase_if(Parts,
                 [](const PartUse &it) { return it.SendsRemaining <= 0; });
-  if (LocalView) {
-    fleet::StoreView v = LocalView();
-    out.set_configuration_digest(v.Configuration.Digest);
-    out.set_configuration_newest(v.Configuration.NewestVersion);
-    out.set_servers_digest(v.Servers.Digest);
-    out.set_servers_newest(v.Servers.NewestVersion);
-  }
+  fleet::StoreView view;
+  if (LocalView)
+    view = LocalView();
+  out.set_configuration_digest(view.Configuration.Digest);
+  out.set_configuration_newest(view.Configuration.NewestVersion);
+  out.set_servers_digest(view.Servers.Digest);
+  out.set_servers_newest(view.Servers.NewestVersion);
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
   bool isDue = body != LastSent || now - LastSentAt >= RepeatInterval;
@@ -175,6 +201,7 @@
     ++Sequence;
   }
   out.set_sequence(Sequence);
+  setStoreAnswers(view, out);
   return isDue;
 }
 
@@ -226,6 +253,8 @@
     PeerSet::Recipients to = Peers.selectRecipients(now);
     interval = sendInterval(to);
     Tracking.setProcesses(Peers.activeProcesses());
+    updatePosition();
+    LastRecipients = to;
     if (now - SharesRepeatedAt >= RepeatInterval) {
       SharesRepeatedAt = now;
       Tracking.repeatShares();
@@ -254,6 +283,10 @@
   }
   if (Tracking.handle(in, from))
     return;
+  if (in.has_changes()) {
+    applyChanges(in, from);
+    return;
+  }
   applyReport(in, from);
   try {
     for (const messages::LoadShare &it : in.relayed())
@@ -281,11 +314,70 @@
       server->CachedParts.recordUse(it.part(), it.tokens(), now);
   Peers.recordReport(from, now);
   if (OnPeerView)
-    OnPeerView({{in.configuration_digest(), in.configuration_newest()},
-                {in.servers_digest(), in.servers_newest()}});
+    OnPeerView(decodeStoreView(in));
   View.update(std::move(report), now);
 }
 
+/// Orders the processes by a hash of their addresses, so that the watchers of
+/// the store are spread over the failure domains.
+void LoadExchange::updatePosition() {
+  const std::vector<http::Endpoint> &active = Peers.activeProcesses();
+  if (active.size() == Position.Processes && active == RankedProcesses)
+    return;
+  RankedProcesses = active;
+  uint64_t local = hash64(http::toString(Listen));
+  auto before = std::count_if(active.begin(), active.end(),
+                              [&](const http::Endpoint &it) {
+                                return hash64(http::toString(it)) < local;
+                              });
+  Position = {static_cast<unsigned>(active.size()),
+              static_cast<unsigned>(before)};
+}
+
+void LoadExchange::publishChanges(const store::Changes &changes,
+                                  Milliseconds grace) {
+  messages::LoadShare datagram;
+  auto startDatagram = [&] {
+    datagram.Clear();
+    datagram.set_node(Node);
+    datagram.set_incarnation(Incarnation);
+    datagram.mutable_changes()->set_revision(changes.Revision);
+    datagram.mutable_changes()->set_grace_ms(
+        static_cast<uint32_t>(grace.count()));
+  };
+  auto flush = [&] {
+    std::string bytes = datagram.SerializeAsString();
+    send(bytes, LastRecipients.SameGroup);
+    send(bytes, LastRecipients.OtherGroups);
+    startDatagram();
+  };
+  startDatagram();
+  for (const store::Object &it : changes.Objects) {
+    messages::StoredObject *out = datagram.mutable_changes()->add_objects();
+    out->set_name(it.Name);
+    out->set_version(it.Version);
+    out->set_value(it.Value);
+    if (datagram.ByteSizeLong() > RelayDatagramBytes)
+      flush();
+  }
+  if (datagram.changes().objects_size() > 0)
+    flush();
+}
+
+void LoadExchange::applyChanges(const messages::LoadShare &in,
+                                const http::Endpoint &from) {
+  if (!in.changes().relayed() && Peers.isInGroup(from)) {
+    messages::LoadShare copy = in;
+    copy.mutable_changes()->set_relayed(true);
+    send(copy.SerializeAsString(), LastRecipients.OtherGroups);
+  }
+  store::Changes changes{in.changes().revision(), {}};
+  for (const messages::StoredObject &it : in.changes().objects())
+    changes.Objects.push_back({"", it.name(), it.version(), it.value()});
+  if (OnServerChanges)
+    OnServerChanges(changes, Milliseconds(in.changes().grace_ms()));
+}
+
 void LoadExchange::queueForRelay(const messages::LoadShare &in) {
   auto copy = std::make_unique<messages::LoadShare>(in);
   copy->clear_relayed();
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Fleet/WatchDuty.h"
 #include "Peers/LoadTracking.h"
 #include "Peers/PeerSet.h"
 #include "Sardineford/Fleet/Directory.h"
@@ -44,6 +45,16 @@
   /// Publishes that a prompt part is now cached at a server.
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
   LoadTracking &tracking() { return Tracking; }
+  /// Returns the position of this process among the running ones.
+  fleet::FleetPosition position() const { return Position; }
+  /// Sends changes of servers' entries in the store to all peers, in two steps
+  /// as reports. A lost datagram shows in the digests of the reports.
+  void publishChanges(const store::Changes &changes, Milliseconds grace);
+  /// Sets the function that receives the changes that peers publish.
+  void
+  onServerChanges(std::function<void(const store::Changes &, Milliseconds)> f) {
+    OnServerChanges = std::move(f);
+  }
   /// Sets the source of the local store view that is published, and the
   /// function that receives the views of peers.
   void
@@ -75,6 +86,8 @@
   void applyReport(const messages::LoadShare &in, const http::Endpoint &from);
   void queueForRelay(const messages::LoadShare &in);
   Milliseconds sendInterval(const PeerSet::Recipients &to) const;
+  void updatePosition();
+  void applyChanges(const messages::LoadShare &in, const http::Endpoint &from);
   void updateAllPeerWork();
   void updateChangedPeerWork();
 
@@ -89,10 +102,16 @@
   std::function<void()> OnPeersChanged;
   std::function<fleet::StoreView()> LocalView;
   std::function<void(const fleet::StoreView &)> OnPeerView;
+  std::function<void(const store::Changes &, Milliseconds)> OnServerChanges;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
   MonoTime SharesRepeatedAt{};
+  /// Recipients of the last reports.
+  PeerSet::Recipients LastRecipients;
+  fleet::FleetPosition Position;
+  /// Processes that the position was computed for.
+  std::vector<http::Endpoint> RankedProcesses;
   /// Newest reports of the local group that are not relayed yet, by process.
   std::map<std::string, std::unique_ptr<messages::LoadShare>> ToRelay;
   /// Peers that requested a report.
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -47,6 +47,8 @@
 /// Cost of a stream that becomes late by a pause; about as much as its own
 /// first event being late by its objective.
 constexpr Seconds LatePauseCost{0.25};
+/// Cost of an engine's first stream as a ratio of the stream's duration.
+constexpr double OccupancyWeight = 0.2;
 /// Ratio of the objective from which a predicted pause may be over it: other
 /// prompts arrive in the meantime.
 constexpr double RiskyPauseRatio = 0.6;
@@ -60,14 +62,14 @@
   return cost;
 }
 
-double uncachedTokens(const EngineCandidate &e, const PromptSize &prompt) {
-  return static_cast<double>(prompt.PromptTokens -
-                             std::min(e.CachedTokens, prompt.PromptTokens));
+double uncachedTokens(const EngineCandidate &e, const RequestProfile &request) {
+  return static_cast<double>(request.PromptTokens -
+                             std::min(e.CachedTokens, request.PromptTokens));
 }
 
-Seconds prefillTime(const EngineCandidate &e, const PromptSize &prompt,
+Seconds prefillTime(const EngineCandidate &e, const RequestProfile &request,
                     const SpeedModel &model) {
-  return model.estimate(e.PromptTokensAhead + uncachedTokens(e, prompt)) *
+  return model.estimate(e.PromptTokensAhead + uncachedTokens(e, request)) *
              e.Slowness +
          e.SlotWait;
 }
@@ -82,6 +84,13 @@
   return cost;
 }
 
+/// Cost of taking away an engine that could prefill without delaying a stream.
+/// Long streams so share engines while their pauses allow it.
+Seconds occupancyCost(const EngineCandidate &e, const RequestProfile &request) {
+  return request.StreamDuration * OccupancyWeight /
+         (1.0 + static_cast<double>(e.Requests));
+}
+
 Seconds inFlightCost(const EngineCandidate &e) {
   return CostPerRequest * static_cast<double>(e.Requests);
 }
@@ -89,24 +98,24 @@
 /// Returns the probability that a stream at the engine misses its objective for
 /// pauses while this many prompt tokens are prefilled there.
 double latePauseRisk(const EngineCandidate &e, double queuedTokens,
-                     const PromptSize &prompt,
+                     const RequestProfile &request,
                      const EngineSpeedModels &speeds) {
-  if (prompt.PauseObjective <= Seconds(0))
+  if (request.PauseObjective <= Seconds(0))
     return 0;
   Seconds pause = speeds.Pace.estimate(static_cast<double>(e.Requests)) +
                   speeds.Colocated.perUnit() * queuedTokens * e.Slowness;
-  double ratio = pause / prompt.PauseObjective;
+  double ratio = pause / request.PauseObjective;
   return std::clamp((ratio - RiskyPauseRatio) / (1 - RiskyPauseRatio), 0.0,
                     1.0);
 }
 
 /// Cost of the streams at a decode engine that become late by a pause if the
 /// prompt is prefilled there.
-Seconds latePauseCost(const EngineCandidate &e, const PromptSize &prompt,
+Seconds latePauseCost(const EngineCandidate &e, const RequestProfile &request,
                       const EngineSpeedModels &speeds) {
-  double before = latePauseRisk(e, e.QueuedPromptTokens, prompt, speeds);
+  double before = latePauseRisk(e, e.QueuedPromptTokens, request, speeds);
   double after = latePauseRisk(
-      e, e.QueuedPromptTokens + uncachedTokens(e, prompt), prompt, speeds);
+      e, e.QueuedPromptTokens + uncachedTokens(e, request), request, speeds);
   return LatePauseCost * static_cast<double>(e.Requests) * (after - before);
 }
 
@@ -131,16 +140,17 @@
 namespace {
 
 /// Considers a decode engine for a request whose prompt was prefilled apart.
-void considerFetch(size_t i, const EngineCandidate &e, const PromptSize &prompt,
+void considerFetch(size_t i, const EngineCandidate &e,
+                   const RequestProfile &request,
                    const EngineSpeedModels &speeds, double jitter,
                    BestCandidate &best) {
-  Seconds t = speeds.Fetch.estimate(static_cast<double>(prompt.PromptTokens)) *
+  Seconds t = speeds.Fetch.estimate(static_cast<double>(request.PromptTokens)) *
                   e.Slowness +
               inFlightCost(e) + e.SlotWait;
   best.consider(i, t, Seconds(0),
-                t * jitter + penalty(e) +
-                    LatePauseCost *
-                        latePauseRisk(e, e.QueuedPromptTokens, prompt, speeds));
+                t * jitter + penalty(e) + occupancyCost(e, request) +
+                    LatePauseCost * latePauseRisk(e, e.QueuedPromptTokens,
+                                                  request, speeds));
 }
 
 } // namespace
@@ -157,7 +167,7 @@
 
 std::optional<PlacementChoice>
 placeRequest(const std::vector<EngineCandidate> &engines,
-             const PromptSize &prompt, const EngineSpeedModels &speeds,
+             const RequestProfile &request, const EngineSpeedModels &speeds,
              std::mt19937_64 &random) {
   std::uniform_real_distribution<double> jitter(1 - JitterRatio,
                                                 1 + JitterRatio);
@@ -167,21 +177,21 @@
   for (size_t i = 0; i < engines.size(); ++i) {
     const EngineCandidate &e = engines[i];
     if (e.Role == EngineRole::Prefill) {
-      Seconds t = prefillTime(e, prompt, speeds.Prefill);
+      Seconds t = prefillTime(e, request, speeds.Prefill);
       prefill.consider(
-          i, t, speeds.Prefill.perUnit() * uncachedTokens(e, prompt),
+          i, t, speeds.Prefill.perUnit() * uncachedTokens(e, request),
           t * jitter(random) + penalty(e) + recomputeCost(e, speeds.Prefill));
       continue;
     }
-    Seconds t = prefillTime(e, prompt, speeds.Colocated) + inFlightCost(e);
-    Seconds work = speeds.Colocated.perUnit() * uncachedTokens(e, prompt);
-    colocated.consider(i, t, work,
-                       t * jitter(random) + penalty(e) +
-                           work * static_cast<double>(e.Requests) *
-                               SequenceDelayWeight +
-                           latePauseCost(e, prompt, speeds) +
-                           recomputeCost(e, speeds.Colocated));
-    considerFetch(i, e, prompt, speeds, jitter(random), fetch);
+    Seconds t = prefillTime(e, request, speeds.Colocated) + inFlightCost(e);
+    Seconds work = speeds.Colocated.perUnit() * uncachedTokens(e, request);
+    colocated.consider(
+        i, t, work,
+        t * jitter(random) + penalty(e) +
+            work * static_cast<double>(e.Requests) * SequenceDelayWeight +
+            latePauseCost(e, request, speeds) + occupancyCost(e, request) +
+            recomputeCost(e, speeds.Colocated));
+    considerFetch(i, e, request, speeds, jitter(random), fetch);
   }
   if (!colocated.Index)
     return std::nullopt;
@@ -196,14 +206,14 @@
 
 std::optional<size_t>
 chooseFetchEngine(const std::vector<EngineCandidate> &engines,
-                  const PromptSize &prompt, const EngineSpeedModels &speeds,
-                  std::mt19937_64 &random) {
+                  const RequestProfile &request,
+                  const EngineSpeedModels &speeds, std::mt19937_64 &random) {
   std::uniform_real_distribution<double> jitter(1 - JitterRatio,
                                                 1 + JitterRatio);
   BestCandidate best;
   for (size_t i = 0; i < engines.size(); ++i)
     if (engines[i].Role != EngineRole::Prefill)
-      considerFetch(i, engines[i], prompt, speeds, jitter(random), best);
+      considerFetch(i, engines[i], request, speeds, jitter(random), best);
   return best.Index;
 }
 
--- a/Tests/Routing/PlacementTest.cpp
+++ b/Tests/Routing/PlacementTest.cpp
@@ -80,7 +80,7 @@
   v[0].PromptTokensAhead = 15'000;
   v[1].Requests = 1;
   std::mt19937_64 random(1);
-  PromptSize prompt{6'000, Seconds(0)};
+  RequestProfile prompt{6'000, Seconds(0)};
   CHECK_FALSE(placeRequest(v, prompt, initialSpeedModels(), random)->Prefill);
   prompt.PauseObjective = Seconds(0.15);
   CHECK(placeRequest(v, prompt, initialSpeedModels(), random)->Prefill == 0);
@@ -94,7 +94,7 @@
   v[0].Requests = 4;
   v[1].PromptTokensAhead = v[1].QueuedPromptTokens = 1'500;
   std::mt19937_64 random(1);
-  PromptSize prompt{3'000, Seconds(0.15)};
+  RequestProfile prompt{3'000, Seconds(0.15)};
   CHECK(placeRequest(v, prompt, initialSpeedModels(), random)->Decode == 1);
 }
 
@@ -104,7 +104,7 @@
   v[0].QueuedPromptTokens = 5'000;
   v[1].Requests = 6;
   std::mt19937_64 random(1);
-  PromptSize prompt{3'000, Seconds(0.15)};
+  RequestProfile prompt{3'000, Seconds(0.15)};
   CHECK(chooseFetchEngine(v, prompt, initialSpeedModels(), random) == 1);
   v.push_back(engine(EngineRole::Prefill));
   CHECK(chooseFetchEngine(v, prompt, initialSpeedModels(), random) == 1);
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "Sardineford/Common/Time.h"
+
 #include <cstdint>
+#include <optional>
 
 namespace sardineford::fleet {
 
@@ -10,12 +13,19 @@
   uint64_t Digest = 0;
   /// Newest version among these objects; 0 if not reported.
   uint64_t NewestVersion = 0;
+  /// Time since the store's last answer; empty if the process does not watch
+  /// the store or has lost it.
+  std::optional<Milliseconds> AnswerAge;
 };
 
 /// State of the store as known to one process; exchanged between processes.
 struct StoreView {
   FeedView Configuration;
   FeedView Servers;
+  /// Position of the process among all processes.
+  unsigned Rank = 0;
+  /// Rest of the time for which missing entries of servers are kept.
+  Milliseconds MissingGrace{0};
 };
 
 } // namespace sardineford::fleet
--- a/include/Sardineford/Routing/Placement.h
+++ b/include/Sardineford/Routing/Placement.h
@@ -43,11 +43,13 @@
 };
 
 /// What placement needs to know of a request.
-struct PromptSize {
+struct RequestProfile {
   uint64_t PromptTokens = 0;
   /// Longest time between two events for which a stream is in time; 0 for none.
   /// The streams that run at an engine are taken to have the same one.
   Seconds PauseObjective{0};
+  /// Expected time from the first event to the last.
+  Seconds StreamDuration{0};
 };
 
 /// Time models of one service's engines, by prompt tokens.
@@ -86,14 +88,14 @@
 /// streams over their objective. Returns nothing if there is no decode engine.
 std::optional<PlacementChoice>
 placeRequest(const std::vector<EngineCandidate> &engines,
-             const PromptSize &prompt, const EngineSpeedModels &speeds,
+             const RequestProfile &request, const EngineSpeedModels &speeds,
              std::mt19937_64 &random);
 
 /// Chooses the decode engine for a prompt whose key-value cache is at a prefill
 /// engine.
 std::optional<size_t>
 chooseFetchEngine(const std::vector<EngineCandidate> &engines,
-                  const PromptSize &prompt, const EngineSpeedModels &speeds,
-                  std::mt19937_64 &random);
+                  const RequestProfile &request,
+                  const EngineSpeedModels &speeds, std::mt19937_64 &random);
 
 } // namespace sardineford::routing
