Let a few processes watch the store and send the changes to the others

Cause: every process watched both feeds and read the list of processes every 20 s, so calls grew with the fleet and each change of a backend server or of the configuration woke all.

Change: in a fleet of more than 12 processes the first six by a hash of their addresses watch. The first two of these that have not lost the store send changes as datagrams, in two steps as reports. Reports say when a watcher had its last answer; a process that hears of none for 2 s becomes a substitute, at a time that spreads the fleet's attempts to ten a second, and stops when a process before it has an answer. A lost datagram shows in the digests and leads to a read after 0.6 s. Removals carry the time for which entries that expired in an outage are kept. The interval between reads of the list of processes grows with the fleet. A small fleet watches as before.

Ruled out: reads on digests alone (as many calls as watches), a flag that the store is lost (one cut-off watcher would have kept servers that have gone).

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -38,6 +38,9 @@
 /// reappear about 2 s after the store's recovery.
 constexpr Milliseconds MissingGracePeriod{2'300};
 constexpr Milliseconds RemoveMissingInterval{100};
+/// A watcher sends a change to the others within this time after another
+/// watcher has reported it: they collect changes at different times.
+constexpr Milliseconds PublishedNewerDelay{600};
 /// Interval at which a process that learns changes from its peers checks
 /// whether it has to watch the store.
 constexpr Milliseconds DutyCheckInterval{250};
@@ -195,30 +198,38 @@
   if (!peer.AnswerAge)
     return;
   std::uniform_real_distribution<double> share(0, 1);
-  feed.Duty.recordPeerAnswer(rank, MonoClock::now() - *peer.AnswerAge,
+  MonoTime now = MonoClock::now();
+  feed.Duty.recordPeerAnswer(rank, now - *peer.AnswerAge, now,
                              share(randomGenerator()));
 }
 
-/// Sends changes of servers' entries to the peers. They read a new
-/// configuration themselves, because it may be too large for a datagram.
+/// Sends changes to the peers.
 void FleetWatch::publish(const Feed &feed, uint64_t revision,
                          std::vector<store::Object> objects) {
-  if (&feed == &ServerFeed && PublishServerChanges && !objects.empty() &&
-      feed.Duty.mustPublish(MonoClock::now()))
-    PublishServerChanges({revision, std::move(objects)}, remainingGrace());
+  if (Publish && !objects.empty() && feed.Duty.mustPublish(MonoClock::now()))
+    Publish({&feed == &ConfigurationFeed,
+             {revision, std::move(objects)},
+             remainingGrace()});
 }
 
-void FleetWatch::applyServerChanges(const store::Changes &changes,
-                                    Milliseconds grace) {
+void FleetWatch::applyChanges(const PublishedChanges &published) {
+  Feed &feed = published.IsConfiguration ? ConfigurationFeed : ServerFeed;
   MonoTime now = MonoClock::now();
-  bool watches = ServerFeed.Duty.mustWatch(now) && !ServerFeed.Lost;
-  if (watches || !Servers.isLoaded())
+  bool watches = feed.Duty.mustWatch(now) && !feed.Lost;
+  bool isLoaded = feed.ConfirmedAt != MonoTime{};
+  if (watches || !isLoaded)
     return;
-  GraceEnd = std::max(GraceEnd, now + grace);
-  for (const store::Object &it : changes.Objects)
-    if (ServerFeed.Objects.updateIfNews(it, changes.Revision))
+  GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
+  for (store::Object it : published.Changes.Objects) {
+    it.Kind = feed.Kind;
+    if (!feed.Objects.updateIfNews(it, published.Changes.Revision))
+      continue;
+    if (published.IsConfiguration)
+      applyConfiguration(it);
+    else
       applyServer(it);
-  ServerFeed.Comparison.reset();
+  }
+  feed.Comparison.reset();
 }
 
 void FleetWatch::comparePeer(Feed &feed, const FeedView &peer) {
@@ -226,8 +237,11 @@
   if (feed.Lost || !feed.IsWatching)
     return;
   using Difference = PeerComparison::Difference;
-  Difference found =
-      feed.Comparison.compare(feed.Objects.view(), peer, MonoClock::now());
+  MonoTime now = MonoClock::now();
+  Difference found = feed.Comparison.compare(feed.Objects.view(), peer, now,
+                                             feed.Duty.mustWatch(now)
+                                                 ? PeerComparison::NewerDelay
+                                                 : PublishedNewerDelay);
   if (found != Difference::None)
     restartWatch(feed, found == Difference::Newer
                            ? "peer has newer objects"
@@ -282,13 +296,15 @@
         restartWatch(&feed == &ServerFeed ? ConfigurationFeed : ServerFeed,
                      "watch missed changes");
       feed.Revision = std::max(feed.Revision, changes->Revision);
-      for (const store::Object &it : changes->Objects) {
-        feed.Objects.update(it);
-        apply(it);
-      }
+      // Peers may have sent newer objects in the meantime.
+      for (const store::Object &it : changes->Objects)
+        if (feed.Objects.updateIfNews(it, changes->Revision))
+          apply(it);
       publish(feed, changes->Revision, changes->Objects);
       backoff.reset();
-      if (MonoClock::now() - startedAt > MaxBatchDelay)
+      // The few watchers of a large fleet do not have to save calls.
+      if (MonoClock::now() - startedAt > MaxBatchDelay ||
+          feed.Duty.mustPublish(startedAt))
         batch.reset();
       if (!changes->Objects.empty())
         co_await sleepFor(batch.next());
@@ -306,6 +322,9 @@
 
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
+  if (ConfigurationFeed.ConfirmedAt != MonoTime{})
+    publish(ConfigurationFeed, list.Revision,
+            ConfigurationFeed.Objects.changesTo(list));
   ConfigurationFeed.Objects.replaceAll(list);
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -36,15 +36,14 @@
   /// to be reliable, and that process reports to its peers the changes that
   /// their watches missed.
   void setPosition(FleetPosition position);
-  /// Sets the function that sends changes of servers' entries to the peers. The
-  /// duration is the time for which missing entries are kept.
-  void
-  onServerChanges(std::function<void(const store::Changes &, Milliseconds)> f) {
-    PublishServerChanges = std::move(f);
+  /// Sets the function that sends changes to the peers.
+  void onChanges(std::function<void(const PublishedChanges &)> f) {
+    Publish = std::move(f);
   }
-  /// Applies changes of servers' entries that a watcher received, unless this
-  /// process watches the store itself.
-  void applyServerChanges(const store::Changes &changes, Milliseconds grace);
+  /// Applies changes that a watcher received, unless this process watches the
+  /// store itself.
+  void applyChanges(const PublishedChanges &published);
+
   /// Returns the state of the store as known to this process.
   StoreView view() const;
   /// Compares the local store view with that of a peer. If they differ for
@@ -119,8 +118,7 @@
   std::shared_ptr<const RouteTable> Routes;
   Feed ConfigurationFeed;
   Feed ServerFeed;
-  std::function<void(const store::Changes &, Milliseconds)>
-      PublishServerChanges;
+  std::function<void(const PublishedChanges &)> Publish;
   FleetPosition Position;
   /// Entries that go missing before this time may have expired during a store
   /// outage.
--- a/Source/Fleet/PeerComparison.cpp
+++ b/Source/Fleet/PeerComparison.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// All watches receive a change within this time.
-constexpr Milliseconds NewerDelay{250};
 /// A peer that is behind usually catches up within this time.
 constexpr Milliseconds PersistentDelay{1'500};
 constexpr size_t MaxReportedDigests = 64;
@@ -21,7 +19,8 @@
 
 PeerComparison::Difference PeerComparison::compare(const FeedView &local,
                                                    const FeedView &peer,
-                                                   MonoTime now) {
+                                                   MonoTime now,
+                                                   Milliseconds newerDelay) {
   bool isReported = std::find(ReportedDigests.begin(), ReportedDigests.end(),
                               peer.Digest) != ReportedDigests.end();
   if (peer.Digest == local.Digest || isReported)
@@ -33,7 +32,7 @@
   if (!isPeerBehind && NewerSince == MonoTime{})
     NewerSince = now;
   bool isTooRecent = isPeerBehind ? now - DifferentSince < PersistentDelay
-                                  : now - NewerSince < NewerDelay;
+                                  : now - NewerSince < newerDelay;
   if (isTooRecent)
     return Difference::None;
   reset();
--- a/Source/Fleet/PeerComparison.h
+++ b/Source/Fleet/PeerComparison.h
@@ -14,6 +14,9 @@
 /// reading all objects again recovers the missed changes.
 class PeerComparison {
 public:
+  /// All watches receive a change within this time.
+  static constexpr Milliseconds NewerDelay{250};
+
   enum class Difference {
     /// No difference, or one that is too recent or already reported.
     None,
@@ -27,8 +30,10 @@
   /// Ignores earlier differences; called when a watch begins.
   void reset();
   /// Compares the local view with that of a peer. Reports each digest of a peer
-  /// only once.
-  Difference compare(const FeedView &local, const FeedView &peer, MonoTime now);
+  /// only once. `newerDelay` is the time in which this process normally learns
+  /// what a peer knows already.
+  Difference compare(const FeedView &local, const FeedView &peer, MonoTime now,
+                     Milliseconds newerDelay = NewerDelay);
 
 private:
   /// Start of the first difference from any peer, and from any peer that is not
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -11,6 +11,8 @@
 /// Some of them may be gone or cut off from the store at the same time.
 constexpr unsigned NumWatchers = 6;
 constexpr unsigned NumPublishers = 2;
+/// A watcher that has not lost the store reports at least twice in this time.
+constexpr Milliseconds MaxReportAge{1'200};
 /// Several reports of several watchers are missing after this time.
 constexpr Milliseconds SubstituteDelay{2'000};
 /// Mean interval between the attempts of all substitutes of a fleet.
@@ -25,7 +27,10 @@
 }
 
 void WatchDuty::recordPeerAnswer(unsigned rank, MonoTime answeredAt,
-                                 double share) {
+                                 MonoTime now, double share) {
+  std::erase_if(WatcherReports,
+                [&](const auto &it) { return now - it.second > MaxReportAge; });
+  WatcherReports[rank] = now;
   PeerAnsweredAt = std::max(PeerAnsweredAt, answeredAt);
   if (rank >= Position.Rank)
     return;
@@ -39,7 +44,13 @@
 }
 
 bool WatchDuty::mustPublish(MonoTime now) const {
-  return isLarge() && (Position.Rank < NumPublishers || isSubstitute(now));
+  if (!isLarge() || !mustWatch(now))
+    return false;
+  auto watchersBefore = std::count_if(
+      WatcherReports.begin(), WatcherReports.end(), [&](const auto &it) {
+        return it.first < Position.Rank && now - it.second <= MaxReportAge;
+      });
+  return watchersBefore < NumPublishers;
 }
 
 unsigned WatchDuty::watchers() const {
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -2,6 +2,8 @@
 
 #include "Sardineford/Common/Time.h"
 
+#include <map>
+
 namespace sardineford::fleet {
 
 /// Position of a process in an order of all running processes on which all
@@ -22,13 +24,16 @@
 class WatchDuty {
 public:
   void setPosition(FleetPosition position) { Position = position; }
-  /// Records that a peer of this rank had an answer of the store. `share` is a
-  /// random number in [0, 1) that spreads the substitutes over time.
-  void recordPeerAnswer(unsigned rank, MonoTime answeredAt, double share);
+  /// Records the report of a peer of this rank that watches and had an answer
+  /// of the store. `share` is a random number in [0, 1) that spreads the
+  /// substitutes over time.
+  void recordPeerAnswer(unsigned rank, MonoTime answeredAt, MonoTime now,
+                        double share);
 
   bool mustWatch(MonoTime now) const;
   /// Returns whether this process sends the changes that it receives to the
-  /// others. More than one does, because datagrams may be lost.
+  /// others: the first watchers that have not lost the store. More than one
+  /// does, because datagrams may be lost.
   bool mustPublish(MonoTime now) const;
   /// Returns the number of processes that watch at the same time.
   unsigned watchers() const;
@@ -44,6 +49,8 @@
   /// This process becomes a substitute at this time; from the beginning until
   /// it hears of a watcher.
   MonoTime SubstituteAt{};
+  /// Last reports of peers that watch, by rank.
+  std::map<unsigned, MonoTime> WatcherReports;
 };
 
 } // namespace sardineford::fleet
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -69,14 +69,12 @@
     Shared.Processes = Peers.processes();
     Watch.setPosition(Peers.position());
   });
-  Watch.onServerChanges(
-      [this](const store::Changes &changes, Milliseconds grace) {
-        Peers.publishChanges(changes, grace);
-      });
-  Peers.onServerChanges(
-      [this](const store::Changes &changes, Milliseconds grace) {
-        Watch.applyServerChanges(changes, grace);
-      });
+  Watch.onChanges([this](const fleet::PublishedChanges &changes) {
+    Peers.publishChanges(changes);
+  });
+  Peers.onChanges([this](const fleet::PublishedChanges &changes) {
+    Watch.applyChanges(changes);
+  });
   Peers.exchangeStoreViews(
       [this] { return Watch.view(); },
       [this](const fleet::StoreView &peer) { Watch.checkPeerView(peer); });
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -35,6 +35,9 @@
 /// A new process reads the list and becomes known to its peers through its
 /// reports, so that the list is read again only to find missed peers.
 constexpr Milliseconds ListInterval{20'000};
+/// In larger fleets the interval grows with the number of processes, so that
+/// the calls to the store do not.
+constexpr unsigned ProcessesPerListInterval = 12;
 constexpr Milliseconds InitialRetryDelay{200};
 constexpr Milliseconds MaxRetryDelay{3'000};
 /// Each prompt part is sent twice, since datagrams may be lost.
@@ -42,6 +45,8 @@
 constexpr size_t MaxDatagramBytes = size_t{60} * 1024;
 /// Approximate size of the datagrams into which relayed reports are split.
 constexpr size_t RelayDatagramBytes = size_t{8} * 1024;
+/// A larger object is read from the store by each process.
+constexpr size_t MaxObjectBytes = size_t{48} * 1024;
 
 /// Writes how recent the local store view is. This changes at any time and does
 /// not make a report due.
@@ -134,6 +139,11 @@
   }
 }
 
+Milliseconds LoadExchange::listInterval() const {
+  unsigned factor = Position.Processes / ProcessesPerListInterval;
+  return ListInterval * std::max(1U, factor);
+}
+
 Awaitable<void> LoadExchange::membershipLoop() {
   store::Backoff backoff(InitialRetryDelay, MaxRetryDelay);
   // Spreads the first reads of processes that start together.
@@ -152,7 +162,7 @@
     }
     // Peers that start at the same time may not be registered yet.
     Milliseconds interval =
-        Peers.empty() ? InitialRetryDelay * 4 : ListInterval;
+        Peers.empty() ? InitialRetryDelay * 4 : listInterval();
     co_await sleepFor(failed ? backoff.next() : jittered(interval));
   }
 }
@@ -334,33 +344,32 @@
               static_cast<unsigned>(before)};
 }
 
-void LoadExchange::publishChanges(const store::Changes &changes,
-                                  Milliseconds grace) {
+void LoadExchange::publishChanges(const fleet::PublishedChanges &changes) {
   messages::LoadShare datagram;
-  auto startDatagram = [&] {
-    datagram.Clear();
-    datagram.set_node(Node);
-    datagram.set_incarnation(Incarnation);
-    datagram.mutable_changes()->set_revision(changes.Revision);
-    datagram.mutable_changes()->set_grace_ms(
-        static_cast<uint32_t>(grace.count()));
-  };
+  datagram.set_node(Node);
+  datagram.set_incarnation(Incarnation);
+  messages::ObjectChanges &out = *datagram.mutable_changes();
+  out.set_revision(changes.Changes.Revision);
+  out.set_grace_ms(static_cast<uint32_t>(changes.MissingGrace.count()));
+  out.set_is_configuration(changes.IsConfiguration);
   auto flush = [&] {
     std::string bytes = datagram.SerializeAsString();
     send(bytes, LastRecipients.SameGroup);
     send(bytes, LastRecipients.OtherGroups);
-    startDatagram();
+    out.clear_objects();
   };
-  startDatagram();
-  for (const store::Object &it : changes.Objects) {
-    messages::StoredObject *out = datagram.mutable_changes()->add_objects();
-    out->set_name(it.Name);
-    out->set_version(it.Version);
-    out->set_value(it.Value);
-    if (datagram.ByteSizeLong() > RelayDatagramBytes)
+  for (const store::Object &it : changes.Changes.Objects) {
+    if (it.Value.size() > MaxObjectBytes)
+      continue;
+    size_t size = out.ByteSizeLong() + it.Value.size();
+    if (out.objects_size() > 0 && size > RelayDatagramBytes)
       flush();
+    messages::StoredObject *object = out.add_objects();
+    object->set_name(it.Name);
+    object->set_version(it.Version);
+    object->set_value(it.Value);
   }
-  if (datagram.changes().objects_size() > 0)
+  if (out.objects_size() > 0)
     flush();
 }
 
@@ -371,11 +380,14 @@
     copy.mutable_changes()->set_relayed(true);
     send(copy.SerializeAsString(), LastRecipients.OtherGroups);
   }
-  store::Changes changes{in.changes().revision(), {}};
+  fleet::PublishedChanges changes{in.changes().is_configuration(),
+                                  {in.changes().revision(), {}},
+                                  Milliseconds(in.changes().grace_ms())};
   for (const messages::StoredObject &it : in.changes().objects())
-    changes.Objects.push_back({"", it.name(), it.version(), it.value()});
-  if (OnServerChanges)
-    OnServerChanges(changes, Milliseconds(in.changes().grace_ms()));
+    changes.Changes.Objects.push_back(
+        {"", it.name(), it.version(), it.value()});
+  if (OnChanges)
+    OnChanges(changes);
 }
 
 void LoadExchange::queueForRelay(const messages::LoadShare &in) {
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -47,13 +47,13 @@
   LoadTracking &tracking() { return Tracking; }
   /// Returns the position of this process among the running ones.
   fleet::FleetPosition position() const { return Position; }
-  /// Sends changes of servers' entries in the store to all peers, in two steps
-  /// as reports. A lost datagram shows in the digests of the reports.
-  void publishChanges(const store::Changes &changes, Milliseconds grace);
+  /// Sends changes in the store to all peers, in two steps as reports. A lost
+  /// datagram shows in the digests of the reports, and so does an object that
+  /// is too large for a datagram.
+  void publishChanges(const fleet::PublishedChanges &changes);
   /// Sets the function that receives the changes that peers publish.
-  void
-  onServerChanges(std::function<void(const store::Changes &, Milliseconds)> f) {
-    OnServerChanges = std::move(f);
+  void onChanges(std::function<void(const fleet::PublishedChanges &)> f) {
+    OnChanges = std::move(f);
   }
   /// Sets the source of the local store view that is published, and the
   /// function that receives the views of peers.
@@ -72,6 +72,7 @@
   Awaitable<void> membershipLoop();
   Awaitable<void> registerProcess();
   Awaitable<void> readMembers();
+  Milliseconds listInterval() const;
   Awaitable<void> sendLoop();
   Awaitable<void> receiveLoop();
   /// Updates the local report. Returns false if the report is unchanged and is
@@ -102,7 +103,7 @@
   std::function<void()> OnPeersChanged;
   std::function<fleet::StoreView()> LocalView;
   std::function<void(const fleet::StoreView &)> OnPeerView;
-  std::function<void(const store::Changes &, Milliseconds)> OnServerChanges;
+  std::function<void(const fleet::PublishedChanges &)> OnChanges;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
--- a/Source/Routing/EngineProbes.cpp
+++ b/Source/Routing/EngineProbes.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// Engines that a prompt part is kept at, so that the second can take over
-/// while the first is busy.
-constexpr size_t PreferredProbes = 2;
-constexpr size_t SameDomainProbes = 2;
-constexpr size_t OtherProbes = 1;
+/// Engines that a prompt part is kept at, so that others can take over while
+/// the first is busy.
+constexpr size_t PreferredProbes = 4;
+constexpr size_t SameDomainProbes = 4;
+constexpr size_t OtherProbes = 2;
 
 /// Adds up to `count` engines of the pool that meet the condition and are not
 /// chosen yet.
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -35,10 +35,10 @@
 /// Weight of the time to prefill shared parts again: it delays the requests
 /// queued at this engine, and at those that must prefill the evicted parts
 /// again.
-constexpr double RecomputeWeight = 2;
+constexpr double RecomputeWeight = 3;
 /// Reduces the cost of the preferred engine, so that all processes send a part
 /// that no engine has cached to the same engine.
-constexpr Seconds PreferredEngineBonus{0.030};
+constexpr Seconds PreferredEngineBonus{0.060};
 /// A prefill at a decode engine delays the events of every sequence that runs
 /// there. Such a delay counts this fraction of a delay of the request's own
 /// first event.
@@ -49,9 +49,13 @@
 constexpr Seconds LatePauseCost{0.25};
 /// Cost of an engine's first stream as a ratio of the stream's duration.
 constexpr double OccupancyWeight = 0.2;
+/// Mean wait at the prefill engines at which work there costs twice its time,
+/// because it delays the prompts that arrive after it.
+constexpr Seconds ScarcePrefillWait{0.17};
+constexpr double MaxPrefillScarcity = 3;
 /// Ratio of the objective from which a predicted pause may be over it: other
 /// prompts arrive in the meantime.
-constexpr double RiskyPauseRatio = 0.6;
+constexpr double RiskyPauseRatio = 0.8;
 
 Seconds penalty(const EngineCandidate &e) {
   Seconds cost = FailureCost * e.FailureRatio;
@@ -119,6 +123,24 @@
   return LatePauseCost * static_cast<double>(e.Requests) * (after - before);
 }
 
+/// Returns the additional cost of work at the prefill engines as a multiple of
+/// its time. Without it, short prompts take the prefill engines as long as
+/// these are a little faster, and long prompts wait there.
+double prefillScarcity(const std::vector<EngineCandidate> &engines,
+                       const SpeedModel &model) {
+  Seconds wait{0};
+  double count = 0;
+  for (const EngineCandidate &it : engines) {
+    if (it.Role != EngineRole::Prefill)
+      continue;
+    wait += model.perUnit() * it.QueuedPromptTokens * it.Slowness;
+    ++count;
+  }
+  if (count == 0)
+    return 0;
+  return std::min(MaxPrefillScarcity, wait / count / ScarcePrefillWait);
+}
+
 struct BestCandidate {
   std::optional<size_t> Index;
   Seconds Time{0};
@@ -171,6 +193,7 @@
              std::mt19937_64 &random) {
   std::uniform_real_distribution<double> jitter(1 - JitterRatio,
                                                 1 + JitterRatio);
+  double scarcity = prefillScarcity(engines, speeds.Prefill);
   BestCandidate prefill;
   BestCandidate colocated;
   BestCandidate fetch;
@@ -180,7 +203,8 @@
       Seconds t = prefillTime(e, request, speeds.Prefill);
       prefill.consider(
           i, t, speeds.Prefill.perUnit() * uncachedTokens(e, request),
-          t * jitter(random) + penalty(e) + recomputeCost(e, speeds.Prefill));
+          t * jitter(random) + penalty(e) + recomputeCost(e, speeds.Prefill) +
+              speeds.Prefill.perUnit() * uncachedTokens(e, request) * scarcity);
       continue;
     }
     Seconds t = prefillTime(e, request, speeds.Colocated) + inFlightCost(e);
--- a/StandIns/Placement/FleetSimulation.cpp
+++ b/StandIns/Placement/FleetSimulation.cpp
@@ -97,7 +97,8 @@
 };
 
 FleetSimulation::FleetSimulation(FleetSimulationOptions options)
-    : Options(std::move(options)), Random(Options.Seed) {
+    : Options(std::move(options)), Random(Options.Seed),
+      LoadRandom(Options.Seed) {
   auto prefillEngines = static_cast<unsigned>(
       std::lround(Options.PrefillRatio * Options.Engines));
   for (unsigned i = 0; i < Options.Engines; ++i) {
@@ -147,6 +148,8 @@
     sum += it.PrefilledTokens;
     ++count;
   }
+  Result.SharedPrefilledRatio =
+      SharedTokensPrefilled / std::max(1.0, SharedTokens);
   Result.PrefillUtilization =
       PrefillBusy / (Options.Duration * std::max(1.0, count));
   Result.BusiestPrefillEngine = sum > 0 ? busiest * count / sum : 0;
@@ -169,14 +172,14 @@
   double factor = Options.Shape ? Options.Shape(c, Now) : 1;
   std::exponential_distribution<double> gap(
       std::max(0.01, c.PerSecond * factor / Options.Clump));
-  at(Now + Seconds(gap(Random)),
+  at(Now + Seconds(gap(LoadRandom)),
      [this, classIndex] { arriveTogether(classIndex); });
 }
 
 void FleetSimulation::arriveTogether(size_t classIndex) {
   scheduleArrival(classIndex);
   std::geometric_distribution<int> others(1 / Options.Clump);
-  for (int i = others(Random); i >= 0; --i)
+  for (int i = others(LoadRandom); i >= 0; --i)
     arrive(classIndex);
 }
 
@@ -184,14 +187,14 @@
   const SimulatedClass &c = Options.Classes[classIndex];
   auto a = std::make_shared<Arrival>();
   a->Class = &c;
-  a->Process = Random() % Processes.size();
+  a->Process = LoadRandom() % Processes.size();
   a->ArrivedAt = Now;
   a->OwnTokens =
-      std::max(1.0, std::floor(lognormal(Random, c.MeanPromptTokens,
+      std::max(1.0, std::floor(lognormal(LoadRandom, c.MeanPromptTokens,
                                          c.PromptSpread, c.MaxPromptTokens)));
-  a->SharedPart = hash64(c.Name, Random() % c.SharedParts);
-  a->Events = static_cast<unsigned>(
-      std::max(1.0, lognormal(Random, c.MeanEvents, 0.5, 3 * c.MeanEvents)));
+  a->SharedPart = hash64(c.Name, LoadRandom() % c.SharedParts);
+  a->Events = static_cast<unsigned>(std::max(
+      1.0, lognormal(LoadRandom, c.MeanEvents, 0.5, 3 * c.MeanEvents)));
   a->IsCounted = Now >= WarmUp && Now < Options.Duration - CoolDown;
   if (a->IsCounted)
     ++Result.Classes[c.Name].Requests;
@@ -205,6 +208,13 @@
   return e.Parts.contains(a.SharedPart) ? a.Class->SharedTokens : 0;
 }
 
+void FleetSimulation::recordSharedPart(Engine &e, const Arrival &a) {
+  SharedTokens += a.Class->SharedTokens;
+  SharedTokensPrefilled += a.Class->SharedTokens - cachedTokens(e, a);
+  e.Parts.recordUse(a.SharedPart, static_cast<uint64_t>(a.Class->SharedTokens),
+                    NoTime);
+}
+
 routing::RequestProfile FleetSimulation::profile(const Arrival &a) const {
   const Process &p = Processes[a.Process];
   auto duration = p.StreamDurations.find(a.Class->Name);
@@ -351,8 +361,7 @@
   Process &p = Processes[a->Process];
   double tokens = std::max(1.0, a->promptTokens() - cachedTokens(e, *a));
   double ahead = e.Work.tokensAhead(a->Priority);
-  e.Parts.recordUse(a->SharedPart,
-                    static_cast<uint64_t>(a->Class->SharedTokens), NoTime);
+  recordSharedPart(e, *a);
   e.PrefilledTokens += tokens;
   for (fleet::WorkInFlight *it : {&e.Work, &p.Work[engine]}) {
     it->tokens(a->Priority) += tokens;
@@ -389,8 +398,7 @@
   double tokens = 0;
   if (!isPrefilled) {
     tokens = std::max(1.0, a->promptTokens() - cachedTokens(e, *a));
-    e.Parts.recordUse(a->SharedPart,
-                      static_cast<uint64_t>(a->Class->SharedTokens), NoTime);
+    recordSharedPart(e, *a);
   }
   double ahead = e.Work.tokensAhead(a->Priority);
   unsigned requests = e.Work.Requests + 1;
--- a/StandIns/Placement/FleetSimulation.h
+++ b/StandIns/Placement/FleetSimulation.h
@@ -79,6 +79,9 @@
   /// Prefilled tokens at the busiest engine of a role, relative to the mean.
   double BusiestPrefillEngine = 0;
   unsigned SeparatePrefills = 0;
+  /// Ratio of the tokens in shared parts that were prefilled and not found
+  /// cached.
+  double SharedPrefilledRatio = 0;
   /// Ratio of the time that the prefill engines were busy.
   double PrefillUtilization = 0;
 
@@ -119,14 +122,19 @@
   consideredEngines(const Arrival &a, std::optional<routing::EngineRole> role);
   routing::RequestProfile profile(const Arrival &a) const;
   double cachedTokens(const Engine &e, const Arrival &a) const;
+  void recordSharedPart(Engine &e, const Arrival &a);
 
   FleetSimulationOptions Options;
   std::mt19937_64 Random;
+  /// Draws the load, so that it is the same for different decisions.
+  std::mt19937_64 LoadRandom;
   std::vector<Engine> Engines;
   std::vector<Process> Processes;
   std::map<std::string, double> LargeSizes;
   FleetOutcome Result;
   Seconds PrefillBusy{0};
+  double SharedTokens = 0;
+  double SharedTokensPrefilled = 0;
   SimulatedTime Now{0};
 
   struct Event {
--- a/StandIns/Programs/sardineford-placement.cpp
+++ b/StandIns/Programs/sardineford-placement.cpp
@@ -36,10 +36,12 @@
   o.Classes = mixedLoad(FLAGS_load * FLAGS_engines);
   o.Shape = swingingShape;
   FleetOutcome out = FleetSimulation(o).run();
-  std::cout << fmt::format("in time {:.3f}, busiest prefill engine {:.2f}, "
-                           "separate prefills {}, prefill engines busy {:.2f}\n",
-                           out.inTimeRatio(), out.BusiestPrefillEngine,
-                           out.SeparatePrefills, out.PrefillUtilization);
+  std::cout << fmt::format(
+      "in time {:.3f}, busiest prefill engine {:.2f}, "
+      "separate prefills {}, prefill engines busy {:.2f}, shared "
+      "parts prefilled {:.2f}\n",
+      out.inTimeRatio(), out.BusiestPrefillEngine, out.SeparatePrefills,
+      out.PrefillUtilization, out.SharedPrefilledRatio);
   for (const auto &[name, it] : out.Classes)
     std::cout << fmt::format(
         "{:10} {:6} requests, in time {:.3f}, late first event {:.3f}, late "
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -28,6 +28,7 @@
   std::map<std::string, std::vector<Object>> Lists;
   std::map<std::string, std::deque<Step>> Watches;
   std::map<std::string, int> ListCalls;
+  int WatchCalls = 0;
   uint64_t Revision = 10;
 
   Awaitable<std::optional<Object>> get(std::string, std::string) override {
@@ -48,6 +49,7 @@
     co_return;
   }
   Awaitable<Changes> watch(std::string kind, uint64_t, Milliseconds) override {
+    ++WatchCalls;
     if (Watches[kind].empty())
       co_await sleepFor(std::chrono::seconds(60));
     Step s = Watches[kind].front();
@@ -219,3 +221,144 @@
   t.runFor(Milliseconds(300));
   CHECK(t.Servers.ofService("model").empty());
 }
+
+namespace {
+
+/// The position of a process that is no watcher, in a fleet so small that
+/// substitutes wait little.
+constexpr FleetPosition Follower{13, 10};
+
+/// The view of the first watcher, which has just had an answer.
+StoreView watcherView(const StoreView &known) {
+  StoreView v = known;
+  v.Rank = 0;
+  v.Configuration.AnswerAge = v.Servers.AnswerAge = Milliseconds(0);
+  return v;
+}
+
+/// Reports the watcher's view twice a second while the process runs.
+void runBesideWatcher(Fixture &t, Milliseconds duration) {
+  for (Milliseconds n{0}; n < duration; n += Milliseconds(250)) {
+    t.Watch.checkPeerView(watcherView(t.Watch.view()));
+    t.runFor(Milliseconds(250));
+  }
+}
+
+/// A process of a large fleet that has read the store and hears of a watcher.
+struct FollowerFixture : Fixture {
+  FollowerFixture() {
+    Store.Lists["servers"] = {{"servers", "a", 3, "model"}};
+    Watch.setPosition(Follower);
+    Watch.checkPeerView(watcherView({}));
+    Watch.start();
+    runFor(Milliseconds(300));
+  }
+  size_t servers() const { return Servers.ofService("model").size(); }
+};
+
+} // namespace
+
+TEST_CASE("a process that is no watcher makes no calls while watchers report") {
+  FollowerFixture t;
+  CHECK(t.version() == 4);
+  CHECK(t.servers() == 1);
+  runBesideWatcher(t, Milliseconds(4'000));
+  CHECK(t.Store.ListCalls["config"] == 1);
+  CHECK(t.Store.ListCalls["servers"] == 1);
+  CHECK(t.Store.WatchCalls == 0);
+  CHECK(t.Watch.serversAge() < Milliseconds(500));
+}
+
+TEST_CASE("a process that is no watcher applies the changes of a watcher") {
+  FollowerFixture t;
+  PublishedChanges changes;
+  changes.Changes = {20, {{"", "b", 12, "model"}, {"", "c", 15, "model"}}};
+  t.Watch.applyChanges(changes);
+  CHECK(t.servers() == 3);
+  changes.Changes = {21, {{"", "a", 0, ""}}};
+  t.Watch.applyChanges(changes);
+  CHECK(t.servers() == 2);
+  PublishedChanges configuration;
+  configuration.IsConfiguration = true;
+  configuration.Changes = {22, {config(9, 22)}};
+  t.Watch.applyChanges(configuration);
+  CHECK(t.version() == 9);
+}
+
+TEST_CASE("changes that overtake each other end in the newest state") {
+  FollowerFixture t;
+  PublishedChanges removal;
+  removal.Changes = {30, {{"", "b", 0, ""}}};
+  PublishedChanges creation;
+  creation.Changes = {25, {{"", "b", 25, "model"}}};
+  t.Watch.applyChanges(removal);
+  t.Watch.applyChanges(creation);
+  CHECK(t.servers() == 1);
+  PublishedChanges later;
+  later.Changes = {40, {{"", "b", 40, "model"}}};
+  t.Watch.applyChanges(later);
+  t.Watch.applyChanges(removal);
+  CHECK(t.servers() == 2);
+}
+
+// A watcher that has just regained the store reports entries as gone that
+// return within seconds.
+TEST_CASE("entries that a watcher misses after an outage are kept for a time") {
+  FollowerFixture t;
+  PublishedChanges removal;
+  removal.Changes = {30, {{"", "a", 0, ""}}};
+  removal.MissingGrace = Milliseconds(700);
+  t.Watch.applyChanges(removal);
+  CHECK(t.servers() == 1);
+  t.runFor(Milliseconds(400));
+  CHECK(t.servers() == 1);
+  t.runFor(Milliseconds(600));
+  CHECK(t.servers() == 0);
+}
+
+TEST_CASE("a lost datagram of a watcher causes one read") {
+  FollowerFixture t;
+  t.Store.Lists["config"] = {config(7, 12)};
+  for (int i = 0; i < 8; ++i) {
+    StoreView v = watcherView(t.Watch.view());
+    v.Configuration.Digest = t.version() == 7 ? v.Configuration.Digest : 1;
+    v.Configuration.NewestVersion = 12;
+    t.Watch.checkPeerView(v);
+    t.runFor(Milliseconds(100));
+  }
+  CHECK(t.version() == 7);
+  CHECK(t.Store.ListCalls["config"] == 2);
+}
+
+TEST_CASE("a process reads the store itself when the watchers are silent") {
+  FollowerFixture t;
+  t.Store.Lists["config"] = {config(7, 12)};
+  bool applied = false;
+  for (int i = 0; i < 20 && !applied; ++i) {
+    t.runFor(Milliseconds(250));
+    applied = t.version() == 7;
+  }
+  CHECK(applied);
+  CHECK(t.Store.WatchCalls > 0);
+}
+
+TEST_CASE("a watcher sends what it receives to the others") {
+  Fixture t;
+  t.Store.Lists["servers"] = {{"servers", "a", 3, "model"}};
+  t.Store.Watches["servers"].push_back(
+      {std::nullopt, {{"servers", "b", 12, "model"}, {"servers", "a", 0, ""}}});
+  std::vector<PublishedChanges> sent;
+  t.Watch.onChanges([&](const PublishedChanges &it) { sent.push_back(it); });
+  t.Watch.setPosition({195, 0});
+  t.Watch.start();
+  t.runFor(Milliseconds(100));
+  REQUIRE(sent.size() == 1);
+  CHECK_FALSE(sent[0].IsConfiguration);
+  CHECK(sent[0].Changes.Objects.size() == 2);
+  // What a full read shows is sent as well.
+  t.Store.Lists["servers"] = {{"servers", "c", 15, "model"}};
+  t.Store.Watches["servers"].push_back({Failure::HistoryExpired, {}});
+  t.runFor(Milliseconds(800));
+  REQUIRE(sent.size() == 2);
+  CHECK(sent[1].Changes.Objects.size() == 2);
+}
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Common/Time.h"
+#include "Sardineford/Store/ObjectStore.h"
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,15 @@
   std::optional<Milliseconds> AnswerAge;
 };
 
+/// Changes of one feed that a watcher received and sends to the others.
+struct PublishedChanges {
+  bool IsConfiguration = false;
+  store::Changes Changes;
+  /// Entries that went missing may have expired in an outage of the store and
+  /// are kept for this time.
+  Milliseconds MissingGrace{0};
+};
+
 /// State of the store as known to one process; exchanged between processes.
 struct StoreView {
   FeedView Configuration;
