--- a/Source/Admission/StreamAdmission.cpp
+++ b/Source/Admission/StreamAdmission.cpp
@@ -6,15 +6,16 @@
 
 namespace {
 
-/// Ratio of the objective that the estimate may use: estimates deviate in both
-/// directions.
-constexpr double UrgentObjectiveRatio = 0.9;
+/// Ratio of the objective that the estimate may use. Estimates are too high,
+/// because the work ahead is partly prefilled; a request that is put behind all
+/// others for a small difference is late for certain.
+constexpr double UrgentObjectiveRatio = 1.1;
 /// A prompt is long, and cannot wait for others, if its prefill takes at least
 /// this ratio of the time to the objective.
 constexpr double LongPrefillRatio = 0.35;
-/// Factor by which estimates of long prompts are too high: the work ahead of
-/// them is partly prefilled.
-constexpr double FirstEstimateFactor = 1.3;
+/// The same for long prompts, behind which others wait in any case: engines do
+/// not interrupt a prefill.
+constexpr double FirstEstimateFactor = 2;
 /// Ratio of the caller timeout that the estimate of a late request may use.
 constexpr double BackgroundTimeoutRatio = 0.85;
 /// Ratio of the caller timeout that a late request may wait; the rest is for
