--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -153,7 +153,11 @@
     try {
       if (!Registered)
         co_await registerProcess();
-      co_await readMembers();
+      // A process that starts does not know yet how large the fleet is.
+      if (Peers.empty() || MonoClock::now() - MembersReadAt >= listInterval()) {
+        co_await readMembers();
+        MembersReadAt = MonoClock::now();
+      }
       backoff.reset();
     } catch (const Error &e) {
       log::event(Category::Peers, log::Level::Debug, "members_unknown",
@@ -162,7 +166,7 @@
     }
     // Peers that start at the same time may not be registered yet.
     Milliseconds interval =
-        Peers.empty() ? InitialRetryDelay * 4 : listInterval();
+        Peers.empty() ? InitialRetryDelay * 4 : ListInterval;
     co_await sleepFor(failed ? backoff.next() : jittered(interval));
   }
 }
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -131,6 +131,7 @@
   std::string LastSent;
   MonoTime LastSentAt{};
   bool Registered = false;
+  MonoTime MembersReadAt{};
 };
 
 } // namespace sardineford::peers
