Do not take the grace period of missing entries from peers

Cause: reports carried how long a watcher keeps entries that expired in an outage, and every process took over the longest, in small fleets too, from which it came back a little longer.

Change: reports no longer carry it. A process that does not watch the store tells an outage by a silence of all watchers for 1.5 s, and only then keeps entries, those that a list lacks and those that a watcher reports as gone. Changes of one answer are applied in their order: an entry that was removed and created again in the same answer was dropped.

Ruled out by the log: a lost watch, changes that were read late (the process had the removal with the others).

Tests failed on the code before: the outage of one process, and the object that is removed and created again.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -189,8 +189,7 @@
 }
 
 StoreView FleetWatch::view() const {
-  return {feedView(ConfigurationFeed), feedView(ServerFeed), Position.Rank,
-          remainingGrace()};
+  return {feedView(ConfigurationFeed), feedView(ServerFeed), Position.Rank};
 }
 
 void FleetWatch::recordPeerAnswer(Feed &feed, const FeedView &peer,
@@ -203,6 +202,16 @@
                              share(randomGenerator()));
 }
 
+/// A process that does not watch the store learns of an outage when a watcher
+/// has an answer again.
+void FleetWatch::extendGraceAfterOutage() {
+  const WatchDuty &duty = ServerFeed.Duty;
+  bool knowsOutage =
+      duty.storeRegainedAt() != MonoTime{} && !duty.mustWatch(MonoClock::now());
+  if (knowsOutage)
+    GraceEnd = std::max(GraceEnd, duty.storeRegainedAt() + MissingGracePeriod);
+}
+
 /// Sends changes to the peers.
 void FleetWatch::publish(const Feed &feed, uint64_t revision,
                          std::vector<store::Object> objects) {
@@ -219,11 +228,12 @@
   bool isLoaded = feed.ConfirmedAt != MonoTime{};
   if (watches || !isLoaded)
     return;
-  GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
-  for (store::Object it : published.Changes.Objects) {
+  // A watcher that alone has lost the store for a time keeps entries that the
+  // others know to be gone.
+  if (feed.Duty.isStoreSilent(now))
+    GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
+  for (store::Object &it : feed.Objects.applyNews(published.Changes)) {
     it.Kind = feed.Kind;
-    if (!feed.Objects.updateIfNews(it, published.Changes.Revision))
-      continue;
     if (published.IsConfiguration)
       applyConfiguration(it);
     else
@@ -251,8 +261,7 @@
 void FleetWatch::checkPeerView(const StoreView &peer) {
   recordPeerAnswer(ConfigurationFeed, peer.Configuration, peer.Rank);
   recordPeerAnswer(ServerFeed, peer.Servers, peer.Rank);
-  if (peer.Servers.AnswerAge)
-    GraceEnd = std::max(GraceEnd, MonoClock::now() + peer.MissingGrace);
+  extendGraceAfterOutage();
   comparePeer(ConfigurationFeed, peer.Configuration);
   comparePeer(ServerFeed, peer.Servers);
 }
@@ -297,9 +306,8 @@
                      "watch missed changes");
       feed.Revision = std::max(feed.Revision, changes->Revision);
       // Peers may have sent newer objects in the meantime.
-      for (const store::Object &it : changes->Objects)
-        if (feed.Objects.updateIfNews(it, changes->Revision))
-          apply(it);
+      for (const store::Object &it : feed.Objects.applyNews(*changes))
+        apply(it);
       publish(feed, changes->Revision, changes->Objects);
       backoff.reset();
       // The few watchers of a large fleet do not have to save calls.
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -99,6 +99,7 @@
   Awaitable<std::optional<store::Changes>> watchOnce(Feed &feed);
   Awaitable<void> waitForPeers(Feed &feed);
   Milliseconds remainingGrace() const;
+  void extendGraceAfterOutage();
   void publish(const Feed &feed, uint64_t revision,
                std::vector<store::Object> objects);
   Milliseconds watchTimeout() const;
--- a/Source/Fleet/KnownObjects.cpp
+++ b/Source/Fleet/KnownObjects.cpp
@@ -20,18 +20,32 @@
   Digest ^= hash64(o.Name, o.Version);
 }
 
-bool KnownObjects::updateIfNews(const store::Object &o, uint64_t revision) {
-  auto known = Versions.find(o.Name);
-  uint64_t knownVersion = known == Versions.end() ? 0 : known->second;
-  uint64_t &removal = Removals[o.Name];
-  bool isNews = o.Version == 0
-                    ? knownVersion != 0 && knownVersion <= revision
-                    : o.Version > knownVersion && o.Version > removal;
-  if (o.Version == 0)
-    removal = std::max(removal, revision);
-  if (isNews)
-    update(o);
-  return isNews;
+std::vector<store::Object>
+KnownObjects::applyNews(const store::Changes &changes) {
+  std::vector<store::Object> out;
+  std::set<std::string> removed;
+  for (const store::Object &it : changes.Objects) {
+    auto known = Versions.find(it.Name);
+    uint64_t knownVersion = known == Versions.end() ? 0 : known->second;
+    bool isNews = false;
+    if (it.Version == 0) {
+      isNews = knownVersion != 0 && knownVersion <= changes.Revision;
+      removed.insert(it.Name);
+    } else {
+      auto removal = Removals.find(it.Name);
+      isNews = it.Version > knownVersion &&
+               (removal == Removals.end() || it.Version > removal->second);
+      removed.erase(it.Name);
+    }
+    if (!isNews)
+      continue;
+    update(it);
+    out.push_back(it);
+  }
+  // Only after the last change: the object may have been created again.
+  for (const std::string &it : removed)
+    Removals[it] = std::max(Removals[it], changes.Revision);
+  return out;
 }
 
 std::vector<store::Object>
--- a/Source/Fleet/KnownObjects.h
+++ b/Source/Fleet/KnownObjects.h
@@ -15,10 +15,10 @@
 public:
   /// Records a changed or removed object.
   void update(const store::Object &o);
-  /// Records a change that another process received. Returns false if this
-  /// process already knows it or something newer. `revision` is the store's
-  /// revision after the change.
-  bool updateIfNews(const store::Object &o, uint64_t revision);
+  /// Records the changes of a watch, which are in their order, and returns
+  /// those that are news. Others may already be known from a watch of this
+  /// process or of a peer.
+  std::vector<store::Object> applyNews(const store::Changes &changes);
   /// Returns the changes that lead to the list.
   std::vector<store::Object> changesTo(const store::ObjectList &list) const;
   void replaceAll(const store::ObjectList &list);
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -13,6 +13,9 @@
 constexpr unsigned NumPublishers = 2;
 /// A watcher that has not lost the store reports at least twice in this time.
 constexpr Milliseconds MaxReportAge{1'200};
+/// The watch calls of the watchers end at different times, one after another
+/// well within this time.
+constexpr Milliseconds MaxAnswerInterval{1'500};
 /// Several reports of several watchers are missing after this time.
 constexpr Milliseconds SubstituteDelay{2'000};
 /// Mean interval between the attempts of all substitutes of a fleet.
@@ -31,6 +34,8 @@
   std::erase_if(WatcherReports,
                 [&](const auto &it) { return now - it.second > MaxReportAge; });
   WatcherReports[rank] = now;
+  if (isStoreSilent(answeredAt))
+    StoreRegainedAt = now;
   PeerAnsweredAt = std::max(PeerAnsweredAt, answeredAt);
   if (rank >= Position.Rank)
     return;
@@ -39,6 +44,11 @@
                                             toMilliseconds(spread));
 }
 
+bool WatchDuty::isStoreSilent(MonoTime now) const {
+  return PeerAnsweredAt != MonoTime{} &&
+         now - PeerAnsweredAt > MaxAnswerInterval;
+}
+
 bool WatchDuty::mustWatch(MonoTime now) const {
   return !isLarge() || Position.Rank < NumWatchers || isSubstitute(now);
 }
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -39,6 +39,12 @@
   unsigned watchers() const;
   /// Time of the newest answer that a peer had.
   MonoTime peerAnsweredAt() const { return PeerAnsweredAt; }
+  /// Returns whether no peer has had an answer for so long that the store is
+  /// probably down. False before the first answer.
+  bool isStoreSilent(MonoTime now) const;
+  /// Time at which a peer had an answer after such a silence; the epoch if none
+  /// had.
+  MonoTime storeRegainedAt() const { return StoreRegainedAt; }
 
 private:
   bool isLarge() const;
@@ -46,6 +52,7 @@
 
   FleetPosition Position;
   MonoTime PeerAnsweredAt{};
+  MonoTime StoreRegainedAt{};
   /// This process becomes a substitute at this time; from the beginning until
   /// it hears of a watcher.
   MonoTime SubstituteAt{};
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -57,7 +57,6 @@
     out.set_configuration_age_ms(age(*view.Configuration.AnswerAge));
   if (view.Servers.AnswerAge)
     out.set_servers_age_ms(age(*view.Servers.AnswerAge));
-  out.set_grace_ms(age(view.MissingGrace));
 }
 
 fleet::StoreView decodeStoreView(const messages::LoadShare &in) {
@@ -70,7 +69,6 @@
   if (in.has_servers_age_ms())
     out.Servers.AnswerAge = Milliseconds(in.servers_age_ms());
   out.Rank = in.watch_rank();
-  out.MissingGrace = Milliseconds(in.grace_ms());
   return out;
 }
 
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -305,6 +305,9 @@
 // return within seconds.
 TEST_CASE("entries that a watcher misses after an outage are kept for a time") {
   FollowerFixture t;
+  // No watcher has an answer.
+  t.runFor(Milliseconds(1'700));
+  t.Store.Lists["servers"] = {};
   PublishedChanges removal;
   removal.Changes = {30, {{"", "a", 0, ""}}};
   removal.MissingGrace = Milliseconds(700);
@@ -316,6 +319,33 @@
   CHECK(t.servers() == 0);
 }
 
+// The entries that a list lacks after an outage may return as well.
+TEST_CASE(
+    "a process that is no watcher learns of an outage from the watchers") {
+  FollowerFixture t;
+  t.runFor(Milliseconds(1'700));
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  PublishedChanges removal;
+  removal.Changes = {30, {{"", "a", 0, ""}}};
+  t.Watch.applyChanges(removal);
+  CHECK(t.servers() == 1);
+  runBesideWatcher(t, Milliseconds(2'750));
+  CHECK(t.servers() == 0);
+}
+
+// Seen as DRAIN broken on a day on which two of six processes regained the
+// store: the others took over their grace period and kept a server that had
+// left.
+TEST_CASE("the outage of one process does not keep servers at the others") {
+  FollowerFixture t;
+  PublishedChanges removal;
+  removal.Changes = {30, {{"", "a", 0, ""}}};
+  removal.MissingGrace = Milliseconds(2'300);
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  t.Watch.applyChanges(removal);
+  CHECK(t.servers() == 0);
+}
+
 TEST_CASE("a lost datagram of a watcher causes one read") {
   FollowerFixture t;
   t.Store.Lists["config"] = {config(7, 12)};
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -34,8 +34,6 @@
   FeedView Servers;
   /// Position of the process among all processes.
   unsigned Rank = 0;
-  /// Rest of the time for which missing entries of servers are kept.
-  Milliseconds MissingGrace{0};
 };
 
 } // namespace sardineford::fleet
