Run the soak with a large fleet as well

Also, left by the last reading: an unused local and constant, a function that was declared and never defined, and a deadline named as the reason where the caller had disconnected.

--- a/Source/Entry/Entry.cpp
+++ b/Source/Entry/Entry.cpp
@@ -21,7 +21,6 @@
 constexpr double InitialOutputRatio = 0.75;
 constexpr double OutputRatioWeight = 0.05;
 constexpr Milliseconds MaxDeadline{600'000};
-constexpr Milliseconds TrackerPoll{20};
 
 unsigned statusOf(ErrorKind k) {
   switch (k) {
--- a/Source/Entry/ModelCall.cpp
+++ b/Source/Entry/ModelCall.cpp
@@ -68,7 +68,9 @@
   // needs no retry budget.
   bool started = Outcome.Tokens > 0;
   bool isRetry = Attempts > 0;
-  if (CallerDisconnected || now >= Request.Deadline)
+  if (CallerDisconnected)
+    Outcome.Reason = "the caller has disconnected";
+  else if (now >= Request.Deadline)
     Outcome.Reason = "the deadline has passed";
   else if (NoEngineSince &&
            now - *NoEngineSince > Node.Options.milliseconds(NoEngineWait))
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -80,7 +80,6 @@
   bool fresh = !context.Route->mayRepeat();
   http::CallOptions options = attemptCallOptions(context, fresh, timeout);
   MonoTime readDeadline = MonoClock::now() + timeout;
-  MonoTime now;
   try {
     std::unique_ptr<http::ResponseStream> stream = co_await shared.Client.open(
         server->Entry.Address, std::move(request), std::move(options));
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -86,7 +86,6 @@
 private:
   void addWorkers(unsigned n, const std::string &service,
                   const std::string &stage);
-  void writeSettings(const DeployedDaemon &d, const std::string &name);
 
   IoContext &Io;
   PlatformDeploymentOptions Options;
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -37,8 +37,9 @@
 class Soak {
 public:
   explicit Soak(const SoakOptions &o)
-      : Options(o), Random(o.Seed),
-        Deployment(Io, {.Programs = o.Programs, .Folder = o.Folder}) {}
+      : Options(o), Random(o.Seed), Deployment(Io, {.Programs = o.Programs,
+                                                    .Folder = o.Folder,
+                                                    .Daemons = o.Daemons}) {}
 
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -16,6 +16,9 @@
   /// Injects faults; if false, the soak only applies load.
   bool Faults = true;
   unsigned Callers = 12;
+  /// More than 12 form a large fleet, in which trackers know the loads and a
+  /// few daemons watch the store.
+  unsigned Daemons = 3;
   std::string Programs;
   std::string Folder;
 };
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -58,3 +58,12 @@
     check(runSoak(o));
   }
 }
+
+TEST_CASE("the daemon's invariants hold under faults in a large fleet",
+          "[process]") {
+  SoakOptions o = optionsFor(1);
+  o.Daemons = 14;
+  o.Length = std::chrono::seconds(6);
+  INFO("folder " << o.Folder);
+  check(runSoak(o));
+}
