--- a/StandIns/Placement/FleetSimulation.cpp
+++ b/StandIns/Placement/FleetSimulation.cpp
@@ -183,6 +183,10 @@
     arrive(classIndex);
 }
 
+bool FleetSimulation::isLarge(const Arrival &a) {
+  return a.OwnTokens > 2 * a.Class->MeanPromptTokens;
+}
+
 void FleetSimulation::arrive(size_t classIndex) {
   const SimulatedClass &c = Options.Classes[classIndex];
   auto a = std::make_shared<Arrival>();
@@ -196,8 +200,10 @@
   a->Events = static_cast<unsigned>(std::max(
       1.0, lognormal(LoadRandom, c.MeanEvents, 0.5, 3 * c.MeanEvents)));
   a->IsCounted = Now >= WarmUp && Now < Options.Duration - CoolDown;
-  if (a->IsCounted)
+  if (a->IsCounted) {
     ++Result.Classes[c.Name].Requests;
+    Result.Classes[c.Name].Large += isLarge(*a) ? 1 : 0;
+  }
   Seconds delay{0};
   if (Options.Knowledge == LoadKnowledge::Trackers)
     delay = Options.QueryTime;
@@ -460,17 +466,17 @@
   if (!a->IsCounted)
     return;
   CallerOutcome &o = Result.Classes[a->Class->Name];
-  bool isLarge = a->OwnTokens > 2 * a->Class->MeanPromptTokens;
   bool isFirstLate = a->FirstEvent > Seconds(a->Class->Objective);
   bool isPauseLate = s.LongestPause > Seconds(a->Class->PauseObjective);
-  o.Large += isLarge ? 1 : 0;
+  o.Served += isServed ? 1 : 0;
+  o.LargeServed += isServed && isLarge(*a) ? 1 : 0;
   if (isFirstLate)
     ++o.LateFirstEvent;
   else if (isPauseLate)
     ++o.LatePause;
   else {
     ++o.InTime;
-    o.LargeInTime += isLarge ? 1 : 0;
+    o.LargeInTime += isLarge(*a) ? 1 : 0;
   }
 }
 
--- a/StandIns/Placement/FleetSimulation.h
+++ b/StandIns/Placement/FleetSimulation.h
@@ -69,9 +69,12 @@
   unsigned LateFirstEvent = 0;
   unsigned LatePause = 0;
   unsigned Rejected = 0;
-  /// The largest tenth.
+  /// Answered before the caller gave up, late or in time.
+  unsigned Served = 0;
+  /// Requests with more than twice the mean prompt, about the largest tenth.
   unsigned Large = 0;
   unsigned LargeInTime = 0;
+  unsigned LargeServed = 0;
 };
 
 struct FleetOutcome {
@@ -121,6 +124,7 @@
   std::vector<size_t>
   consideredEngines(const Arrival &a, std::optional<routing::EngineRole> role);
   routing::RequestProfile profile(const Arrival &a) const;
+  static bool isLarge(const Arrival &a);
   double cachedTokens(const Engine &e, const Arrival &a) const;
   void recordSharedPart(Engine &e, const Arrival &a);
 
--- a/StandIns/Programs/sardineford-placement.cpp
+++ b/StandIns/Programs/sardineford-placement.cpp
@@ -52,9 +52,11 @@
     double n = std::max(1U, it.Requests);
     std::cout << fmt::format(
         "{:10} {:6} requests, in time {:.3f}, late first event {:.3f}, late "
-        "pause {:.3f}, rejected {:.3f}, largest in time {:.3f}\n",
+        "pause {:.3f}, rejected {:.3f}, served {:.3f}, largest served {:.3f}, "
+        "largest in time {:.3f}\n",
         name, it.Requests, it.InTime / n, it.LateFirstEvent / n,
-        it.LatePause / n, it.Rejected / n,
+        it.LatePause / n, it.Rejected / n, it.Served / n,
+        static_cast<double>(it.LargeServed) / std::max(1U, it.Large),
         static_cast<double>(it.LargeInTime) / std::max(1U, it.Large));
   }
 }
--- a/Tests/Load/PlacementScaleTest.cpp
+++ b/Tests/Load/PlacementScaleTest.cpp
@@ -78,11 +78,21 @@
   CHECK(out.inTimeRatio() > 0.7);
 }
 
-TEST_CASE("large prompts are served, and not only small ones, in overload") {
-  FleetSimulationOptions o = fleetOf(60, 60);
-  o.Classes = mixedLoad(1.4 * 60);
+// Seen once as a failed gate of sizes: long prompts were put behind all others
+// when they could only just miss the objective, and rejected there because the
+// wait was too long.
+TEST_CASE("large prompts are served about as often as others in overload") {
+  // Ratio that SizeFairness aims for.
+  constexpr double FairRatio = 0.8;
+  FleetSimulationOptions o = fleetOf(6, 12);
+  o.PrefillRatio = 0.34;
+  o.Knowledge = LoadKnowledge::Reports;
+  o.Classes = mixedLoad(2.0 * 12);
+  o.Duration = Seconds(40);
   FleetOutcome out = FleetSimulation(o).run();
   const CallerOutcome &draft = out.Classes["draft"];
-  CHECK(draft.Rejected < 0.4 * draft.Requests);
-  CHECK(out.inTimeRatio() > 0.5);
+  double served = static_cast<double>(draft.Served) / draft.Requests;
+  double largeServed = static_cast<double>(draft.LargeServed) / draft.Large;
+  CHECK(served > 0.5);
+  CHECK(largeServed > FairRatio * served);
 }
