Keep a shared prompt part at its preferred engine by its size

By the lines of all nodes 130M tokens were prefilled, 89M of them at the prefill engines, which can take about 104M in that time without attention, and 40M were shared parts that some engine had cached: in overload the preferred engine's queue is longer than the fixed bonus of 60 ms, each part moves on to other engines, and there displaces others.

Change: the bonus is twice the time to prefill the shared parts, so a part of 200 tokens moves freely and one of 13,000 stays.

--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -30,14 +30,6 @@
   return tokens;
 }
 
-/// Returns the tokens of the shared parts, which are all but the last.
-uint64_t sharedTokens(const CallerRequest &request) {
-  uint64_t tokens = 0;
-  for (size_t i = 0; i + 1 < request.Parts.size(); ++i)
-    tokens += request.Parts[i].Tokens;
-  return tokens;
-}
-
 /// Returns the engines in the order in which the longest shared prefix prefers
 /// them, by rendezvous hashing. All processes agree on it.
 std::vector<size_t> rankEngines(const EngineView &view,
@@ -79,6 +71,13 @@
 
 } // namespace
 
+uint64_t sharedTokens(const CallerRequest &request) {
+  uint64_t tokens = 0;
+  for (size_t i = 0; i + 1 < request.Parts.size(); ++i)
+    tokens += request.Parts[i].Tokens;
+  return tokens;
+}
+
 Awaitable<ProbedEngines>
 probeEngines(SharedState &shared, const RequestContext &context,
              const std::vector<std::string> &excludedServers,
--- a/Source/Gateway/EngineView.h
+++ b/Source/Gateway/EngineView.h
@@ -38,6 +38,9 @@
 void recordCachedParts(SharedState &shared, const RequestContext &context,
                        fleet::Server &server);
 
+/// Returns the tokens of the prompt's shared parts, which are all but the last.
+uint64_t sharedTokens(const CallerRequest &request);
+
 /// Returns the number of prompt tokens that the server must prefill.
 double tokensToPrefill(const routing::EngineCandidate &candidate,
                        const CallerRequest &request);
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -71,7 +71,8 @@
 routing::RequestProfile requestProfile(SharedState &shared,
                                        const RequestContext &context) {
   return {context.Request.PromptTokens, Seconds(context.Route->GapObjective),
-          shared.RouteStates[context.Route->Name].MeanStreamDuration};
+          shared.RouteStates[context.Route->Name].MeanStreamDuration,
+          sharedTokens(context.Request)};
 }
 
 /// Engines that can serve the request, and the best choice among them.
--- a/Source/Routing/Placement.cpp
+++ b/Source/Routing/Placement.cpp
@@ -36,9 +36,11 @@
 /// queued at this engine, and at those that must prefill the evicted parts
 /// again.
 constexpr double RecomputeWeight = 3;
-/// Reduces the cost of the preferred engine, so that all processes send a part
-/// that no engine has cached to the same engine.
-constexpr Seconds PreferredEngineBonus{0.060};
+/// Reduces the cost of the preferred engine by this multiple of the time to
+/// prefill the shared parts. Each engine that prefills them as well takes the
+/// memory and time from other parts, so that in overload all are read again and
+/// again.
+constexpr double PreferredEngineWeight = 2;
 /// A prefill at a decode engine delays the events of every sequence that runs
 /// there. Such a delay counts this fraction of a delay of the request's own
 /// first event.
@@ -80,11 +82,13 @@
 
 /// Cost for other requests of prefilling shared parts that the engine has not
 /// cached.
-Seconds recomputeCost(const EngineCandidate &e, const SpeedModel &model) {
+Seconds recomputeCost(const EngineCandidate &e, const RequestProfile &request,
+                      const SpeedModel &model) {
   Seconds cost = model.perUnit() * static_cast<double>(e.UncachedSharedTokens) *
                  RecomputeWeight;
   if (e.IsPreferred)
-    cost -= PreferredEngineBonus;
+    cost -= model.perUnit() * static_cast<double>(request.SharedTokens) *
+            PreferredEngineWeight;
   return cost;
 }
 
@@ -203,7 +207,8 @@
       Seconds t = prefillTime(e, request, speeds.Prefill);
       prefill.consider(
           i, t, speeds.Prefill.perUnit() * uncachedTokens(e, request),
-          t * jitter(random) + penalty(e) + recomputeCost(e, speeds.Prefill) +
+          t * jitter(random) + penalty(e) +
+              recomputeCost(e, request, speeds.Prefill) +
               speeds.Prefill.perUnit() * uncachedTokens(e, request) * scarcity);
       continue;
     }
@@ -214,7 +219,7 @@
         t * jitter(random) + penalty(e) +
             work * static_cast<double>(e.Requests) * SequenceDelayWeight +
             latePauseCost(e, request, speeds) + occupancyCost(e, request) +
-            recomputeCost(e, speeds.Colocated));
+            recomputeCost(e, request, speeds.Colocated));
     considerFetch(i, e, request, speeds, jitter(random), fetch);
   }
   if (!colocated.Index)
--- a/StandIns/Placement/FleetSimulation.cpp
+++ b/StandIns/Placement/FleetSimulation.cpp
@@ -226,7 +226,8 @@
   auto duration = p.StreamDurations.find(a.Class->Name);
   return {static_cast<uint64_t>(a.promptTokens()),
           Seconds(a.Class->PauseObjective),
-          duration == p.StreamDurations.end() ? Seconds(0) : duration->second};
+          duration == p.StreamDurations.end() ? Seconds(0) : duration->second,
+          static_cast<uint64_t>(a.Class->SharedTokens)};
 }
 
 FleetSimulation::View
--- a/StandIns/Placement/Loads.h
+++ b/StandIns/Placement/Loads.h
@@ -8,6 +8,11 @@
 /// proportion to the number of engines.
 std::vector<SimulatedClass> mixedLoad(double engines);
 
+/// Long prompts with large shared parts, near the limit of the prefill engines,
+/// and the engines that they run on.
+std::vector<SimulatedClass> longPromptLoad(double engines);
+SimulatedEngineSpec longPromptEngine();
+
 /// The mix swings between questions and classifications every 2.8 s.
 double swingingShape(const SimulatedClass &c, SimulatedTime t);
 
--- a/StandIns/Programs/sardineford-placement.cpp
+++ b/StandIns/Programs/sardineford-placement.cpp
@@ -13,6 +13,7 @@
 DEFINE_int32(engines, 124, "number of engines");
 DEFINE_double(prefill_ratio, 0.23, "ratio of the engines in the prefill role");
 DEFINE_double(load, 1, "factor on the load per engine");
+DEFINE_bool(long_prompts, false, "long prompts with large shared parts");
 DEFINE_double(slow_ratio, 0, "ratio of the engines that are slow");
 DEFINE_bool(reports, false, "know loads by reports instead of trackers");
 DEFINE_int32(report_age_ms, 300, "mean age of the reports");
@@ -39,6 +40,11 @@
   o.Seed = FLAGS_seed;
   o.Classes = mixedLoad(FLAGS_load * FLAGS_engines);
   o.Shape = swingingShape;
+  if (FLAGS_long_prompts) {
+    o.Classes = longPromptLoad(FLAGS_load * FLAGS_engines);
+    o.Shape = nullptr;
+    o.Engine = longPromptEngine();
+  }
   return o;
 }
 
--- a/Tests/Load/PlacementScaleTest.cpp
+++ b/Tests/Load/PlacementScaleTest.cpp
@@ -96,3 +96,17 @@
   CHECK(served > 0.5);
   CHECK(largeServed > FairRatio * served);
 }
+
+// The memory of the prefill engines holds every part one and a half times. If
+// each busy engine passes its parts on to others, they displace one another and
+// are prefilled again, which keeps the engines busy.
+TEST_CASE("shared parts are mostly found cached in overload") {
+  FleetSimulationOptions o = fleetOf(60, 140);
+  o.PrefillRatio = 0.35;
+  o.Classes = longPromptLoad(1.35 * 140);
+  o.Shape = nullptr;
+  o.Engine = longPromptEngine();
+  FleetOutcome out = FleetSimulation(o).run();
+  CHECK(out.SharedPrefilledRatio < 0.5);
+  CHECK(inTimeRatio(out.Classes["question"]) > 0.8);
+}
--- a/include/Sardineford/Routing/Placement.h
+++ b/include/Sardineford/Routing/Placement.h
@@ -50,6 +50,8 @@
   Seconds PauseObjective{0};
   /// Expected time from the first event to the last.
   Seconds StreamDuration{0};
+  /// Part of the prompt that other requests share.
+  uint64_t SharedTokens = 0;
 };
 
 /// Time models of one service's engines, by prompt tokens.
