Keep servers whose entries expire together for a time

Its process knows no outage, drops all servers and sends the removals on without a grace period. A third of the servers, three at least, missing within 1.2 s without an announced leave now counts as a mass expiry: they are kept for 1.7 s, in which an outage shows, and a process that learns changes from peers keeps them while the store is silent and for the usual grace period after it.

The stand-in's servers came back after 5 s, since their write had the client's default time limit; the platform's come back within 2 s. It is 1 s now.

Two tests failed before (all servers removed at once).

--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -1,5 +1,6 @@
 #include "Sardineford/Fleet/Directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace sardineford::fleet {
@@ -115,6 +116,11 @@
     drop(it, "still missing after the store outage", true);
 }
 
+void Directory::keepMissing(MonoTime graceEnd) {
+  for (auto &[id, end] : Missing)
+    end = std::max(end, graceEnd);
+}
+
 void Directory::markLeaving(const std::string &id, int64_t startedMs,
                             std::string_view reason) {
   auto it = ById.find(id);
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -37,6 +37,10 @@
 /// Grace period of missing entries after a store failure: expired entries
 /// reappear about 2 s after the store's recovery.
 constexpr Milliseconds MissingGracePeriod{2'300};
+/// Grace period of entries that went missing together without a known outage.
+/// An outage shows within this time, as answers of the store are missing. It is
+/// shorter than the time for which stopped servers without an entry serve on.
+constexpr Milliseconds MassExpiryGracePeriod{1'700};
 constexpr Milliseconds RemoveMissingInterval{100};
 /// A watcher sends a change to the others within this time after another
 /// watcher has reported it: they collect changes at different times.
@@ -63,14 +67,10 @@
 
 void FleetWatch::start() {
   spawn(Io, "watch-configuration", [this] {
-    return follow(
-        ConfigurationFeed, [this] { return readConfiguration(); },
-        [this](const store::Object &o) { applyConfiguration(o); });
+    return follow(ConfigurationFeed, [this] { return readConfiguration(); });
   });
   spawn(Io, "watch-servers", [this] {
-    return follow(
-        ServerFeed, [this] { return readServers(); },
-        [this](const store::Object &o) { applyServer(o); });
+    return follow(ServerFeed, [this] { return readServers(); });
   });
   spawn(Io, "remove-missing", [this] { return removeMissingLoop(); });
 }
@@ -208,8 +208,10 @@
   const WatchDuty &duty = ServerFeed.Duty;
   bool knowsOutage =
       duty.storeRegainedAt() != MonoTime{} && !duty.mustWatch(MonoClock::now());
-  if (knowsOutage)
-    GraceEnd = std::max(GraceEnd, duty.storeRegainedAt() + MissingGracePeriod);
+  if (!knowsOutage)
+    return;
+  GraceEnd = std::max(GraceEnd, duty.storeRegainedAt() + MissingGracePeriod);
+  Servers.keepMissing(GraceEnd);
 }
 
 /// Sends changes to the peers.
@@ -232,14 +234,39 @@
   // others know to be gone.
   if (feed.Duty.isStoreSilent(now))
     GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
-  for (store::Object &it : feed.Objects.applyNews(published.Changes)) {
-    it.Kind = feed.Kind;
-    if (published.IsConfiguration)
+  applyNews(feed, published.Changes);
+  feed.Comparison.reset();
+}
+
+/// Applies the changes that are news to this process.
+void FleetWatch::applyNews(Feed &feed, const store::Changes &changes) {
+  std::vector<store::Object> news = feed.Objects.applyNews(changes);
+  if (&feed == &ServerFeed)
+    recordMissing(news);
+  for (const store::Object &it : news) {
+    if (&feed == &ConfigurationFeed)
       applyConfiguration(it);
     else
       applyServer(it);
   }
-  feed.Comparison.reset();
+}
+
+/// Keeps servers for a time if many entries went missing together.
+void FleetWatch::recordMissing(const std::vector<store::Object> &changes) {
+  auto missing =
+      std::count_if(changes.begin(), changes.end(), [&](const auto &it) {
+        ServerPtr server = it.Version == 0 ? Servers.find(it.Name) : nullptr;
+        return server && !server->Leaving;
+      });
+  MonoTime now = MonoClock::now();
+  if (!ExpiredTogether.record(static_cast<size_t>(missing), Servers.size(),
+                              now))
+    return;
+  if (GraceEnd < now)
+    log::event(Category::Store, log::Level::Warning, "entries_missing_together",
+               {{"missing", missing}, {"known", Servers.size()}});
+  GraceEnd = std::max(GraceEnd, now + MassExpiryGracePeriod);
+  ManyMissing = true;
 }
 
 void FleetWatch::comparePeer(Feed &feed, const FeedView &peer) {
@@ -270,8 +297,7 @@
 /// Reads all objects again after a watch that failed or was interrupted, since
 /// changes may have been missed.
 Awaitable<void>
-FleetWatch::follow(Feed &feed, std::function<Awaitable<uint64_t>()> readAll,
-                   std::function<void(const store::Object &)> apply) {
+FleetWatch::follow(Feed &feed, std::function<Awaitable<uint64_t>()> readAll) {
   store::Backoff backoff(InitialRetryDelay, MaxRetryDelay);
   store::Backoff batch(BatchDelay, MaxBatchDelay);
   bool isCurrent = false;
@@ -306,8 +332,7 @@
                      "watch missed changes");
       feed.Revision = std::max(feed.Revision, changes->Revision);
       // Peers may have sent newer objects in the meantime.
-      for (const store::Object &it : feed.Objects.applyNews(*changes))
-        apply(it);
+      applyNews(feed, *changes);
       publish(feed, changes->Revision, changes->Objects);
       backoff.reset();
       // The few watchers of a large fleet do not have to save calls.
@@ -341,8 +366,11 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
-  if (Servers.isLoaded())
-    publish(ServerFeed, list.Revision, ServerFeed.Objects.changesTo(list));
+  if (Servers.isLoaded()) {
+    std::vector<store::Object> changes = ServerFeed.Objects.changesTo(list);
+    recordMissing(changes);
+    publish(ServerFeed, list.Revision, std::move(changes));
+  }
   ServerFeed.Objects.replaceAll(list);
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
@@ -389,9 +417,17 @@
 Awaitable<void> FleetWatch::removeMissingLoop() {
   for (;;) {
     co_await sleepFor(RemoveMissingInterval);
+    MonoTime now = MonoClock::now();
+    const WatchDuty &duty = ServerFeed.Duty;
+    bool isOutage =
+        ServerFeed.Lost ||
+        (ManyMissing && duty.isStoreSilent(now) && !duty.mustWatch(now));
     // During a store outage, servers with missing entries may be running.
-    if (!ServerFeed.Lost)
-      Servers.removeMissing(MonoClock::now());
+    if (isOutage)
+      continue;
+    Servers.removeMissing(now);
+    if (GraceEnd <= now)
+      ManyMissing = false;
   }
 }
 
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/KnownObjects.h"
+#include "Fleet/MassExpiry.h"
 #include "Fleet/PeerComparison.h"
 #include "Fleet/WatchDuty.h"
 #include "Sardineford/Fleet/Directory.h"
@@ -82,8 +83,9 @@
   };
 
   Awaitable<void> follow(Feed &feed,
-                         std::function<Awaitable<uint64_t>()> readAll,
-                         std::function<void(const store::Object &)> apply);
+                         std::function<Awaitable<uint64_t>()> readAll);
+  void applyNews(Feed &feed, const store::Changes &changes);
+  void recordMissing(const std::vector<store::Object> &changes);
   Awaitable<uint64_t> readConfiguration();
   Awaitable<uint64_t> readServers();
   void applyConfiguration(const store::Object &o);
@@ -124,6 +126,9 @@
   /// Entries that go missing before this time may have expired during a store
   /// outage.
   MonoTime GraceEnd{};
+  MassExpiry ExpiredTogether;
+  /// Servers that went missing together are in their grace period.
+  bool ManyMissing = false;
 };
 
 } // namespace sardineford::fleet
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -24,6 +24,9 @@
 /// Interval at which a request checks whether its caller has disconnected.
 constexpr Milliseconds DisconnectPollInterval{10};
 constexpr std::string_view HealthPath = "/health";
+/// The platform's servers are back in the store within two seconds of the end
+/// of an outage.
+constexpr Milliseconds StoreTimeout{1'000};
 
 /// Speeds of an engine that is fast enough for tests.
 EngineSpeed testSpeed(Milliseconds step) {
@@ -109,12 +112,14 @@
       std::string(names::ObjectsPath) + std::string(names::ServersKind);
   r.Method = "PUT";
   r.Target = kind + "/" + Options.Id;
-  http::Response response = co_await Client.call(Options.Store, r);
+  http::CallOptions options;
+  options.Timeout = StoreTimeout;
+  http::Response response = co_await Client.call(Options.Store, r, options);
   if (response.Status != 404)
     co_return;
   r.Method = "POST";
   r.Target = kind;
-  co_await Client.call(Options.Store, r);
+  co_await Client.call(Options.Store, r, options);
 }
 
 Awaitable<void> PlatformWorker::heartbeat() {
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -346,6 +346,61 @@
   CHECK(t.servers() == 0);
 }
 
+namespace {
+
+std::vector<Object> manyServers(size_t n) {
+  std::vector<Object> out;
+  for (size_t i = 0; i < n; ++i)
+    out.push_back({"servers", "s" + std::to_string(i), i + 1, "model"});
+  return out;
+}
+
+Changes removalOf(std::vector<Object> objects) {
+  for (Object &it : objects)
+    it.Version = 0;
+  return {100, std::move(objects)};
+}
+
+} // namespace
+
+// Seen in soak seed 1205: a watcher whose call waited through a silence of the
+// store received the removal of all expired entries as a normal answer, and the
+// whole fleet removed the servers at once.
+TEST_CASE("servers whose entries expire together are kept for a time") {
+  Fixture t;
+  t.Store.Lists["servers"] = manyServers(8);
+  t.Store.Watches["servers"].push_back(
+      {std::nullopt, removalOf(manyServers(8)).Objects});
+  t.Watch.start();
+  t.runFor(Milliseconds(200));
+  CHECK(t.Servers.ofService("model").size() == 8);
+  t.runFor(Milliseconds(1'600));
+  CHECK(t.Servers.ofService("model").empty());
+}
+
+TEST_CASE("entries that expired in an outage are kept until it has ended") {
+  FollowerFixture t;
+  PublishedChanges found;
+  found.Changes = {20, manyServers(8)};
+  t.Watch.applyChanges(found);
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  PublishedChanges removal;
+  removal.Changes = removalOf(manyServers(8));
+  t.Watch.applyChanges(removal);
+  CHECK(t.servers() == 9);
+  // No watcher has an answer meanwhile.
+  t.runFor(Milliseconds(1'550));
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  runBesideWatcher(t, Milliseconds(1'500));
+  CHECK(t.servers() == 9);
+  found.Changes = {200, manyServers(8)};
+  for (Object &it : found.Changes.Objects)
+    it.Version += 100;
+  t.Watch.applyChanges(found);
+  runBesideWatcher(t, Milliseconds(2'000));
+  CHECK(t.servers() == 9);
+}
+
 TEST_CASE("a lost datagram of a watcher causes one read") {
   FollowerFixture t;
   t.Store.Lists["config"] = {config(7, 12)};
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -92,6 +92,8 @@
                   MonoTime now);
   /// Removes servers that are still missing at the end of the grace period.
   void removeMissing(MonoTime now);
+  /// Extends the grace periods of the missing servers.
+  void keepMissing(MonoTime graceEnd);
   /// Marks an incarnation as leaving, as reported by the server or by another
   /// process.
   void markLeaving(const std::string &id, int64_t startedMs,
