Relay the running processes of a group instead of their reports

Reports go within the group now; other groups get six bytes a process, twice a second, and the reports of the watchers alone. Groups are formed within failure domains. A server's tracker is a process of its failure domain, so that half of a placement's questions do not leave the domain, and a domain that is cut off keeps the trackers of its servers.

Counters: sardineford_peer_bytes_total by kind.

--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -1,6 +1,9 @@
 #include "Peers/LoadExchange.h"
 
 #include "Messages/Messages.pb.h"
+#include "Peers/Mesh.h"
+#include "Peers/RelayCodec.h"
+#include "Peers/ReportCodec.h"
 #include "Peers/ShareCodec.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
@@ -43,55 +46,35 @@
 /// Each prompt part is sent twice, since datagrams may be lost.
 constexpr int SendsPerPart = 2;
 constexpr size_t MaxDatagramBytes = size_t{60} * 1024;
-/// Approximate size of the datagrams into which relayed reports are split.
-constexpr size_t RelayDatagramBytes = size_t{8} * 1024;
+/// Approximate size of the datagrams into which changes are split.
+constexpr size_t ChangesDatagramBytes = size_t{8} * 1024;
+/// A process of the group is relayed as running for this time after its report:
+/// longer than the interval of the reports.
+constexpr Milliseconds RelayedReportAge{700};
 /// A larger object is read from the store by each process.
 constexpr size_t MaxObjectBytes = size_t{48} * 1024;
 
-/// Writes how recent the local store view is. This changes at any time and does
-/// not make a report due.
-void setStoreAnswers(const fleet::StoreView &view, messages::LoadShare &out) {
-  out.set_watch_rank(view.Rank);
-  auto age = [](Milliseconds t) { return static_cast<uint32_t>(t.count()); };
-  if (view.Configuration.AnswerAge)
-    out.set_configuration_age_ms(age(*view.Configuration.AnswerAge));
-  if (view.Servers.AnswerAge)
-    out.set_servers_age_ms(age(*view.Servers.AnswerAge));
-}
-
-fleet::StoreView decodeStoreView(const messages::LoadShare &in) {
-  fleet::StoreView out;
-  out.Configuration = {
-      in.configuration_digest(), in.configuration_newest(), {}};
-  out.Servers = {in.servers_digest(), in.servers_newest(), {}};
-  if (in.has_configuration_age_ms())
-    out.Configuration.AnswerAge = Milliseconds(in.configuration_age_ms());
-  if (in.has_servers_age_ms())
-    out.Servers.AnswerAge = Milliseconds(in.servers_age_ms());
-  out.Rank = in.watch_rank();
-  return out;
-}
-
 } // namespace
 
 LoadExchange::LoadExchange(IoContext &io, store::ObjectStore &store,
-                           std::string node, http::Endpoint listen,
+                           std::string node, RunningProcess local,
                            fleet::Directory &directory,
                            metrics::Metrics &metrics)
     : Io(io), Store(store), Node(std::move(node)),
-      Incarnation(makeIncarnation()), Listen(std::move(listen)),
-      Servers(directory), Metrics(metrics), Socket(io), Peers(Listen),
-      Tracking(io, directory, metrics, {Node, Incarnation, 0}, Listen,
+      Incarnation(makeIncarnation()), Local(std::move(local)),
+      Servers(directory), Metrics(metrics), Socket(io), Peers(Local),
+      Tracking(io, directory, metrics, {Node, Incarnation, 0}, Local.Address,
                [this](const messages::LoadShare &datagram,
                       const http::Endpoint &to) {
-                 send(datagram.SerializeAsString(), {to});
+                 send("tracking", datagram.SerializeAsString(), {to});
                }),
       LocalReport(std::make_unique<messages::LoadShare>()) {}
 
 LoadExchange::~LoadExchange() = default;
 
 void LoadExchange::start() {
-  udp::endpoint local(asio::ip::make_address(Listen.Host), Listen.Port);
+  udp::endpoint local(asio::ip::make_address(Local.Address.Host),
+                      Local.Address.Port);
   Socket.open(local.protocol());
   Socket.bind(local);
   Socket.non_blocking(true);
@@ -103,18 +86,24 @@
 void LoadExchange::stop() { Socket.close(); }
 
 unsigned LoadExchange::processes() const {
-  return static_cast<unsigned>(View.peers() + 1);
+  // In a large fleet, most peers are known through relays alone.
+  size_t n =
+      Tracking.isActive() ? Peers.activeProcesses().size() : View.peers() + 1;
+  return static_cast<unsigned>(n);
 }
 
 Milliseconds LoadExchange::sendInterval(const PeerSet::Recipients &to) const {
-  auto n = static_cast<double>(to.SameGroup.size() + to.OtherGroups.size());
+  // Only changes of the store are sent sooner than the repetitions.
+  if (Tracking.isActive())
+    return RepeatInterval / 2;
+  auto n = static_cast<double>(to.SameGroup.size());
   return std::max(MinSendInterval,
                   toMilliseconds(Seconds(n / MaxDatagramsPerSecond)));
 }
 
 Awaitable<void> LoadExchange::registerProcess() {
   std::string value =
-      json::serialize(json::object{{"address", http::toString(Listen)}});
+      json::serialize(json::object{{"address", http::toString(Local.Address)}});
   std::optional<store::Object> found = co_await Store.get(MemberKind, Node);
   if (!found || found->Value != value)
     co_await Store.put(MemberKind, Node, value, found ? found->Version : 0);
@@ -182,7 +171,7 @@
   out.Clear();
   out.set_node(Node);
   out.set_incarnation(Incarnation);
-  out.set_address(http::toString(Listen));
+  out.set_failure_domain(Local.FailureDomain);
   if (!Tracking.isActive())
     Servers.forEach([&](const fleet::Server &s) {
       if (s.LocalWork.Requests > 0)
@@ -200,25 +189,28 @@
   fleet::StoreView view;
   if (LocalView)
     view = LocalView();
-  out.set_configuration_digest(view.Configuration.Digest);
-  out.set_configuration_newest(view.Configuration.NewestVersion);
-  out.set_servers_digest(view.Servers.Digest);
-  out.set_servers_newest(view.Servers.NewestVersion);
+  encodeDigests(view, out);
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
-  bool isDue = body != LastSent || now - LastSentAt >= RepeatInterval;
+  // All processes of a large fleet learn of a change from the watchers at about
+  // the same time, and none has to tell the others.
+  bool isNews = !Tracking.isActive() || view.Servers.AnswerAge;
+  bool isDue =
+      (isNews && body != LastSent) || now - LastSentAt >= RepeatInterval;
   if (isDue) {
     LastSent = std::move(body);
     LastSentAt = now;
     ++Sequence;
   }
   out.set_sequence(Sequence);
-  setStoreAnswers(view, out);
+  encodeAnswerAges(view, out);
   return isDue;
 }
 
-void LoadExchange::send(const std::string &bytes,
+void LoadExchange::send(std::string_view kind, const std::string &bytes,
                         const std::vector<http::Endpoint> &to) {
+  Metrics.count("sardineford_peer_bytes_total", {{"kind", std::string(kind)}},
+                static_cast<double>(bytes.size() * to.size()));
   boost::system::error_code ec;
   for (const http::Endpoint &it : to) {
     udp::endpoint peer(asio::ip::make_address(it.Host, ec), it.Port);
@@ -232,25 +224,26 @@
 
 void LoadExchange::sendReport(const std::vector<http::Endpoint> &to) {
   if (!to.empty())
-    send(LocalReport->SerializeAsString(), to);
+    send("report", LocalReport->SerializeAsString(), to);
 }
 
-void LoadExchange::sendWithRelayed(const std::vector<http::Endpoint> &to) {
-  size_t size = 0;
-  auto flush = [&] {
-    send(LocalReport->SerializeAsString(), to);
-    LocalReport->clear_relayed();
-    size = 0;
-  };
-  for (const auto &[node, report] : ToRelay) {
-    size_t n = report->ByteSizeLong();
-    if (size > 0 && size + n > RelayDatagramBytes)
-      flush();
-    *LocalReport->add_relayed() = *report;
-    size += n;
+void LoadExchange::sendRelay(const std::vector<http::Endpoint> &to) {
+  messages::LoadShare datagram;
+  datagram.set_node(Node);
+  messages::GroupRelay &out = *datagram.mutable_relay();
+  std::vector<RunningProcess> running = {Local};
+  for (const auto &[process, time] : GroupReports)
+    running.push_back(process);
+  encodeProcesses(running, out);
+  bool isWatcher = LocalReport->has_servers_age_ms();
+  if (isWatcher || !isCompact(Local.Address)) {
+    *out.add_reports() = *LocalReport;
+    out.mutable_reports(0)->set_address(http::toString(Local.Address));
   }
-  ToRelay.clear();
-  flush();
+  for (auto &[node, report] : std::exchange(ToRelay, {}))
+    *out.add_reports() = std::move(*report);
+  if (!to.empty())
+    send("relay", datagram.SerializeAsString(), to);
 }
 
 Awaitable<void> LoadExchange::sendLoop() {
@@ -278,10 +271,13 @@
     LocalReport->set_wants_answer(true);
     sendReport(to.Silent);
     LocalReport->set_wants_answer(false);
-    if (to.OtherGroups.empty())
-      ToRelay.clear();
-    else if (changed || !ToRelay.empty())
-      sendWithRelayed(to.OtherGroups);
+    if (now - RelayedAt < RepeatInterval)
+      continue;
+    RelayedAt = now;
+    std::erase_if(GroupReports, [&](const auto &it) {
+      return now - it.second > RelayedReportAge;
+    });
+    sendRelay(to.OtherGroups);
   }
 }
 
@@ -299,20 +295,30 @@
     applyChanges(in, from);
     return;
   }
+  if (in.has_relay()) {
+    applyRelay(in);
+    return;
+  }
   applyReport(in, from);
+  updateChangedPeerWork();
+  if (in.wants_answer())
+    ReplyTo.push_back(from);
+  if (Peers.isInGroup(from))
+    queueForRelay(in, from);
+}
+
+void LoadExchange::applyRelay(const messages::LoadShare &in) {
+  MonoTime now = MonoClock::now();
+  for (const RunningProcess &it : decodeProcesses(in.relay()))
+    Peers.recordReport(it, now);
   try {
-    for (const messages::LoadShare &it : in.relayed())
+    for (const messages::LoadShare &it : in.relay().reports())
       if (it.node() != Node)
         applyReport(it, http::parseEndpoint(it.address()));
   } catch (const Error &e) {
     log::debug(Category::Peers, "invalid relayed report: {}", e.what());
     Metrics.count("sardineford_load_reports_bad_total", {});
   }
-  updateChangedPeerWork();
-  if (in.wants_answer())
-    ReplyTo.push_back(from);
-  if (Peers.isInGroup(from))
-    queueForRelay(in);
 }
 
 void LoadExchange::applyReport(const messages::LoadShare &in,
@@ -324,7 +330,7 @@
   for (const messages::PartUse &it : in.parts())
     if (fleet::ServerPtr server = Servers.find(it.server()))
       server->CachedParts.recordUse(it.part(), it.tokens(), now);
-  Peers.recordReport(from, now);
+  Peers.recordReport({in.failure_domain(), from}, now);
   if (OnPeerView)
     OnPeerView(decodeStoreView(in));
   View.update(std::move(report), now);
@@ -333,15 +339,15 @@
 /// Orders the processes by a hash of their addresses, so that the watchers of
 /// the store are spread over the failure domains.
 void LoadExchange::updatePosition() {
-  const std::vector<http::Endpoint> &active = Peers.activeProcesses();
+  const std::vector<RunningProcess> &active = Peers.activeProcesses();
   if (active.size() == Position.Processes && active == RankedProcesses)
     return;
   RankedProcesses = active;
-  uint64_t local = hash64(http::toString(Listen));
-  auto before = std::count_if(active.begin(), active.end(),
-                              [&](const http::Endpoint &it) {
-                                return hash64(http::toString(it)) < local;
-                              });
+  uint64_t local = hash64(http::toString(Local.Address));
+  auto before = std::count_if(
+      active.begin(), active.end(), [&](const RunningProcess &it) {
+        return hash64(http::toString(it.Address)) < local;
+      });
   Position = {static_cast<unsigned>(active.size()),
               static_cast<unsigned>(before)};
 }
@@ -350,21 +356,19 @@
   messages::LoadShare datagram;
   datagram.set_node(Node);
   datagram.set_incarnation(Incarnation);
+  encodeChangesHead(changes, datagram);
   messages::ObjectChanges &out = *datagram.mutable_changes();
-  out.set_revision(changes.Changes.Revision);
-  out.set_grace_ms(static_cast<uint32_t>(changes.MissingGrace.count()));
-  out.set_is_configuration(changes.IsConfiguration);
   auto flush = [&] {
     std::string bytes = datagram.SerializeAsString();
-    send(bytes, LastRecipients.SameGroup);
-    send(bytes, LastRecipients.OtherGroups);
+    send("changes", bytes, LastRecipients.SameGroup);
+    send("changes", bytes, LastRecipients.OtherGroups);
     out.clear_objects();
   };
   for (const store::Object &it : changes.Changes.Objects) {
     if (it.Value.size() > MaxObjectBytes)
       continue;
     size_t size = out.ByteSizeLong() + it.Value.size();
-    if (out.objects_size() > 0 && size > RelayDatagramBytes)
+    if (out.objects_size() > 0 && size > ChangesDatagramBytes)
       flush();
     messages::StoredObject *object = out.add_objects();
     object->set_name(it.Name);
@@ -380,21 +384,20 @@
   if (!in.changes().relayed() && Peers.isInGroup(from)) {
     messages::LoadShare copy = in;
     copy.mutable_changes()->set_relayed(true);
-    send(copy.SerializeAsString(), LastRecipients.OtherGroups);
+    send("changes", copy.SerializeAsString(), LastRecipients.OtherGroups);
   }
-  fleet::PublishedChanges changes{in.changes().is_configuration(),
-                                  {in.changes().revision(), {}},
-                                  Milliseconds(in.changes().grace_ms())};
-  for (const messages::StoredObject &it : in.changes().objects())
-    changes.Changes.Objects.push_back(
-        {"", it.name(), it.version(), it.value()});
   if (OnChanges)
-    OnChanges(changes);
+    OnChanges(decodeChanges(in));
 }
 
-void LoadExchange::queueForRelay(const messages::LoadShare &in) {
+void LoadExchange::queueForRelay(const messages::LoadShare &in,
+                                 const http::Endpoint &from) {
+  if (isCompact(from))
+    GroupReports[{in.failure_domain(), from}] = MonoClock::now();
+  if (!in.has_servers_age_ms() && isCompact(from))
+    return;
   auto copy = std::make_unique<messages::LoadShare>(in);
-  copy->clear_relayed();
+  copy->set_address(http::toString(from));
   ToRelay[in.node()] = std::move(copy);
 }
 
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -3,6 +3,7 @@
 #include "Fleet/WatchDuty.h"
 #include "Peers/LoadTracking.h"
 #include "Peers/PeerSet.h"
+#include "Peers/RunningProcess.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/StoreView.h"
 #include "Sardineford/Metrics/Metrics.h"
@@ -32,7 +33,7 @@
 class LoadExchange {
 public:
   LoadExchange(IoContext &io, store::ObjectStore &store, std::string node,
-               http::Endpoint listen, fleet::Directory &directory,
+               RunningProcess local, fleet::Directory &directory,
                metrics::Metrics &metrics);
   ~LoadExchange();
 
@@ -75,17 +76,18 @@
   Milliseconds listInterval() const;
   Awaitable<void> sendLoop();
   Awaitable<void> receiveLoop();
-  /// Updates the local report. Returns false if the report is unchanged and is
-  /// not due for repetition yet.
+  /// Updates the local report. Returns false if the report is not due yet.
   bool updateReport();
   void sendReport(const std::vector<http::Endpoint> &to);
-  /// Sends the local report together with the reports that the local group has
-  /// sent since the last relay.
-  void sendWithRelayed(const std::vector<http::Endpoint> &to);
-  void send(const std::string &bytes, const std::vector<http::Endpoint> &to);
+  /// Sends which processes of the local group run, with the reports of those
+  /// that watch the store.
+  void sendRelay(const std::vector<http::Endpoint> &to);
+  void send(std::string_view kind, const std::string &bytes,
+            const std::vector<http::Endpoint> &to);
   void handleDatagram(std::string_view bytes, const http::Endpoint &from);
   void applyReport(const messages::LoadShare &in, const http::Endpoint &from);
-  void queueForRelay(const messages::LoadShare &in);
+  void applyRelay(const messages::LoadShare &in);
+  void queueForRelay(const messages::LoadShare &in, const http::Endpoint &from);
   Milliseconds sendInterval(const PeerSet::Recipients &to) const;
   void updatePosition();
   void applyChanges(const messages::LoadShare &in, const http::Endpoint &from);
@@ -96,7 +98,7 @@
   store::ObjectStore &Store;
   std::string Node;
   std::string Incarnation;
-  http::Endpoint Listen;
+  RunningProcess Local;
   fleet::Directory &Servers;
   metrics::Metrics &Metrics;
   boost::asio::ip::udp::socket Socket;
@@ -110,9 +112,12 @@
   MonoTime SharesRepeatedAt{};
   /// Recipients of the last reports.
   PeerSet::Recipients LastRecipients;
+  MonoTime RelayedAt{};
   fleet::FleetPosition Position;
   /// Processes that the position was computed for.
-  std::vector<http::Endpoint> RankedProcesses;
+  std::vector<RunningProcess> RankedProcesses;
+  /// Processes of the local group and the times of their last reports.
+  std::map<RunningProcess, MonoTime> GroupReports;
   /// Newest reports of the local group that are not relayed yet, by process.
   std::map<std::string, std::unique_ptr<messages::LoadShare>> ToRelay;
   /// Peers that requested a report.
--- a/Source/Peers/LoadTracking.cpp
+++ b/Source/Peers/LoadTracking.cpp
@@ -38,7 +38,7 @@
 
 LoadTracking::~LoadTracking() = default;
 
-void LoadTracking::setProcesses(const std::vector<http::Endpoint> &processes) {
+void LoadTracking::setProcesses(const std::vector<RunningProcess> &processes) {
   bool wasActive = std::exchange(Active, isGrouped(processes.size()));
   if (!Trackers.setProcesses(processes) && wasActive == Active)
     return;
@@ -52,10 +52,15 @@
 messages::LoadShare LoadTracking::makeDatagram() const {
   messages::LoadShare out;
   out.set_node(Local.Node);
-  out.set_incarnation(Local.Incarnation);
   return out;
 }
 
+const http::Endpoint &LoadTracking::trackerOf(const std::string &server) {
+  fleet::ServerPtr found = Servers.find(server);
+  return Trackers.trackerOf(server,
+                            found ? found->Entry.FailureDomain : std::string());
+}
+
 void LoadTracking::recordChange(const std::string &server) {
   if (!Active)
     return;
@@ -90,10 +95,11 @@
   ++Local.Sequence;
   std::map<http::Endpoint, messages::LoadShare> datagrams;
   for (const std::string &server : std::exchange(Changed, {})) {
-    auto [it, isNew] = datagrams.try_emplace(Trackers.trackerOf(server));
+    auto [it, isNew] = datagrams.try_emplace(trackerOf(server));
     messages::LoadShare &out = it->second;
     if (isNew)
       out = makeDatagram();
+    out.set_incarnation(Local.Incarnation);
     out.set_sequence(Local.Sequence);
     fleet::WorkInFlight work;
     if (fleet::ServerPtr found = Servers.find(server))
@@ -167,7 +173,7 @@
   uint64_t id = ++NextQuery;
   std::map<http::Endpoint, messages::LoadQuery> queries;
   for (const std::string &server : servers)
-    queries[Trackers.trackerOf(server)].add_servers(server);
+    queries[trackerOf(server)].add_servers(server);
   Pending[id] = query;
   query->MissingTrackers = queries.size();
   for (auto &[tracker, it] : queries) {
--- a/Source/Peers/LoadTracking.h
+++ b/Source/Peers/LoadTracking.h
@@ -53,7 +53,7 @@
   ~LoadTracking();
 
   /// Sets the running processes, including this one.
-  void setProcesses(const std::vector<http::Endpoint> &processes);
+  void setProcesses(const std::vector<RunningProcess> &processes);
   /// Returns whether the fleet is so large that trackers are used.
   bool isActive() const { return Active; }
   /// Reports the local work at a server to its tracker.
@@ -72,12 +72,14 @@
 private:
   struct PendingQuery;
 
+  const http::Endpoint &trackerOf(const std::string &server);
   void scheduleFlush();
   void flush();
   void applyShares(const messages::LoadShare &in);
   void fillAnswer(const messages::LoadQuery &in, const std::string &asker,
                   messages::LoadAnswer &out);
   void applyAnswer(const messages::LoadAnswer &in);
+  /// Returns a datagram with the name of this process alone.
   messages::LoadShare makeDatagram() const;
 
   IoContext &Io;
--- a/Source/Peers/PeerSet.cpp
+++ b/Source/Peers/PeerSet.cpp
@@ -22,14 +22,15 @@
 } // namespace
 
 void PeerSet::addListed(const http::Endpoint &endpoint, MonoTime now) {
-  if (endpoint != Local)
+  if (endpoint != Local.Address)
     Peers.try_emplace(endpoint, Peer{now});
 }
 
-void PeerSet::recordReport(const http::Endpoint &endpoint, MonoTime now) {
-  if (endpoint == Local)
+void PeerSet::recordReport(const RunningProcess &process, MonoTime now) {
+  if (process.Address == Local.Address)
     return;
-  Peer &peer = Peers[endpoint];
+  Peer &peer = Peers[process.Address];
+  peer.FailureDomain = process.FailureDomain;
   peer.LastSeen = now;
   peer.HasReported = true;
 }
@@ -39,11 +40,11 @@
     return now - it.second.LastSeen > RemovalTimeout;
   });
   Recipients out;
-  std::vector<http::Endpoint> active = {Local};
+  std::vector<RunningProcess> active = {Local};
   for (auto &[endpoint, peer] : Peers) {
     auto silence = now - peer.LastSeen;
     if (peer.HasReported && silence <= ActiveTimeout)
-      active.push_back(endpoint);
+      active.push_back({peer.FailureDomain, endpoint});
     if (peer.HasReported && silence <= ProbeAfter)
       continue;
     auto interval = std::max<MonoClock::duration>(
@@ -60,11 +61,11 @@
       planMesh(active.size(), static_cast<size_t>(local - active.begin()));
   LocalGroup.clear();
   for (size_t it : plan.SameGroup) {
-    out.SameGroup.push_back(active[it]);
-    LocalGroup.insert(active[it]);
+    out.SameGroup.push_back(active[it].Address);
+    LocalGroup.insert(active[it].Address);
   }
   for (size_t it : plan.OtherGroups)
-    out.OtherGroups.push_back(active[it]);
+    out.OtherGroups.push_back(active[it].Address);
   Active = std::move(active);
   return out;
 }
--- a/Source/Peers/PeerSet.h
+++ b/Source/Peers/PeerSet.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "Peers/RunningProcess.h"
 #include "Sardineford/Common/Time.h"
-#include "Sardineford/Http/Message.h"
 
 #include <map>
 #include <set>
@@ -12,12 +12,12 @@
 /// The known peers, and the selection of those to send to.
 class PeerSet {
 public:
-  explicit PeerSet(http::Endpoint local) : Local(std::move(local)) {}
+  explicit PeerSet(RunningProcess local) : Local(std::move(local)) {}
 
   /// Adds a peer from the platform's list.
   void addListed(const http::Endpoint &endpoint, MonoTime now);
-  /// Records a report of a peer, received directly or relayed.
-  void recordReport(const http::Endpoint &endpoint, MonoTime now);
+  /// Records that a peer runs, by its report or a relay.
+  void recordReport(const RunningProcess &process, MonoTime now);
 
   struct Recipients {
     std::vector<http::Endpoint> SameGroup;
@@ -37,20 +37,21 @@
   bool empty() const { return Peers.empty(); }
   /// Returns the running processes as of the last selection, sorted, with the
   /// local one.
-  const std::vector<http::Endpoint> &activeProcesses() const { return Active; }
+  const std::vector<RunningProcess> &activeProcesses() const { return Active; }
 
 private:
   struct Peer {
     /// Time of the last report, or of the first listing.
     MonoTime LastSeen;
     bool HasReported = false;
+    std::string FailureDomain;
     MonoTime ProbedAt{};
   };
 
-  http::Endpoint Local;
+  RunningProcess Local;
   std::map<http::Endpoint, Peer> Peers;
   std::set<http::Endpoint> LocalGroup;
-  std::vector<http::Endpoint> Active;
+  std::vector<RunningProcess> Active;
 };
 
 } // namespace sardineford::peers
--- a/Tests/Peers/LoadExchangeTest.cpp
+++ b/Tests/Peers/LoadExchangeTest.cpp
@@ -6,8 +6,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <random>
+#include <sstream>
 
 using namespace sardineford;
 using namespace sardineford::peers;
@@ -58,26 +60,39 @@
 /// The exchange of one process that knows one backend server.
 struct Node {
   Node(IoContext &io, store::ObjectStore &store, const std::string &name,
-       http::Endpoint at)
+       RunningProcess at)
       : Exchange(io, store, name, std::move(at), Servers, Metrics) {
     fleet::ServerEntry e;
     e.Id = "engine";
     e.Service = "model";
+    e.FailureDomain = "domain-0";
     Servers.put(e);
     Exchange.start();
   }
 
   fleet::ServerPtr engine() { return Servers.find("engine"); }
 
+  /// Bytes of all datagrams that were sent, without their headers.
+  double sentBytes() const {
+    std::istringstream text(Metrics.render());
+    double out = 0;
+    for (std::string line; std::getline(text, line);)
+      if (line.starts_with("sardineford_peer_bytes_total{"))
+        out += std::stod(line.substr(line.rfind(' ')));
+    return out;
+  }
+
   fleet::Directory Servers{[](const fleet::Server &, std::string_view) {}};
   metrics::Metrics Metrics;
   LoadExchange Exchange;
 };
 
+/// Processes of three failure domains in turn.
 struct Fleet {
   explicit Fleet(size_t n) {
     for (size_t i = 0; i < n; ++i) {
-      Addresses.push_back(standins::freeEndpoint());
+      Addresses.push_back(
+          {"domain-" + std::to_string(i % 3), standins::freeEndpoint()});
       Nodes.push_back(std::make_unique<Node>(
           Io, Store, "node-" + std::to_string(i), Addresses.back()));
     }
@@ -126,7 +141,7 @@
   MemoryStore Store;
   /// Their coroutines still refer to them.
   std::vector<std::unique_ptr<Node>> Stopped;
-  std::vector<http::Endpoint> Addresses;
+  std::vector<RunningProcess> Addresses;
   std::vector<std::unique_ptr<Node>> Nodes;
 };
 
@@ -192,8 +207,9 @@
   CHECK(f.runUntil([&](Node &it) { return f.ask(it).Work.Requests == N - 1; }));
   TrackerMap map;
   map.setProcesses(f.Addresses);
-  const http::Endpoint &tracker = map.trackerOf("engine");
-  auto it = std::find(f.Addresses.begin(), f.Addresses.end(), tracker);
+  const http::Endpoint &tracker = map.trackerOf("engine", "domain-0");
+  auto it = std::find_if(f.Addresses.begin(), f.Addresses.end(),
+                         [&](const auto &it) { return it.Address == tracker; });
   f.stop(static_cast<size_t>(it - f.Addresses.begin()));
   CHECK(f.runUntil([&](Node &it) { return f.ask(it).Work.Requests == N - 2; }));
 }
@@ -218,11 +234,12 @@
   Fleet f(3);
   CHECK(f.runUntil([](Node &it) { return it.Exchange.processes() == 3; }));
   asio::ip::udp::socket socket(f.Io, asio::ip::udp::v4());
-  asio::ip::udp::endpoint to(asio::ip::make_address(f.Addresses[0].Host),
-                             f.Addresses[0].Port);
+  asio::ip::udp::endpoint to(
+      asio::ip::make_address(f.Addresses[0].Address.Host),
+      f.Addresses[0].Address.Port);
   std::mt19937_64 random(1);
-  // A report that relays one without an address, then random bytes.
-  std::string base("\x0a\x01x\x4a\x03\x0a\x01y", 8);
+  // A relay with a report without an address, then random bytes.
+  std::string base("\x0a\x01x\xaa\x01\x05\x12\x03\x0a\x01y", 11);
   for (int i = 0; i < 2'000; ++i) {
     std::string bytes = base;
     if (i > 0)
@@ -241,3 +258,40 @@
     return &it != f.Nodes[0].get() || it.engine()->PeerWork.Requests == 5;
   }));
 }
+
+// The target is 7 KB/s for all control traffic of a process among 350, and its
+// recipients grow with the square root of their number.
+TEST_CASE(
+    "reports take few bytes in a fleet whose store changes all the time") {
+  constexpr size_t N = 48;
+  constexpr double TargetBytes = 7'000;
+  constexpr double TargetProcesses = 350;
+  Fleet f(N);
+  uint64_t revision = 1;
+  for (size_t i = 0; i < N; ++i)
+    f.Nodes[i]->Exchange.exchangeStoreViews(
+        [&, i] {
+          fleet::StoreView v;
+          v.Servers.Digest = v.Servers.NewestVersion = revision;
+          if (i < 6)
+            v.Servers.AnswerAge = Milliseconds(100);
+          v.Rank = static_cast<unsigned>(i);
+          return v;
+        },
+        [](const fleet::StoreView &) {});
+  REQUIRE(f.runUntil([](Node &it) { return it.Exchange.processes() == N; }));
+  std::vector<double> before;
+  for (auto &it : f.Nodes)
+    before.push_back(it->sentBytes());
+  constexpr int SecondsRun = 4;
+  for (int i = 0; i < SecondsRun * 20; ++i) {
+    ++revision;
+    f.Io.restart();
+    f.Io.run_for(Milliseconds(50));
+  }
+  double total = 0;
+  for (size_t i = 0; i < N; ++i)
+    total += f.Nodes[i]->sentBytes() - before[i];
+  double perProcess = total / N / SecondsRun;
+  CHECK(perProcess < TargetBytes * std::sqrt(N / TargetProcesses));
+}
--- a/Tests/Peers/PeerSetTest.cpp
+++ b/Tests/Peers/PeerSetTest.cpp
@@ -9,11 +9,13 @@
 
 http::Endpoint endpoint(uint16_t port) { return {"10.0.0.1", port}; }
 
+RunningProcess process(uint16_t port) { return {"domain", endpoint(port)}; }
+
 } // namespace
 
 TEST_CASE(
     "a listed peer is probed until it reports, and is active from then on") {
-  PeerSet s(endpoint(1));
+  PeerSet s(process(1));
   MonoTime now{std::chrono::seconds(100)};
   s.addListed(endpoint(1), now);
   s.addListed(endpoint(2), now);
@@ -22,7 +24,7 @@
   CHECK(first.Silent == std::vector<http::Endpoint>{endpoint(2)});
   CHECK(s.selectRecipients(now + Milliseconds(100)).Silent.empty());
   CHECK(s.selectRecipients(now + Milliseconds(600)).Silent.size() == 1);
-  s.recordReport(endpoint(2), now + Milliseconds(700));
+  s.recordReport(process(2), now + Milliseconds(700));
   PeerSet::Recipients then = s.selectRecipients(now + Milliseconds(800));
   CHECK(then.SameGroup == std::vector<http::Endpoint>{endpoint(2)});
   CHECK(then.Silent.empty());
@@ -33,9 +35,9 @@
 // may not receive each other's reports; they probe each other before an
 // exclusion.
 TEST_CASE("a silent peer is probed before it is excluded") {
-  PeerSet s(endpoint(1));
+  PeerSet s(process(1));
   MonoTime now{std::chrono::seconds(100)};
-  s.recordReport(endpoint(2), now);
+  s.recordReport(process(2), now);
   CHECK(s.selectRecipients(now + Milliseconds(800)).Silent.empty());
   PeerSet::Recipients probed = s.selectRecipients(now + Milliseconds(1'000));
   CHECK(probed.Silent.size() == 1);
@@ -46,26 +48,38 @@
 // A process that was frozen or disconnected for some seconds has received no
 // reports; it must rejoin before the next read of the list.
 TEST_CASE("silent peers are probed at increasing intervals") {
-  PeerSet s(endpoint(1));
+  PeerSet s(process(1));
   MonoTime start{std::chrono::seconds(100)};
-  s.recordReport(endpoint(2), start);
+  s.recordReport(process(2), start);
   int probes = 0;
   for (Milliseconds t{0}; t < Milliseconds(20'000); t += Milliseconds(100))
     probes += static_cast<int>(s.selectRecipients(start + t).Silent.size());
   CHECK(probes > 5);
   CHECK(probes < 25);
-  s.recordReport(endpoint(2), start + Milliseconds(20'000));
+  s.recordReport(process(2), start + Milliseconds(20'000));
   CHECK(s.selectRecipients(start + Milliseconds(20'100)).SameGroup.size() == 1);
   CHECK(s.selectRecipients(start + Milliseconds(90'000)).Silent.empty());
   CHECK(s.empty());
 }
 
 TEST_CASE("reports to many processes are relayed through groups") {
-  PeerSet s(endpoint(1));
+  PeerSet s(process(1));
   MonoTime now{std::chrono::seconds(100)};
   for (uint16_t i = 2; i <= 58; ++i)
-    s.recordReport(endpoint(i), now);
+    s.recordReport(process(i), now);
   PeerSet::Recipients to = s.selectRecipients(now);
   CHECK(to.SameGroup.size() + to.OtherGroups.size() < 18);
   CHECK(to.OtherGroups.size() >= 7);
 }
+
+TEST_CASE("the processes of a failure domain share groups") {
+  constexpr uint16_t Processes = 64;
+  PeerSet s({"domain-1", endpoint(1)});
+  MonoTime now{std::chrono::seconds(100)};
+  for (uint16_t i = 0; i < Processes; ++i)
+    s.recordReport({"domain-" + std::to_string(i % 4), endpoint(i)}, now);
+  PeerSet::Recipients to = s.selectRecipients(now);
+  CHECK(to.SameGroup.size() == 7);
+  for (const http::Endpoint &it : to.SameGroup)
+    CHECK(it.Port % 4 == 1);
+}
