Let a starting process learn its position before it watches the store

Cause: after all 195 processes of the large site were killed at once, each started as if it were alone: it read configuration and servers, made two watch calls, learned that it is no watcher and read both again. A process now waits up to 0.8 s for the list of the processes, counts those that were listed just now as running, so that all agree on the first six, and gives the watchers the usual time before it becomes a substitute. Two calls for the feeds instead of six.

Ruled out: fewer calls of the member list (two to three a start). Tests: two calls at the start; the store is watched where no position arrives.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace sardineford::fleet {
 
@@ -45,6 +46,10 @@
 /// A watcher sends a change to the others within this time after another
 /// watcher has reported it: they collect changes at different times.
 constexpr Milliseconds PublishedNewerDelay{600};
+/// The list of the processes is read within this time of the start, unless the
+/// store fails.
+constexpr Milliseconds MaxPositionWait{800};
+constexpr Milliseconds PositionCheckInterval{50};
 /// Interval at which a process that learns changes from its peers checks
 /// whether it has to watch the store.
 constexpr Milliseconds DutyCheckInterval{250};
@@ -54,6 +59,10 @@
                          : toMilliseconds(MonoClock::now() - t);
 }
 
+double randomShare() {
+  return std::uniform_real_distribution<double>(0, 1)(randomGenerator());
+}
+
 } // namespace
 
 FleetWatch::FleetWatch(IoContext &io, store::ObjectStore &store,
@@ -89,6 +98,16 @@
   Position = position;
   ConfigurationFeed.Duty.setPosition(position);
   ServerFeed.Duty.setPosition(position);
+  if (!std::exchange(AwaitsPosition, false))
+    return;
+  for (Feed *it : {&ConfigurationFeed, &ServerFeed})
+    it->Duty.expectWatchers(MonoClock::now(), randomShare());
+}
+
+Awaitable<void> FleetWatch::waitForPosition() const {
+  MonoTime end = MonoClock::now() + MaxPositionWait;
+  while (AwaitsPosition && MonoClock::now() < end)
+    co_await sleepFor(PositionCheckInterval);
 }
 
 Milliseconds FleetWatch::remainingGrace() const {
@@ -196,10 +215,8 @@
                                   unsigned rank) {
   if (!peer.AnswerAge)
     return;
-  std::uniform_real_distribution<double> share(0, 1);
   MonoTime now = MonoClock::now();
-  feed.Duty.recordPeerAnswer(rank, now - *peer.AnswerAge, now,
-                             share(randomGenerator()));
+  feed.Duty.recordPeerAnswer(rank, now - *peer.AnswerAge, now, randomShare());
 }
 
 /// A process that does not watch the store learns of an outage when a watcher
@@ -308,6 +325,7 @@
         feed.Revision = co_await readAll();
         isCurrent = true;
         recordAnswer(feed);
+        co_await waitForPosition();
       }
       MonoTime startedAt = MonoClock::now();
       if (!feed.Duty.mustWatch(startedAt)) {
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -37,6 +37,9 @@
   /// to be reliable, and that process reports to its peers the changes that
   /// their watches missed.
   void setPosition(FleetPosition position);
+  /// Lets a starting process wait for its position before it watches the store,
+  /// since most processes of a large fleet do not. For use before start().
+  void expectPosition() { AwaitsPosition = true; }
   /// Sets the function that sends changes to the peers.
   void onChanges(std::function<void(const PublishedChanges &)> f) {
     Publish = std::move(f);
@@ -100,6 +103,7 @@
   Awaitable<WatchResult> watchWithoutThrow(Feed &feed);
   Awaitable<std::optional<store::Changes>> watchOnce(Feed &feed);
   Awaitable<void> waitForPeers(Feed &feed);
+  Awaitable<void> waitForPosition() const;
   Milliseconds remainingGrace() const;
   void extendGraceAfterOutage();
   void publish(const Feed &feed, uint64_t revision,
@@ -123,6 +127,8 @@
   Feed ServerFeed;
   std::function<void(const PublishedChanges &)> Publish;
   FleetPosition Position;
+  /// The position is expected and has not arrived yet.
+  bool AwaitsPosition = false;
   /// Entries that go missing before this time may have expired during a store
   /// outage.
   MonoTime GraceEnd{};
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -39,9 +39,16 @@
   PeerAnsweredAt = std::max(PeerAnsweredAt, answeredAt);
   if (rank >= Position.Rank)
     return;
+  SubstituteAt = std::max(SubstituteAt, answeredAt + substituteDelay(share));
+}
+
+void WatchDuty::expectWatchers(MonoTime now, double share) {
+  SubstituteAt = std::max(SubstituteAt, now + substituteDelay(share));
+}
+
+Milliseconds WatchDuty::substituteDelay(double share) const {
   Seconds spread = Seconds(SubstituteInterval) * Position.Processes * share;
-  SubstituteAt = std::max(SubstituteAt, answeredAt + SubstituteDelay +
-                                            toMilliseconds(spread));
+  return SubstituteDelay + toMilliseconds(spread);
 }
 
 bool WatchDuty::isStoreSilent(MonoTime now) const {
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -24,6 +24,9 @@
 class WatchDuty {
 public:
   void setPosition(FleetPosition position) { Position = position; }
+  /// Gives the watchers of a starting fleet time to report, before this process
+  /// becomes a substitute. `share` is as below.
+  void expectWatchers(MonoTime now, double share);
   /// Records the report of a peer of this rank that watches and had an answer
   /// of the store. `share` is a random number in [0, 1) that spreads the
   /// substitutes over time.
@@ -49,6 +52,7 @@
 private:
   bool isLarge() const;
   bool isSubstitute(MonoTime now) const;
+  Milliseconds substituteDelay(double share) const;
 
   FleetPosition Position;
   MonoTime PeerAnsweredAt{};
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -66,10 +66,12 @@
              {},
              {},
              Peers.tracking()} {
+  Watch.expectPosition();
   Watch.onConfiguration([this] { applyLimits(); });
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.processes();
-    Watch.setPosition(Peers.position());
+    if (std::optional<fleet::FleetPosition> position = Peers.position())
+      Watch.setPosition(*position);
   });
   Watch.onChanges([this](const fleet::PublishedChanges &changes) {
     Peers.publishChanges(changes);
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -339,16 +339,17 @@
 /// Orders the processes by a hash of their addresses, so that the watchers of
 /// the store are spread over the failure domains.
 void LoadExchange::updatePosition() {
-  const std::vector<RunningProcess> &active = Peers.activeProcesses();
-  if (active.size() == Position.Processes && active == RankedProcesses)
+  std::vector<http::Endpoint> processes =
+      Peers.expectedProcesses(MonoClock::now());
+  if (processes == RankedProcesses)
     return;
-  RankedProcesses = active;
+  RankedProcesses = std::move(processes);
   uint64_t local = hash64(http::toString(Local.Address));
-  auto before = std::count_if(
-      active.begin(), active.end(), [&](const RunningProcess &it) {
-        return hash64(http::toString(it.Address)) < local;
-      });
-  Position = {static_cast<unsigned>(active.size()),
+  auto before = std::count_if(RankedProcesses.begin(), RankedProcesses.end(),
+                              [&](const http::Endpoint &it) {
+                                return hash64(http::toString(it)) < local;
+                              });
+  Position = {static_cast<unsigned>(RankedProcesses.size()),
               static_cast<unsigned>(before)};
 }
 
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,8 +47,12 @@
   /// Publishes that a prompt part is now cached at a server.
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
   LoadTracking &tracking() { return Tracking; }
-  /// Returns the position of this process among the running ones.
-  fleet::FleetPosition position() const { return Position; }
+  /// Returns the position of this process among the running ones; empty until
+  /// the list of the processes is read.
+  std::optional<fleet::FleetPosition> position() const {
+    return MembersReadAt == MonoTime{} ? std::nullopt
+                                       : std::make_optional(Position);
+  }
   /// Sends changes in the store to all peers, in two steps as reports. A lost
   /// datagram shows in the digests of the reports, and so does an object that
   /// is too large for a datagram.
@@ -115,7 +120,7 @@
   MonoTime RelayedAt{};
   fleet::FleetPosition Position;
   /// Processes that the position was computed for.
-  std::vector<RunningProcess> RankedProcesses;
+  std::vector<http::Endpoint> RankedProcesses;
   /// Processes of the local group and the times of their last reports.
   std::map<RunningProcess, MonoTime> GroupReports;
   /// Newest reports of the local group that are not relayed yet, by process.
--- a/Source/Peers/PeerSet.cpp
+++ b/Source/Peers/PeerSet.cpp
@@ -35,6 +35,15 @@
   peer.HasReported = true;
 }
 
+std::vector<http::Endpoint> PeerSet::expectedProcesses(MonoTime now) const {
+  std::vector<http::Endpoint> out = {Local.Address};
+  for (const auto &[endpoint, peer] : Peers)
+    if (now - peer.LastSeen <= ActiveTimeout)
+      out.push_back(endpoint);
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
 PeerSet::Recipients PeerSet::selectRecipients(MonoTime now) {
   std::erase_if(Peers, [&](const auto &it) {
     return now - it.second.LastSeen > RemovalTimeout;
--- a/Source/Peers/PeerSet.h
+++ b/Source/Peers/PeerSet.h
@@ -35,6 +35,9 @@
     return LocalGroup.contains(endpoint);
   }
   bool empty() const { return Peers.empty(); }
+  /// Returns the running processes, sorted by address, and those that were
+  /// listed so recently that their reports may not have arrived yet.
+  std::vector<http::Endpoint> expectedProcesses(MonoTime now) const;
   /// Returns the running processes as of the last selection, sorted, with the
   /// local one.
   const std::vector<RunningProcess> &activeProcesses() const { return Active; }
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -269,6 +269,27 @@
   CHECK(t.Watch.serversAge() < Milliseconds(500));
 }
 
+// All processes of a fleet may start at the same time.
+TEST_CASE("a starting process of a large fleet makes two calls") {
+  Fixture t;
+  t.Watch.expectPosition();
+  t.Watch.start();
+  t.runFor(Milliseconds(300));
+  t.Watch.setPosition(Follower);
+  runBesideWatcher(t, Milliseconds(1'500));
+  CHECK(t.Store.ListCalls["config"] == 1);
+  CHECK(t.Store.ListCalls["servers"] == 1);
+  CHECK(t.Store.WatchCalls == 0);
+}
+
+TEST_CASE("a starting process that learns no position watches the store") {
+  Fixture t;
+  t.Watch.expectPosition();
+  t.Watch.start();
+  t.runFor(Milliseconds(1'100));
+  CHECK(t.Store.WatchCalls == 2);
+}
+
 TEST_CASE("a process that is no watcher applies the changes of a watcher") {
   FollowerFixture t;
   PublishedChanges changes;
--- a/Tests/Peers/PeerSetTest.cpp
+++ b/Tests/Peers/PeerSetTest.cpp
@@ -83,3 +83,16 @@
   for (const http::Endpoint &it : to.SameGroup)
     CHECK(it.Port % 4 == 1);
 }
+
+// Processes that start together must agree on their order before they have
+// heard of each other.
+TEST_CASE("listed processes are expected until their reports are overdue") {
+  PeerSet s(process(2));
+  MonoTime now{std::chrono::seconds(100)};
+  s.addListed(endpoint(1), now);
+  s.recordReport(process(3), now + Milliseconds(1'500));
+  CHECK(s.expectedProcesses(now + Milliseconds(1'900)) ==
+        std::vector<http::Endpoint>{endpoint(1), endpoint(2), endpoint(3)});
+  CHECK(s.expectedProcesses(now + Milliseconds(2'100)) ==
+        std::vector<http::Endpoint>{endpoint(2), endpoint(3)});
+}
