Show what is wrong with many daemons: sardinefordctl nodes

An operator of hundreds of daemons had to read each one's metrics. The verb reads a list of metrics addresses, 32 at a time, compares the daemons with the alarms of OPERATIONS and with each other, and lists those with a problem, worst first; table or JSON, a progress line after 0.5 s on a terminal, exit code 7 if a daemon has a problem. Since when a worker is slow or leaving is not shown: the metrics do not hold it.

Found by the test that reads rendered metrics back: label values were not escaped, so that a route with a quote or backslash in its name broke the whole page. They are now.

Tests: parsing, assessment, order; the command on 24 daemons of the stand-ins with one killed.

--- a/Source/Control/Commands.cpp
+++ b/Source/Control/Commands.cpp
@@ -1,5 +1,6 @@
 #include "Control/Commands.h"
 
+#include "Control/NodeReader.h"
 #include "Sardineford/Control/Edits.h"
 #include "Sardineford/Http/Client.h"
 #include "Sardineford/Store/HttpObjectStore.h"
@@ -20,6 +21,8 @@
 constexpr Milliseconds StoreTimeout{3'000};
 constexpr Milliseconds StatusTimeout{1'000};
 constexpr Milliseconds WaitPollInterval{100};
+/// A command that ends sooner shows no progress.
+constexpr Milliseconds ProgressDelay{500};
 
 [[noreturn]] void throwUsageError(const std::string &message) {
   throw Error(ErrorKind::BadRequest, message, "see sardinefordctl --help");
@@ -37,11 +40,12 @@
 /// Runs one command with its own HTTP and store clients.
 class Session {
 public:
-  Session(IoContext &io, const CommandOptions &options, std::ostream &out)
-      : Options(options), Out(out), Client(io),
+  Session(IoContext &io, const CommandOptions &options, std::ostream &out,
+          std::ostream &err)
+      : Io(io), Options(options), Out(out), Err(err), Client(io),
         Store(Client, options.Platform, StoreTimeout) {}
 
-  Awaitable<void> run();
+  Awaitable<ExitCode> run();
 
 private:
   Awaitable<void> validate();
@@ -51,6 +55,8 @@
   Awaitable<void> describe();
   Awaitable<void> edit(std::string list, bool add);
   Awaitable<void> status();
+  Awaitable<ExitCode> nodes();
+  std::vector<http::Endpoint> nodeAddresses() const;
   Awaitable<void> waitUntilApplied(std::vector<StoredObject> objects);
   Awaitable<std::optional<json::value>> fetchStatus();
   Awaitable<StoredObject> find(std::string kind, std::string name);
@@ -59,8 +65,10 @@
   void printStatus(const json::value &v);
   void printPool(const json::value &p);
 
+  IoContext &Io;
   const CommandOptions &Options;
   std::ostream &Out;
+  std::ostream &Err;
   http::Client Client;
   store::HttpObjectStore Store;
 };
@@ -77,7 +85,7 @@
   return config::splitObjects(readFile(Options.File), Options.File);
 }
 
-Awaitable<void> Session::run() {
+Awaitable<ExitCode> Session::run() {
   const std::string &command = argument(0);
   if (command == "validate")
     co_await validate();
@@ -97,8 +105,47 @@
     co_await edit("pinned_" + argument(3), !Options.Undo);
   else if (command == "status")
     co_await status();
+  else if (command == "nodes")
+    co_return co_await nodes();
   else
     throwUsageError("'" + command + "' is not a command");
+  co_return ExitCode::Done;
+}
+
+/// Returns the addresses of --nodes and of the file, one a line.
+std::vector<http::Endpoint> Session::nodeAddresses() const {
+  std::vector<http::Endpoint> out = Options.Nodes;
+  if (!Options.File.empty()) {
+    std::istringstream lines(readFile(Options.File));
+    for (std::string line; std::getline(lines, line);)
+      if (!line.empty() && line.front() != '#')
+        out.push_back(http::parseEndpoint(line));
+  }
+  if (out.empty())
+    throwUsageError("--nodes or -f FILE with metrics addresses is missing");
+  return out;
+}
+
+Awaitable<ExitCode> Session::nodes() {
+  std::vector<http::Endpoint> addresses = nodeAddresses();
+  MonoTime start = MonoClock::now();
+  bool hasProgress = false;
+  auto showProgress = [&](size_t done) {
+    hasProgress = hasProgress || MonoClock::now() - start > ProgressDelay;
+    if (Options.ShowProgress && hasProgress)
+      Err << fmt::format("\rread {} of {} daemons", done, addresses.size())
+          << std::flush;
+  };
+  std::vector<NodeAssessment> assessed =
+      assessNodes(co_await readNodes(Io, Client, addresses, showProgress));
+  if (Options.ShowProgress && hasProgress)
+    Err << "\n";
+  if (Options.AsJson)
+    Out << json::serialize(toJson(assessed)) << "\n";
+  else
+    printAssessments(assessed, Out);
+  co_return assessed.front().worst() == Severity::None ? ExitCode::Done
+                                                       : ExitCode::Unhealthy;
 }
 
 Awaitable<void> Session::validate() {
@@ -319,10 +366,10 @@
                     std::ostream &err) {
   IoContext io(1);
   ExitCode code = ExitCode::Done;
-  Session session(io, options, out);
+  Session session(io, options, out, err);
   spawn(io, "command", [&]() -> Awaitable<void> {
     try {
-      co_await session.run();
+      code = co_await session.run();
     } catch (const Error &e) {
       err << e.what() << "\n" << e.Remedy << "\n";
       code = toExitCode(e.Kind);
--- a/Source/Control/Commands.h
+++ b/Source/Control/Commands.h
@@ -18,6 +18,8 @@
   Rejected = 4,
   StoreUnavailable = 5,
   NotApplied = 6,
+  /// A daemon has a problem.
+  Unhealthy = 7,
 };
 
 struct CommandOptions {
@@ -25,11 +27,15 @@
   std::vector<std::string> Arguments;
   http::Endpoint Platform;
   std::vector<http::Endpoint> Controllers;
+  /// Metrics addresses of daemons.
+  std::vector<http::Endpoint> Nodes;
   std::string File;
   bool AsJson = false;
   bool Wait = false;
   Milliseconds WaitTimeout{30'000};
   bool Undo = false;
+  /// Writes to the error stream how much of a long command is done.
+  bool ShowProgress = false;
 };
 
 /// Runs one command of sardinefordctl.
--- a/Source/Metrics/Metrics.cpp
+++ b/Source/Metrics/Metrics.cpp
@@ -33,11 +33,25 @@
 using CountAndSum =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
 
+std::string escapeLabel(const std::string &value) {
+  std::string out;
+  for (char c : value) {
+    if (c == '\n') {
+      out += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\')
+      out.push_back('\\');
+    out.push_back(c);
+  }
+  return out;
+}
+
 std::string labelText(const Labels &labels, const std::string &extra = "") {
   std::string out;
   for (const Label &it : labels)
-    out +=
-        fmt::format("{}{}=\"{}\"", out.empty() ? "" : ",", it.Name, it.Value);
+    out += fmt::format("{}{}=\"{}\"", out.empty() ? "" : ",", it.Name,
+                       escapeLabel(it.Value));
   if (!extra.empty())
     out += (out.empty() ? "" : ",") + extra;
   return out.empty() ? "" : "{" + out + "}";
--- a/Source/Programs/sardinefordctl.cpp
+++ b/Source/Programs/sardinefordctl.cpp
@@ -7,10 +7,13 @@
 #include <iostream>
 #include <sstream>
 
+#include <unistd.h>
+
 DEFINE_string(platform, "127.0.0.1:9100", "address of the object API");
 DEFINE_string(controllers, "127.0.0.1:8080",
               "comma-separated addresses of controllers");
-DEFINE_string(f, "", "input file with objects");
+DEFINE_string(nodes, "", "comma-separated metrics addresses of daemons");
+DEFINE_string(f, "", "input file with objects, or with one address a line");
 DEFINE_string(o, "table", "output format: table or json");
 DEFINE_bool(wait, false, "wait until all processes have applied the edit");
 DEFINE_int32(wait_ms, 30000, "timeout of --wait, ms");
@@ -32,8 +35,10 @@
     "  role POOL ENGINE ROLE     pin an engine to prefill or decode\n"
     "  status                    show the applied generation, pools and "
     "members\n"
+    "  nodes --nodes=LIST|-f F   show what is wrong with daemons, worst first\n"
     "Exit codes: 0 done, 1 failed, 2 usage error, 3 conflict, 4 rejected, "
-    "5 store unavailable, 6 not applied before the timeout.";
+    "5 store unavailable, 6 not applied before the timeout, 7 a daemon has a "
+    "problem.";
 
 std::vector<http::Endpoint> parseEndpoints(const std::string &text) {
   std::vector<http::Endpoint> out;
@@ -56,11 +61,13 @@
   options.Wait = FLAGS_wait;
   options.WaitTimeout = Milliseconds(FLAGS_wait_ms);
   options.Undo = FLAGS_undo;
+  options.ShowProgress = isatty(STDERR_FILENO) != 0;
   for (int i = 1; i < argc; ++i)
     options.Arguments.emplace_back(argv[i]);
   try {
     options.Platform = http::parseEndpoint(FLAGS_platform);
     options.Controllers = parseEndpoints(FLAGS_controllers);
+    options.Nodes = parseEndpoints(FLAGS_nodes);
   } catch (const Error &e) {
     std::cerr << e.what() << "; " << e.Remedy << "\n";
     return static_cast<int>(control::ExitCode::UsageError);
