--- a/Source/Control/Edits.cpp
+++ b/Source/Control/Edits.cpp
@@ -158,16 +158,27 @@
 
 RawObject editEngineList(const RawObject &pool, const std::string &list,
                          const std::string &engine, bool add) {
-  json::value root = json::parse(pool.Text);
-  json::object &spec = root.as_object()["spec"].as_object();
+  boost::system::error_code ec;
+  json::value root = json::parse(pool.Text, ec);
+  json::value *found = ec ? nullptr : root.find_pointer("/spec", ec);
+  json::object *spec = found ? found->if_object() : nullptr;
+  if (!spec)
+    throw Error(ErrorKind::BadConfiguration,
+                "the pool '" + pool.Name + "' has no spec",
+                "repair it with 'sardinefordctl apply -f FILE'");
   json::array names;
-  if (const json::value *old = spec.if_contains(list))
-    for (const json::value &it : old->as_array())
-      if (it.as_string() != engine)
+  const json::value *old = spec->if_contains(list);
+  if (old && !old->is_array())
+    throw Error(ErrorKind::BadConfiguration,
+                "'" + list + "' of the pool '" + pool.Name + "' is no list",
+                "repair it with 'sardinefordctl apply -f FILE'");
+  if (old)
+    for (const json::value &it : old->get_array())
+      if (it != json::value(engine))
         names.push_back(it);
   if (add)
     names.push_back(json::value(engine));
-  spec[list] = std::move(names);
+  (*spec)[list] = std::move(names);
   return {pool.Kind, pool.Name, json::serialize(root)};
 }
 
--- a/Source/Controller/Controller.cpp
+++ b/Source/Controller/Controller.cpp
@@ -1,5 +1,7 @@
 #include "Controller/Controller.h"
 
+#include "Sardineford/Http/Status.h"
+
 #include <boost/json.hpp>
 
 namespace sardineford::controller {
@@ -136,7 +138,7 @@
   if (http::pathOf(request.Target) == "/status")
     r = status();
   else
-    r = http::problem(404,
+    r = http::problem(http::StatusNotFound,
                       Error(ErrorKind::NotFound, "no such path",
                             "use /status, /healthz, /readyz, /metrics or "
                             "/events"),
--- a/Source/Entry/Entry.cpp
+++ b/Source/Entry/Entry.cpp
@@ -4,6 +4,7 @@
 #include "Entry/Sinks.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 
 #include <boost/json.hpp>
 
@@ -27,13 +28,13 @@
   case ErrorKind::BadRequest:
     return 400;
   case ErrorKind::NotFound:
-    return 404;
+    return http::StatusNotFound;
   case ErrorKind::TooLarge:
     return 413;
   case ErrorKind::Conflict:
     return 409;
   default:
-    return 503;
+    return http::StatusUnavailable;
   }
 }
 
@@ -312,8 +313,9 @@
         {.Kind = EventKind::RequestRefused, .Request = r.Id, .Detail = "no"});
     recordOutcome(r, context, "refused");
     Error e = rejectionError(d.Reason);
-    unsigned status =
-        d.Reason == admission::RejectionReason::ShareExceeded ? 429 : 503;
+    unsigned status = d.Reason == admission::RejectionReason::ShareExceeded
+                          ? http::StatusTooManyRequests
+                          : http::StatusUnavailable;
     co_await out.send(http::problem(status, e, Executed::No, d.RetryAfter));
     co_return;
   }
--- a/Source/Entry/PoolTracker.cpp
+++ b/Source/Entry/PoolTracker.cpp
@@ -77,9 +77,9 @@
         attempt && !attempt->Pending && attempt->SentAt < reportTime;
     if (!attempt || attempt->Engine != e.Name || isInReport)
       continue;
-    e.LocalRunning += Nodes;
+    e.LocalRunning += Processes;
     if (!attempt->Prefilled)
-      e.LocalPrefillTokens += attempt->PrefillTokens * Nodes;
+      e.LocalPrefillTokens += attempt->PrefillTokens * Processes;
   }
 }
 
@@ -88,7 +88,7 @@
   routing::PoolView v;
   v.Pool = Pool;
   v.Epoch = Epoch;
-  v.Nodes = Nodes;
+  v.Processes = Processes;
   v.Speeds = speeds();
   MonoTime now = MonoClock::now();
   for (const EngineView &it : Engines) {
@@ -194,7 +194,7 @@
   Node.Recorder.clock().observe({in.time()});
   Epoch = in.epoch();
   ViewTime.Value = in.time();
-  Nodes = std::max<uint64_t>(1, in.reporting_nodes());
+  Processes = std::max<uint64_t>(1, in.reporting_nodes());
   Engines.clear();
   for (const messages::EngineLoad &it : in.engines())
     Engines.push_back(toView(it));
--- a/Source/Entry/PoolTracker.h
+++ b/Source/Entry/PoolTracker.h
@@ -75,7 +75,7 @@
   std::string Pool;
   uint64_t Epoch = 0;
   /// Number of processes that report to the holder.
-  uint64_t Nodes = 1;
+  uint64_t Processes = 1;
   std::vector<routing::EngineView> Engines;
   MonoTime ViewReceivedAt{};
   /// Time of the newest view by the clock of the holder.
--- a/Source/Entry/ServiceCall.cpp
+++ b/Source/Entry/ServiceCall.cpp
@@ -255,7 +255,7 @@
   const config::Catalog &catalog = Node.Exchange.config().catalog();
   auto spec = catalog.Services.find(service);
   if (spec == catalog.Services.end()) {
-    co_await out.send(http::problem(404,
+    co_await out.send(http::problem(http::StatusNotFound,
                                     Error(ErrorKind::NotFound,
                                           "unknown service '" + service + "'",
                                           "use the name of a Service object"),
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -2,6 +2,7 @@
 #include "Gateway/Stream.h"
 #include "Sardineford/Admission/StreamAdmission.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Status.h"
 
 #include <algorithm>
 #include <array>
@@ -42,7 +43,7 @@
       outcome = AttemptOutcome::NotExecuted;
       detail = "rejected with status " + std::to_string(r.Status);
       recordRejection(shared, server, head);
-    } else if (r.Status == 200 &&
+    } else if (r.Status == http::StatusOk &&
                (!head.RequestId || *head.RequestId == context.Request.Id)) {
       handle = shared.Protocol.decodeHandle(server->Entry.Address, r.Body);
       outcome = AttemptOutcome::Answered;
--- a/Source/Load/Caller.cpp
+++ b/Source/Load/Caller.cpp
@@ -1,5 +1,7 @@
 #include "Load/Caller.h"
 
+#include "Sardineford/Http/Status.h"
+
 #include <boost/json.hpp>
 
 namespace sardineford::load {
@@ -119,7 +121,7 @@
     std::unique_ptr<http::ResponseStream> stream =
         co_await client.open(to, std::move(request), options);
     out.Status = stream->head().Status;
-    bool isStream = out.Status == 200;
+    bool isStream = out.Status == http::StatusOk;
     std::string body;
     for (;;) {
       std::string piece = co_await stream->read(options.Timeout);
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -3,6 +3,7 @@
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 #include "Sardineford/Store/Write.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -264,7 +265,7 @@
     r = http::jsonResponse(200, R"({"status":"ok"})");
   } else if (path == "/readyz") {
     r = isReady() ? http::jsonResponse(200, R"({"status":"ready"})")
-                  : http::problem(503,
+                  : http::problem(http::StatusUnavailable,
                                   Error(ErrorKind::NotReady, "not ready",
                                         "try another instance"),
                                   Executed::No, Milliseconds(1'000));
--- a/Tests/Config/ConfigTest.cpp
+++ b/Tests/Config/ConfigTest.cpp
@@ -123,3 +123,17 @@
   RawObject without = control::editEngineList(with, "drain", "e1", false);
   REQUIRE(without.Text.find(R"("drain":[])") != std::string::npos);
 }
+
+TEST_CASE("an edit of a damaged pool names the remedy") {
+  for (const char *text :
+       {"", "{", "[]", R"({"spec": 1})", R"({"spec": {"drain": 1}})"}) {
+    INFO(text);
+    try {
+      control::editEngineList({"EnginePool", "p", text}, "drain", "e1", true);
+      FAIL("no error");
+    } catch (const Error &e) {
+      CHECK(e.Kind == ErrorKind::BadConfiguration);
+      CHECK_FALSE(e.Remedy.empty());
+    }
+  }
+}
--- a/include/Sardineford/Routing/View.h
+++ b/include/Sardineford/Routing/View.h
@@ -72,7 +72,7 @@
   EngineSpeeds Speeds;
   std::vector<EngineView> Engines;
   /// Entry processes that send requests to the pool.
-  uint64_t Nodes = 1;
+  uint64_t Processes = 1;
 };
 
 /// Prompt tokens that an engine prefills per second in a role.
