--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -294,7 +294,8 @@
                 std::string(toString(it.Outcome));
   std::string outcome = context.CallerGone ? "caller gone" : context.Outcome;
   bool isCompleteStream = context.Route->Kind == fleet::RequestKind::Stream &&
-                          context.Status == http::StatusOk && !context.CallerGone;
+                          context.Status == http::StatusOk &&
+                          !context.CallerGone;
   std::string_view missed;
   if (isCompleteStream)
     missed = missedObjective(
@@ -327,7 +328,8 @@
       {{"route", context.Route->Name},
        {"status",
         context.CallerGone ? "gone" : std::to_string(context.Status)}});
-  if (context.Status == http::StatusOk && context.TimeToFirstByte >= Milliseconds(0))
+  if (context.Status == http::StatusOk &&
+      context.TimeToFirstByte >= Milliseconds(0))
     Metrics.observe("sardineford_first_byte_seconds",
                     {{"route", context.Route->Name}},
                     Seconds(context.TimeToFirstByte));
@@ -339,10 +341,11 @@
     Metrics.count(
         "sardineford_objectives_missed_total",
         {{"route", context.Route->Name}, {"by", std::string(missed)}});
-  Metrics.observe("sardineford_request_seconds",
-                  {{"route", context.Route->Name},
-                   {"answered", context.Status == http::StatusOk ? "yes" : "no"}},
-                  Seconds(context.elapsed()));
+  Metrics.observe(
+      "sardineford_request_seconds",
+      {{"route", context.Route->Name},
+       {"answered", context.Status == http::StatusOk ? "yes" : "no"}},
+      Seconds(context.elapsed()));
 }
 
 Awaitable<void> Gateway::stopOnSignal() {
--- a/Source/Gateway/ReturnCheck.cpp
+++ b/Source/Gateway/ReturnCheck.cpp
@@ -31,7 +31,7 @@
     http::Response r =
         co_await shared.Client.call(entry.Address, std::move(request), options);
     ResponseHead head = shared.Protocol.decodeHead(r);
-    co_return r.Status == http::StatusOk && head.RespondingServer == entry.Id;
+    co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id;
   } catch (const http::TransportError &e) {
     log::debug(Category::Fleet, "health check of {} failed: {}", entry.Id,
                e.what());
