--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -293,6 +293,9 @@
     attempts += (attempts.empty() ? "" : ",") + it.Server + ":" +
                 std::string(toString(it.Outcome));
   std::string outcome = context.CallerGone ? "caller gone" : context.Outcome;
+  std::string_view detail;
+  if (context.CallerGone)
+    detail = context.Outcome;
   bool isCompleteStream = context.Route->Kind == fleet::RequestKind::Stream &&
                           context.Status == http::StatusOk &&
                           !context.CallerGone;
@@ -311,6 +314,7 @@
               {"events", context.EventCount},
               {"status", context.Status},
               {"outcome", outcome},
+              {"detail", detail},
               {"first_byte_ms", context.TimeToFirstByte.count()},
               {"longest_pause_ms", context.LongestPause.count()},
               {"missed_objective", missed},
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -156,6 +156,9 @@
                         {"cause", std::string(toString(cause))},
                         {"status", std::to_string(context.Status)}});
   if (context.Out.started()) {
+    shared.Metrics.count("sardineford_responses_cut_total",
+                         {{"route", context.Route->Name},
+                          {"cause", std::string(toString(cause))}});
     context.Out.abort();
     co_return;
   }
@@ -187,6 +190,7 @@
        {"estimate_ms", toMilliseconds(entry.Estimate).count()},
        {"patience_ms", entry.Timeout.count()},
        {"took_ms", entry.Duration.count()},
+       {"silent_ms", entry.Silence.count()},
        {"left_ms", context.remainingTime().count()},
        {"outcome", toString(entry.Outcome)},
        {"detail", entry.Detail}});
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -89,6 +89,8 @@
   uint64_t EventCount = 0;
   /// Longest time between two events that were forwarded to the caller.
   Milliseconds LongestPause{0};
+  /// Time of the last bytes from a backend server.
+  MonoTime LastByteAt{};
 
   Milliseconds remainingTime() const {
     return toMilliseconds(Deadline - MonoClock::now());
@@ -160,6 +162,8 @@
   /// attempt was sent.
   double Tokens = 0;
   double QueuedTokens = 0;
+  /// Time without a byte from the server when the attempt ended.
+  Milliseconds Silence{0};
 };
 
 void logAttempt(const RequestContext &context, const fleet::Server &server,
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -38,6 +38,7 @@
                                  : context.remainingTime();
     std::string chunk =
         co_await stream.read(std::max(readTimeout, Milliseconds(1)));
+    context.LastByteAt = MonoClock::now();
     if (chunk.empty())
       break;
     std::string completeEvents = progress.Events.push(chunk);
@@ -186,6 +187,7 @@
       attemptCallOptions(context, !context.Route->mayRepeat(), timeout);
   size_t attempt = context.Attempts.add(server->Entry.Id);
   MonoTime start = MonoClock::now();
+  context.LastByteAt = start;
   StreamAttemptResult result = StreamAttemptResult::Broken;
   AttemptOutcome outcome = AttemptOutcome::Unknown;
   std::string detail;
@@ -205,6 +207,7 @@
       recordRejection(shared, server, head);
     } else {
       timeToFirstEvent = MonoClock::now() - start;
+      context.LastByteAt = MonoClock::now();
       inFlight.releasePromptTokens();
       recordFirstEvent(shared, context, plan, queuedTokens, timeToFirstEvent);
       result = co_await forwardAttemptResponse(shared, context, progress,
@@ -233,7 +236,8 @@
   logAttempt(context, *server,
              {plan.Handle ? "run with fetched cache" : "run", outcome,
               plan.Estimate, timeout, toMilliseconds(timeToFirstEvent), detail,
-              plan.Tokens, queuedTokens});
+              plan.Tokens, queuedTokens,
+              toMilliseconds(MonoClock::now() - context.LastByteAt)});
   co_return result;
 }
 
