Reproduce LOST: responses cut while a silent server may go on

Two streams of 40 requests are cut after 900 ms without bytes, two calls get 502 after 500 ms, each because the budget allows no further attempt; the servers go on 160 to 550 ms later. The second test, a stream that moves away from a server that stays silent, passes and has to go on passing.

--- /dev/null
+++ b/Tests/Process/SilentServerTest.cpp
@@ -0,0 +1,95 @@
+#include "StandIns/Deployment/Deployment.h"
+#include "StandIns/Platform/PlatformCaller.h"
+#include "StandIns/Platform/PlatformDeployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace sardineford;
+using namespace sardineford::standins;
+
+namespace {
+
+constexpr Milliseconds StartTime{20'000};
+constexpr Milliseconds Deadline{4'000};
+
+/// Sends requests on all routes, silences the chosen backend servers for the
+/// time and returns the results of the requests that were open meanwhile.
+std::vector<CallResult>
+callDuringSilence(Milliseconds silence,
+                  std::function<bool(const DeployedWorker &)> isSilenced) {
+  IoContext io(1);
+  PlatformDeploymentOptions o;
+  o.Programs = SARDINEFORD_PROGRAMS;
+  o.Folder = makeTemporaryFolder();
+  o.Daemons = 2;
+  // Streams last longer than it takes to silence the servers.
+  o.StepTime = Milliseconds(60);
+  o.WorkTime = Milliseconds(400);
+  PlatformDeployment deployment(io, o);
+  http::Client client(io);
+  std::vector<CallResult> calls;
+  size_t open = 0;
+  bool ready = false;
+  spawn(io, "case", [&]() -> Awaitable<void> {
+    ready = co_await deployment.bringUp(StartTime);
+    for (int i = 0; ready && i < 5; ++i)
+      for (const DeployedDaemon &d : deployment.Daemons)
+        for (const char *route :
+             {OnceRoute, RepeatableRoute, ResumableRoute, StreamRoute}) {
+          ++open;
+          spawn(io, "call", [&, route]() -> Awaitable<void> {
+            calls.push_back(
+                co_await callDaemon(client, d.HttpListen, route, Deadline));
+            --open;
+          });
+        }
+    co_await sleepFor(Milliseconds(250));
+    for (const DeployedWorker &it : deployment.Workers)
+      if (isSilenced(it))
+        it.ChildProcess->pause();
+    co_await sleepFor(silence);
+    for (const DeployedWorker &it : deployment.Workers)
+      if (isSilenced(it))
+        it.ChildProcess->resume();
+    while (open > 0)
+      co_await sleepFor(Milliseconds(20));
+    io.stop();
+  });
+  io.run();
+  INFO("folder " << o.Folder);
+  REQUIRE(ready);
+  REQUIRE(calls.size() == 40);
+  return calls;
+}
+
+} // namespace
+
+TEST_CASE("no response is cut while its silent backend server may go on",
+          "[process]") {
+  for (const CallResult &it : callDuringSilence(
+           Milliseconds(1'300), [](const DeployedWorker &) { return true; })) {
+    INFO(it.Id << " on " << it.Route << ", status " << it.Status);
+    CHECK(it.Outcome == DaemonCallOutcome::Correct);
+  }
+}
+
+TEST_CASE("a stream moves away from a backend server that stays silent",
+          "[process]") {
+  bool isFirst = true;
+  std::string silenced;
+  for (const CallResult &it :
+       callDuringSilence(Milliseconds(6'000), [&](const DeployedWorker &w) {
+         if (isFirst && w.Stage == "decode") {
+           silenced = w.Id;
+           isFirst = false;
+         }
+         return w.Id == silenced;
+       })) {
+    if (it.Route != ResumableRoute)
+      continue;
+    INFO(it.Id << ", status " << it.Status);
+    CHECK(it.Outcome == DaemonCallOutcome::Correct);
+  }
+}
