--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -270,8 +270,9 @@
     if (!locked)
       return;
     locked->CallerGone = true;
-    if (locked->Guard)
-      locked->Guard->abort();
+    for (const std::weak_ptr<http::AbortHandle> &it : locked->Guards)
+      if (std::shared_ptr<http::AbortHandle> guard = it.lock())
+        guard->abort();
   });
   try {
     if (route->Kind == fleet::RequestKind::Stream)
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/State.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Http/Status.h"
+#include "Sardineford/Retry/Silence.h"
 #include "Sardineford/Routing/ServiceChoice.h"
 
 #include <algorithm>
@@ -13,19 +14,50 @@
 using fleet::FailureKind;
 using fleet::ServerPtr;
 
-/// Timeout of an attempt that can be retried, as a multiple of the mean
-/// response time.
+/// Silence after which a request is attempted elsewhere, as a multiple of the
+/// mean response time.
 constexpr double AttemptTimeoutFactor = 5;
-/// Longest timeout of an attempt that can be retried, as a ratio of the
-/// remaining time.
+/// Longest such silence as a ratio of the remaining time.
 constexpr double MaxAttemptTimeRatio = 0.5;
 constexpr double ResponseTimeWeight = 0.05;
 
-/// Complete response of a backend server, or the reason that there is none.
-struct AttemptResponse {
-  AttemptOutcome Outcome = AttemptOutcome::Unknown;
-  std::optional<http::Response> Response;
-  std::string Detail;
+/// An attempt whose connection is open.
+struct OpenPlainAttempt {
+  OpenPlainAttempt(SharedState &shared, ServerPtr server)
+      : Server(std::move(server)),
+        InFlight(shared, Server, fleet::WorkPriority::Urgent, 0) {}
+
+  ServerPtr Server;
+  Reservation InFlight;
+  /// Index in the record of attempts.
+  size_t Index = 0;
+  std::unique_ptr<http::ResponseStream> Stream;
+  bool HeadReceived = false;
+  ResponseHead Head;
+  /// What has been received so far.
+  http::Response Response;
+  /// Silence from which the request is attempted elsewhere.
+  Milliseconds Patience{0};
+  MonoTime StartedAt{};
+  MonoTime LastByteAt{};
+  /// The server has been silent for longer than expected.
+  bool WasSilent = false;
+
+  Milliseconds silence() const {
+    return toMilliseconds(MonoClock::now() - LastByteAt);
+  }
+};
+
+using OpenPlainAttemptPtr = std::unique_ptr<OpenPlainAttempt>;
+
+/// What a request has received over all its attempts.
+struct PlainProgress {
+  std::set<std::string> TriedServers;
+  std::vector<OpenPlainAttemptPtr> Open;
+  /// Sent to the caller if no further attempt succeeds.
+  std::optional<http::Response> ErrorResponse;
+  FailureCause Cause = FailureCause::NoServer;
+  std::string Detail = "no backend server is available";
 };
 
 ServerPtr chooseServer(SharedState &shared, const RequestContext &context,
@@ -47,88 +79,126 @@
   return i ? servers[*i] : nullptr;
 }
 
-/// Returns the timeout of one attempt: the remaining time, or less if the
-/// request is repeatable and another server is available for a retry.
-Milliseconds attemptTimeout(SharedState &shared, const RequestContext &context,
-                            const std::set<std::string> &triedServers) {
-  Milliseconds remaining = context.remainingTime();
-  bool mayRetry =
-      context.Route->mayRepeat() &&
-      static_cast<int>(context.Attempts.sentCount()) + 1 <
-          context.Route->MaxAttempts &&
-      shared.Servers.ofService(context.Service).size() > triedServers.size() &&
-      shared.service(context.Service).RetryBudget.remaining(MonoClock::now()) >=
-          1;
-  if (!mayRetry)
-    return remaining;
+/// Returns the silence of a server from which a repeatable request is attempted
+/// at another one.
+Milliseconds attemptPatience(SharedState &shared,
+                             const RequestContext &context) {
   Milliseconds typical = toMilliseconds(
       shared.service(context.Service).MeanResponseTime * AttemptTimeoutFactor);
   Milliseconds longest =
-      toMilliseconds(Seconds(remaining) * MaxAttemptTimeRatio);
+      toMilliseconds(Seconds(context.remainingTime()) * MaxAttemptTimeRatio);
   return std::min(longest, std::max(typical, context.Route->Objective));
 }
 
-Awaitable<AttemptResponse> sendAttempt(SharedState &shared,
-                                       RequestContext &context,
-                                       ServerPtr server, Milliseconds timeout) {
-  AttemptResponse result;
+void endAttempt(SharedState &shared, RequestContext &context,
+                const OpenPlainAttempt &attempt, AttemptOutcome outcome,
+                std::string_view detail) {
+  context.Attempts.setOutcome(attempt.Index, outcome);
+  logAttempt(context, *attempt.Server,
+             {"run", outcome, shared.service(context.Service).MeanResponseTime,
+              attempt.Patience,
+              toMilliseconds(MonoClock::now() - attempt.StartedAt), detail, 0,
+              0, attempt.silence()});
+}
+
+/// Sends the request to a server.
+Awaitable<void> startAttempt(SharedState &shared, RequestContext &context,
+                             PlainProgress &progress, ServerPtr server) {
+  progress.TriedServers.insert(server->Entry.Id);
+  auto attempt = std::make_unique<OpenPlainAttempt>(shared, server);
   AttemptOptions attemptOptions;
   attemptOptions.ServerId = server->Entry.Id;
   attemptOptions.RemainingTime = context.remainingTime();
   http::Request request =
       shared.Protocol.makeAttemptRequest(context.Request, attemptOptions);
   bool fresh = !context.Route->mayRepeat();
-  http::CallOptions options = attemptCallOptions(context, fresh, timeout);
-  MonoTime readDeadline = MonoClock::now() + timeout;
+  http::CallOptions options =
+      attemptCallOptions(context, fresh, context.remainingTime());
+  attempt->Patience = attemptPatience(shared, context);
+  attempt->Index = context.Attempts.add(server->Entry.Id);
+  attempt->StartedAt = MonoClock::now();
+  attempt->LastByteAt = attempt->StartedAt;
   try {
-    std::unique_ptr<http::ResponseStream> stream = co_await shared.Client.open(
+    attempt->Stream = co_await shared.Client.send(
         server->Entry.Address, std::move(request), std::move(options));
-    http::Response response = stream->head();
-    ResponseHead head = shared.Protocol.decodeHead(response);
-    result.Detail = validateResponse(head, response, context.Request.Id);
-    if (!result.Detail.empty()) {
-      stream->close();
-      server->Health.recordFailure(FailureKind::Broken, MonoClock::now());
-      co_return result;
-    }
-    for (;;) {
-      Milliseconds remaining = toMilliseconds(readDeadline - MonoClock::now());
-      std::string chunk =
-          co_await stream->read(std::max(remaining, Milliseconds(1)));
-      if (chunk.empty())
-        break;
-      response.Body += chunk;
-    }
-    if (head.NotExecuted) {
-      result.Outcome = AttemptOutcome::NotExecuted;
-      result.Detail = "rejected with status " + std::to_string(response.Status);
-      recordRejection(shared, server, head);
-      co_return result;
-    }
-    result.Outcome = AttemptOutcome::Answered;
-    if (response.Status >= http::StatusInternalServerError)
-      result.Detail =
-          "the server responded with status " + std::to_string(response.Status);
-    result.Response = std::move(response);
   } catch (const http::TransportError &e) {
-    result.Detail = e.what();
-    bool sent = e.Stage == http::TransportStage::Sent;
-    result.Outcome = sent ? AttemptOutcome::Unknown : AttemptOutcome::NeverSent;
     recordTransportFault(context, *server, e);
+    endAttempt(shared, context, *attempt, AttemptOutcome::NeverSent, e.what());
+    progress.Cause = FailureCause::Failed;
+    progress.Detail = e.what();
+    co_return;
   }
-  co_return result;
+  progress.Open.push_back(std::move(attempt));
+}
+
+/// Result of receiving from one attempt.
+struct PlainAttemptResult {
+  bool IsDone = false;
+  AttemptOutcome Outcome = AttemptOutcome::Unknown;
+  std::string Detail;
+};
+
+/// Receives what has arrived.
+Awaitable<PlainAttemptResult> advanceAttempt(SharedState &shared,
+                                             RequestContext &context,
+                                             OpenPlainAttempt &attempt) {
+  http::ResponseStream &stream = *attempt.Stream;
+  PlainAttemptResult done{true, AttemptOutcome::Unknown, ""};
+  try {
+    while (stream.isReady()) {
+      attempt.LastByteAt = MonoClock::now();
+      if (!attempt.HeadReceived) {
+        co_await stream.receiveHead(Milliseconds(1));
+        attempt.HeadReceived = true;
+        attempt.Response = stream.head();
+        attempt.Head = shared.Protocol.decodeHead(attempt.Response);
+        done.Detail = validateResponse(attempt.Head, attempt.Response,
+                                       context.Request.Id);
+        if (done.Detail.empty())
+          continue;
+        attempt.Server->Health.recordFailure(FailureKind::Broken,
+                                             MonoClock::now());
+        co_return done;
+      }
+      std::string chunk = co_await stream.read(Milliseconds(1));
+      if (!chunk.empty()) {
+        attempt.Response.Body += chunk;
+        continue;
+      }
+      done.Outcome = AttemptOutcome::Answered;
+      unsigned status = attempt.Response.Status;
+      if (attempt.Head.NotExecuted) {
+        done.Outcome = AttemptOutcome::NotExecuted;
+        done.Detail = "rejected with status " + std::to_string(status);
+        recordRejection(shared, attempt.Server, attempt.Head);
+      } else if (status >= http::StatusInternalServerError) {
+        done.Detail =
+            "the server responded with status " + std::to_string(status);
+      }
+      co_return done;
+    }
+  } catch (const http::TransportError &e) {
+    done.Detail = e.what();
+    recordTransportFault(context, *attempt.Server, e);
+    co_return done;
+  }
+  co_return PlainAttemptResult{};
 }
 
 void recordResponse(SharedState &shared, RequestContext &context,
-                    const ServerPtr &server, const AttemptResponse &response,
-                    Milliseconds duration) {
-  if (response.Response->Status >= http::StatusInternalServerError) {
-    server->Health.recordFailure(FailureKind::ServerError, MonoClock::now());
+                    const OpenPlainAttempt &attempt) {
+  if (attempt.Response.Status >= http::StatusInternalServerError) {
+    attempt.Server->Health.recordFailure(FailureKind::ServerError,
+                                         MonoClock::now());
     return;
   }
-  server->Health.recordSuccess(MonoClock::now());
+  attempt.Server->Health.recordSuccess(MonoClock::now());
+  // The time of a pause says nothing about the speed of the service.
+  if (attempt.WasSilent)
+    return;
+  Seconds duration = MonoClock::now() - attempt.StartedAt;
   Seconds &mean = shared.service(context.Service).MeanResponseTime;
-  mean += (Seconds(duration) - mean) * ResponseTimeWeight;
+  mean += (duration - mean) * ResponseTimeWeight;
 }
 
 Awaitable<void> forwardResponse(SharedState &shared, RequestContext &context,
@@ -141,64 +211,115 @@
   co_await context.Out.send(std::move(callerResponse));
 }
 
+/// Decides how long to wait for the open attempts, and whether to make another
+/// one.
+retry::SilenceDecision decideNextStep(SharedState &shared,
+                                      RequestContext &context,
+                                      const PlainProgress &progress) {
+  OpenPlainAttempt &newest = *progress.Open.back();
+  retry::SilenceState state;
+  state.Silence = newest.silence();
+  state.Patience = newest.Patience;
+  state.RemainingTime = context.remainingTime();
+  bool isImpatient =
+      context.Route->mayRepeat() && state.Silence >= state.Patience;
+  state.MayRetry = isImpatient && findRetryObstacle(shared, context).empty() &&
+                   chooseServer(shared, context, progress.TriedServers);
+  if (isImpatient && !std::exchange(newest.WasSilent, true))
+    recordSilence(shared, *newest.Server);
+  return retry::decideOnSilence(state);
+}
+
+/// Makes the next attempt. Returns false if none is possible.
+Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
+                                 PlainProgress &progress) {
+  ServerPtr server = chooseServer(shared, context, progress.TriedServers);
+  if (!server) {
+    context.NoRetryReason = "no other server is available";
+    co_return false;
+  }
+  if (!progress.TriedServers.empty() && !acquireRetry(shared, context))
+    co_return false;
+  co_await startAttempt(shared, context, progress, std::move(server));
+  co_return true;
+}
+
+/// Receives from the attempt that has a response. Returns true if the caller
+/// has received the response of the request.
+Awaitable<bool> advanceOpenAttempts(SharedState &shared,
+                                    RequestContext &context,
+                                    PlainProgress &progress,
+                                    const http::ResponseStream *ready) {
+  auto it = std::find_if(
+      progress.Open.begin(), progress.Open.end(),
+      [&](const auto &attempt) { return attempt->Stream.get() == ready; });
+  PlainAttemptResult result = co_await advanceAttempt(shared, context, **it);
+  if (!result.IsDone)
+    co_return false;
+  OpenPlainAttemptPtr attempt = std::move(*it);
+  progress.Open.erase(it);
+  endAttempt(shared, context, *attempt, result.Outcome, result.Detail);
+  progress.Cause = FailureCause::Failed;
+  if (result.Outcome != AttemptOutcome::Answered) {
+    progress.Detail = std::move(result.Detail);
+    co_return false;
+  }
+  recordResponse(shared, context, *attempt);
+  http::Response response = std::move(attempt->Response);
+  bool serverFailed = response.Status >= http::StatusInternalServerError;
+  if (serverFailed && context.Route->mayRepeat()) {
+    progress.ErrorResponse = std::move(response);
+    co_return false;
+  }
+  for (const OpenPlainAttemptPtr &other : progress.Open)
+    endAttempt(shared, context, *other, AttemptOutcome::Unknown,
+               "another server has responded");
+  progress.Open.clear();
+  co_await forwardResponse(shared, context, std::move(response));
+  co_return true;
+}
+
 } // namespace
 
 Awaitable<void> servePlain(SharedState &shared, RequestContext &context) {
-  std::set<std::string> triedServers;
-  std::optional<http::Response> errorResponse;
-  std::string detail = "no backend server is available";
-  FailureCause cause = FailureCause::NoServer;
-  for (;;) {
+  PlainProgress progress;
+  while (!context.CallerGone) {
     if (context.remainingTime() <= Milliseconds(0)) {
       context.NoRetryReason = "the deadline has passed";
-      cause = FailureCause::TimedOut;
-      break;
-    }
-    ServerPtr server = chooseServer(shared, context, triedServers);
-    if (!server) {
-      context.NoRetryReason = "no other server is available";
-      break;
-    }
-    if (!triedServers.empty() && !acquireRetry(shared, context))
+      progress.Cause = FailureCause::TimedOut;
       break;
-    triedServers.insert(server->Entry.Id);
-    Milliseconds timeout = attemptTimeout(shared, context, triedServers);
-    size_t attempt = context.Attempts.add(server->Entry.Id);
-    MonoTime start = MonoClock::now();
-    AttemptResponse result;
-    {
-      Reservation inFlight(shared, server, fleet::WorkPriority::Urgent, 0);
-      result = co_await sendAttempt(shared, context, server, timeout);
     }
-    context.Attempts.setOutcome(attempt, result.Outcome);
-    Milliseconds duration = toMilliseconds(MonoClock::now() - start);
-    logAttempt(context, *server,
-               {"run", result.Outcome,
-                shared.service(context.Service).MeanResponseTime, timeout,
-                duration, result.Detail});
-    if (context.CallerGone)
-      co_return;
-    cause = FailureCause::Failed;
-    if (!result.Response) {
-      detail = result.Detail;
+    retry::SilenceDecision next{true, Milliseconds(0)};
+    if (!progress.Open.empty())
+      next = decideNextStep(shared, context, progress);
+    if (next.TryElsewhere) {
+      bool started = co_await startNextAttempt(shared, context, progress);
+      if (!started && progress.Open.empty())
+        break;
       continue;
     }
-    recordResponse(shared, context, server, result, duration);
-    bool serverFailed =
-        result.Response->Status >= http::StatusInternalServerError;
-    if (!serverFailed || !context.Route->mayRepeat()) {
-      co_await forwardResponse(shared, context, std::move(*result.Response));
+    std::vector<http::ResponseStream *> responses;
+    for (const OpenPlainAttemptPtr &it : progress.Open)
+      responses.push_back(it->Stream.get());
+    http::ResponseStream *ready =
+        co_await http::waitForAny(responses, next.Wait);
+    if (ready && co_await advanceOpenAttempts(shared, context, progress, ready))
       co_return;
-    }
-    // The caller receives the error response of the server if no retry
-    // succeeds.
-    errorResponse = std::move(result.Response);
   }
-  if (errorResponse) {
-    co_await forwardResponse(shared, context, std::move(*errorResponse));
+  std::string_view end =
+      context.CallerGone ? "caller gone" : "the deadline has passed";
+  for (const OpenPlainAttemptPtr &it : progress.Open)
+    endAttempt(shared, context, *it, AttemptOutcome::Unknown, end);
+  progress.Open.clear();
+  if (context.CallerGone)
+    co_return;
+  if (progress.ErrorResponse) {
+    co_await forwardResponse(shared, context,
+                             std::move(*progress.ErrorResponse));
     co_return;
   }
-  co_await failRequest(shared, context, cause, std::move(detail), std::nullopt);
+  co_await failRequest(shared, context, progress.Cause,
+                       std::move(progress.Detail), std::nullopt);
 }
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds MaxConnectionIdle{1'500};
 constexpr Milliseconds RetryAfterNoCapacity{400};
 constexpr Milliseconds RetryAfterFailed{150};
+constexpr std::string_view BudgetExhausted = "the retry budget is exhausted";
 
 Milliseconds defaultRetryAfter(FailureCause cause) {
   bool noCapacity =
@@ -71,36 +72,42 @@
   options.ResendOnStale = false;
   options.MaxIdleTime = MaxConnectionIdle;
   options.Abort = std::make_shared<http::AbortHandle>();
-  context.Guard = options.Abort;
+  std::erase_if(context.Guards, [](const auto &it) { return it.expired(); });
+  context.Guards.push_back(options.Abort);
   return options;
 }
 
-bool acquireRetry(SharedState &shared, RequestContext &context) {
+std::string_view findRetryObstacle(SharedState &shared,
+                                   const RequestContext &context) {
   auto possiblyExecuted = static_cast<int>(
       std::count_if(context.Attempts.all().begin(),
                     context.Attempts.all().end(), [](const Attempt &it) {
                       return it.Outcome == AttemptOutcome::Unknown ||
                              it.Outcome == AttemptOutcome::Answered;
                     }));
-  if (possiblyExecuted > 0 && !context.Route->mayRepeat()) {
-    context.NoRetryReason =
-        "the request may have been executed and its route is not repeatable";
-    return false;
-  }
-  if (possiblyExecuted >= context.Route->MaxAttempts) {
-    context.NoRetryReason = "the route allows no further attempts";
-    return false;
-  }
+  if (possiblyExecuted > 0 && !context.Route->mayRepeat())
+    return "the request may have been executed and its route is not repeatable";
+  if (possiblyExecuted >= context.Route->MaxAttempts)
+    return "the route allows no further attempts";
+  if (context.Attempts.sentCount() > 0 &&
+      shared.service(context.Service).RetryBudget.remaining(MonoClock::now()) <
+          1)
+    return BudgetExhausted;
+  return "";
+}
+
+bool acquireRetry(SharedState &shared, RequestContext &context) {
+  context.NoRetryReason = findRetryObstacle(shared, context);
+  bool allowed = context.NoRetryReason.empty();
   if (context.Attempts.sentCount() == 0)
-    return true;
-  bool withdrawn =
-      shared.service(context.Service).RetryBudget.withdraw(MonoClock::now());
-  shared.Metrics.count(
-      "sardineford_further_attempts_total",
-      {{"service", context.Service}, {"taken", withdrawn ? "yes" : "no"}});
-  if (!withdrawn)
-    context.NoRetryReason = "the retry budget is exhausted";
-  return withdrawn;
+    return allowed;
+  if (allowed)
+    shared.service(context.Service).RetryBudget.withdraw(MonoClock::now());
+  if (allowed || context.NoRetryReason == BudgetExhausted)
+    shared.Metrics.count(
+        "sardineford_further_attempts_total",
+        {{"service", context.Service}, {"taken", allowed ? "yes" : "no"}});
+  return allowed;
 }
 
 std::string validateResponse(const ResponseHead &head,
@@ -144,6 +151,13 @@
   server.Health.recordFailure(kind, MonoClock::now());
 }
 
+void recordSilence(SharedState &shared, fleet::Server &server) {
+  shared.Metrics.count("sardineford_silences_total",
+                       {{"service", server.Entry.Service}});
+  server.Health.recordFailure(fleet::FailureKind::TimedOut, MonoClock::now());
+  shared.Client.closeIdle(server.Entry.Address);
+}
+
 Awaitable<void> failRequest(SharedState &shared, RequestContext &context,
                             FailureCause cause, std::string detail,
                             std::optional<Milliseconds> retryAfter) {
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -76,8 +76,8 @@
   MonoTime Deadline;
   http::ResponseWriter &Out;
   AttemptRecord Attempts;
-  /// Closes the connection to the backend server if the caller disconnects.
-  std::shared_ptr<http::AbortHandle> Guard;
+  /// Close the connections to the backend servers if the caller disconnects.
+  std::vector<std::weak_ptr<http::AbortHandle>> Guards;
   bool CallerGone = false;
   /// Status and outcome for the log.
   unsigned Status = 0;
@@ -89,8 +89,6 @@
   uint64_t EventCount = 0;
   /// Longest time between two events that were forwarded to the caller.
   Milliseconds LongestPause{0};
-  /// Time of the last bytes from a backend server.
-  MonoTime LastByteAt{};
 
   Milliseconds remainingTime() const {
     return toMilliseconds(Deadline - MonoClock::now());
@@ -125,6 +123,11 @@
 http::CallOptions attemptCallOptions(RequestContext &context, bool fresh,
                                      Milliseconds timeout);
 
+/// Returns why the request may not be attempted at another backend server now,
+/// or an empty string if it may.
+std::string_view findRetryObstacle(SharedState &shared,
+                                   const RequestContext &context);
+
 /// Returns whether the request may be attempted at another backend server.
 /// Withdraws a retry from the budget if an attempt was already sent.
 bool acquireRetry(SharedState &shared, RequestContext &context);
@@ -144,6 +147,10 @@
 void recordTransportFault(const RequestContext &context, fleet::Server &server,
                           const http::TransportError &e);
 
+/// Records that a server has been silent for longer than expected. Its idle
+/// connections may be dead.
+void recordSilence(SharedState &shared, fleet::Server &server);
+
 /// Fails the request: sends an error response, or aborts a response that has
 /// already started.
 Awaitable<void> failRequest(SharedState &shared, RequestContext &context,
--- a/Source/Gateway/Stream.h
+++ b/Source/Gateway/Stream.h
@@ -11,8 +11,10 @@
 inline constexpr double FirstEventTimeoutFactor = 4;
 inline constexpr Milliseconds MinFirstEventTimeout{600};
 
-/// Result of one attempt at one engine.
+/// State of one attempt at one engine after it has received something.
 enum class StreamAttemptResult {
+  /// More is expected.
+  Continues,
   /// The caller received the complete response.
   Complete,
   /// The server did not execute the request.
@@ -26,7 +28,11 @@
 /// Progress of one caller's stream over all its attempts.
 struct StreamProgress {
   EventSplitter Events;
+  /// Time at which the last events were forwarded.
+  MonoTime LastEventAt{};
   std::vector<std::string> TriedServers;
+  /// No engine was found for a further attempt.
+  bool FoundNoEngine = false;
   int PrefillAttempts = 0;
   fleet::WorkPriority Priority = fleet::WorkPriority::Urgent;
   std::optional<Milliseconds> RetryAfter;
@@ -46,6 +52,42 @@
   Seconds Estimate{0};
 };
 
+/// An attempt whose connection is open.
+struct OpenStreamAttempt {
+  OpenStreamAttempt(SharedState &shared, AttemptPlan plan,
+                    fleet::WorkPriority priority)
+      : Plan(std::move(plan)), QueuedTokens(Plan.Server->tokensAhead(priority)),
+        Requests(Plan.Server->requests() + 1),
+        InFlight(shared, Plan.Server, priority, Plan.Handle ? 0 : Plan.Tokens) {
+  }
+
+  AttemptPlan Plan;
+  /// Prompt tokens ahead of the request and number of requests at the engine,
+  /// at the start.
+  double QueuedTokens;
+  unsigned Requests;
+  Reservation InFlight;
+  /// Index in the record of attempts.
+  size_t Index = 0;
+  std::unique_ptr<http::ResponseStream> Response;
+  /// Silence from which the stream is attempted elsewhere.
+  Milliseconds Patience{0};
+  MonoTime StartedAt{};
+  MonoTime LastByteAt{};
+  /// Negative until the first event.
+  Seconds TimeToFirstEvent{-0.001};
+  /// The caller receives the events of this attempt.
+  bool Forwards = false;
+  /// The engine has been silent for longer than expected.
+  bool WasSilent = false;
+
+  Milliseconds silence() const {
+    return toMilliseconds(MonoClock::now() - LastByteAt);
+  }
+};
+
+using OpenStreamAttemptPtr = std::unique_ptr<OpenStreamAttempt>;
+
 /// Returns the options of an attempt, with the engine priority for the stream's
 /// priority.
 AttemptOptions makeAttemptOptions(const RequestContext &context,
@@ -71,10 +113,23 @@
                                                   RequestContext &context,
                                                   StreamProgress &progress);
 
-/// Sends the request to the planned engine and forwards the response.
-Awaitable<StreamAttemptResult> runAttempt(SharedState &shared,
-                                          RequestContext &context,
-                                          StreamProgress &progress,
-                                          AttemptPlan plan);
+/// Sends the request to the planned engine. Returns nothing if the engine
+/// cannot be reached.
+Awaitable<OpenStreamAttemptPtr> startAttempt(SharedState &shared,
+                                             RequestContext &context,
+                                             StreamProgress &progress,
+                                             AttemptPlan plan);
+
+/// Receives what has arrived: the head, or events, which are forwarded to the
+/// caller. The caller ends all other attempts before the first event of this
+/// one.
+Awaitable<StreamAttemptResult> advanceAttempt(SharedState &shared,
+                                              RequestContext &context,
+                                              StreamProgress &progress,
+                                              OpenStreamAttempt &attempt);
+
+/// Records the outcome of an attempt in the request and in the log.
+void endAttempt(RequestContext &context, const OpenStreamAttempt &attempt,
+                AttemptOutcome outcome, std::string_view detail);
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/Stream.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Retry/Silence.h"
 
 #include <algorithm>
 #include <array>
@@ -70,43 +71,161 @@
   return true;
 }
 
-/// Attempts the stream at one engine after another. Returns the result of the
-/// last attempt, or nothing if no engine or no time remains for a further
-/// attempt.
+std::vector<http::ResponseStream *>
+responsesOf(const std::vector<OpenStreamAttemptPtr> &open) {
+  std::vector<http::ResponseStream *> out;
+  out.reserve(open.size());
+  for (const OpenStreamAttemptPtr &it : open)
+    out.push_back(it->Response.get());
+  return out;
+}
+
+/// Decides how long to wait for the open attempts, and whether to make another
+/// one. The newest attempt is the one that should respond first.
+retry::SilenceDecision decideNextStep(SharedState &shared,
+                                      RequestContext &context,
+                                      const StreamProgress &progress,
+                                      OpenStreamAttempt &newest) {
+  retry::SilenceState state;
+  state.Silence = newest.silence();
+  state.Patience = newest.Patience;
+  state.RemainingTime = context.remainingTime();
+  if (state.Silence < state.Patience)
+    return retry::decideOnSilence(state);
+  std::string_view obstacle = findRetryObstacle(shared, context);
+  state.MayRetry = obstacle.empty() && !progress.FoundNoEngine;
+  if (!std::exchange(newest.WasSilent, true)) {
+    recordSilence(shared, *newest.Plan.Server);
+    log::event(log::Category::Gateway, log::Level::Info, "silence",
+               {{"request", context.Request.Id},
+                {"server", newest.Plan.Server->Entry.Id},
+                {"silent_ms", state.Silence.count()},
+                {"patience_ms", state.Patience.count()},
+                {"outcome", state.MayRetry ? "attempt elsewhere" : "wait"},
+                {"not_repeated", obstacle}});
+  }
+  return retry::decideOnSilence(state);
+}
+
+/// Makes the next attempt. Returns false if no engine is found for it, or if an
+/// open attempt responds in the meantime.
+Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
+                                 StreamProgress &progress,
+                                 std::vector<OpenStreamAttemptPtr> &open) {
+  if (!context.Attempts.all().empty() && !acquireRetry(shared, context))
+    co_return false;
+  std::optional<AttemptPlan> next =
+      co_await planAttempt(shared, context, progress);
+  if (!next) {
+    progress.FoundNoEngine = true;
+    co_return false;
+  }
+  std::optional<KvHandle> handle = next->Handle;
+  bool responded = std::any_of(open.begin(), open.end(), [](const auto &it) {
+    return it->Response->isReady();
+  });
+  if (responded || context.CallerGone || checkTimedOut(context, progress)) {
+    if (handle)
+      freeHandle(shared, *handle);
+    co_return false;
+  }
+  OpenStreamAttemptPtr attempt =
+      co_await startAttempt(shared, context, progress, std::move(*next));
+  if (attempt)
+    open.push_back(std::move(attempt));
+  co_return true;
+}
+
+/// Ends all attempts but one.
+void abandonOthers(RequestContext &context,
+                   std::vector<OpenStreamAttemptPtr> &open,
+                   const OpenStreamAttempt &kept) {
+  std::erase_if(open, [&](const OpenStreamAttemptPtr &it) {
+    if (it.get() == &kept)
+      return false;
+    endAttempt(context, *it, AttemptOutcome::Unknown,
+               "another engine has responded");
+    return true;
+  });
+}
+
+/// Receives from the attempt that has a response and forwards it. An attempt
+/// that ends without a complete response is removed. Returns nothing if the
+/// request goes on.
+Awaitable<std::optional<StreamAttemptResult>>
+advanceOpenAttempts(SharedState &shared, RequestContext &context,
+                    StreamProgress &progress,
+                    std::vector<OpenStreamAttemptPtr> &open,
+                    const http::ResponseStream *ready) {
+  auto it = std::find_if(open.begin(), open.end(), [&](const auto &attempt) {
+    return attempt->Response.get() == ready;
+  });
+  OpenStreamAttempt &attempt = **it;
+  StreamAttemptResult result =
+      co_await advanceAttempt(shared, context, progress, attempt);
+  if (result == StreamAttemptResult::Continues) {
+    if (attempt.Forwards)
+      abandonOthers(context, open, attempt);
+    co_return std::nullopt;
+  }
+  bool isComplete = result == StreamAttemptResult::Complete;
+  AttemptOutcome outcome = AttemptOutcome::Unknown;
+  if (isComplete)
+    outcome = AttemptOutcome::Answered;
+  else if (result == StreamAttemptResult::NotExecuted)
+    outcome = AttemptOutcome::NotExecuted;
+  endAttempt(context, attempt, outcome, isComplete ? "" : progress.LastDetail);
+  if (outcome == AttemptOutcome::NotExecuted && attempt.Plan.Handle)
+    freeHandle(shared, *attempt.Plan.Handle);
+  if (isComplete || result == StreamAttemptResult::CallerGone)
+    co_return result;
+  if (attempt.Forwards)
+    progress.Events.dropPending();
+  progress.LastCause = FailureCause::Failed;
+  progress.FoundNoEngine = false;
+  open.erase(std::find_if(open.begin(), open.end(), [&](const auto &other) {
+    return other.get() == &attempt;
+  }));
+  co_return std::nullopt;
+}
+
+/// Attempts the stream at one engine after another. An attempt at a silent
+/// engine stays open until another engine responds or the deadline passes.
+/// Returns the result of the last attempt, or nothing if no engine or no time
+/// remains.
 Awaitable<std::optional<StreamAttemptResult>>
 serveOnEngines(SharedState &shared, RequestContext &context,
                StreamProgress &progress) {
-  for (bool isFirst = true;; isFirst = false) {
-    if (checkTimedOut(context, progress) ||
-        (!isFirst && !acquireRetry(shared, context)))
-      co_return std::nullopt;
-    std::optional<AttemptPlan> next =
-        co_await planAttempt(shared, context, progress);
-    std::optional<KvHandle> handle = next ? next->Handle : std::nullopt;
+  std::vector<OpenStreamAttemptPtr> open;
+  for (;;) {
     if (context.CallerGone) {
-      if (handle)
-        freeHandle(shared, *handle);
+      for (const OpenStreamAttemptPtr &it : open)
+        endAttempt(context, *it, AttemptOutcome::Unknown, "caller gone");
       co_return StreamAttemptResult::CallerGone;
     }
-    if (!next)
-      co_return std::nullopt;
-    std::string serverId = next->Server->Entry.Id;
     if (checkTimedOut(context, progress)) {
-      if (handle)
-        freeHandle(shared, *handle);
+      for (const OpenStreamAttemptPtr &it : open)
+        endAttempt(context, *it, AttemptOutcome::Unknown,
+                   "the deadline has passed");
       co_return std::nullopt;
     }
-    StreamAttemptResult result =
-        co_await runAttempt(shared, context, progress, std::move(*next));
-    if (result == StreamAttemptResult::NotExecuted && handle)
-      freeHandle(shared, *handle);
-    if (result == StreamAttemptResult::Complete)
+    retry::SilenceDecision next{true, Milliseconds(0)};
+    if (!open.empty())
+      next = decideNextStep(shared, context, progress, *open.back());
+    if (next.TryElsewhere) {
+      bool started = co_await startNextAttempt(shared, context, progress, open);
+      if (!started && open.empty() && !context.CallerGone)
+        co_return std::nullopt;
+      continue;
+    }
+    http::ResponseStream *ready =
+        co_await http::waitForAny(responsesOf(open), next.Wait);
+    if (!ready)
+      continue;
+    std::optional<StreamAttemptResult> result =
+        co_await advanceOpenAttempts(shared, context, progress, open, ready);
+    if (result)
       co_return result;
-    if (result == StreamAttemptResult::CallerGone || context.CallerGone)
-      co_return StreamAttemptResult::CallerGone;
-    progress.Events.dropPending();
-    progress.TriedServers.push_back(serverId);
-    progress.LastCause = FailureCause::Failed;
   }
 }
 
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -24,32 +24,35 @@
 /// all others.
 constexpr int FetchPriority = 1;
 
-/// Forwards events to the caller until the stream ends.
+Milliseconds eventGapPatience(const fleet::Route &route) {
+  return std::max(MinEventGapTimeout, Milliseconds(route.GapObjective.count() *
+                                                   EventGapTimeoutFactor));
+}
+
+/// Forwards the events that have arrived.
 Awaitable<StreamAttemptResult> forwardEvents(RequestContext &context,
                                              StreamProgress &progress,
-                                             http::ResponseStream &stream) {
-  Milliseconds gapTimeout = std::max(
-      MinEventGapTimeout, Milliseconds(context.Route->GapObjective.count() *
-                                       EventGapTimeoutFactor));
-  MonoTime lastEventAt{};
-  for (;;) {
-    Milliseconds readTimeout =
-        context.Route->Resumable ? std::min(gapTimeout, context.remainingTime())
-                                 : context.remainingTime();
-    std::string chunk =
-        co_await stream.read(std::max(readTimeout, Milliseconds(1)));
-    context.LastByteAt = MonoClock::now();
-    if (chunk.empty())
-      break;
+                                             OpenStreamAttempt &attempt) {
+  while (attempt.Response->isReady()) {
+    std::string chunk = co_await attempt.Response->read(Milliseconds(1));
+    if (chunk.empty()) {
+      if (progress.Events.pending() > 0) {
+        progress.LastDetail = "the stream ended within an event";
+        co_return StreamAttemptResult::Broken;
+      }
+      co_await context.Out.finish();
+      co_return StreamAttemptResult::Complete;
+    }
+    MonoTime now = MonoClock::now();
+    attempt.LastByteAt = now;
     std::string completeEvents = progress.Events.push(chunk);
     if (completeEvents.empty())
       continue;
     context.EventCount = progress.Events.events();
-    MonoTime now = MonoClock::now();
-    if (lastEventAt != MonoTime{})
-      context.LongestPause =
-          std::max(context.LongestPause, toMilliseconds(now - lastEventAt));
-    lastEventAt = now;
+    if (progress.LastEventAt != MonoTime{})
+      context.LongestPause = std::max(
+          context.LongestPause, toMilliseconds(now - progress.LastEventAt));
+    progress.LastEventAt = now;
     if (context.TimeToFirstByte < Milliseconds(0))
       context.TimeToFirstByte = context.elapsed();
     try {
@@ -60,12 +63,7 @@
       co_return StreamAttemptResult::CallerGone;
     }
   }
-  if (progress.Events.pending() > 0) {
-    progress.LastDetail = "the stream ended within an event";
-    co_return StreamAttemptResult::Broken;
-  }
-  co_await context.Out.finish();
-  co_return StreamAttemptResult::Complete;
+  co_return StreamAttemptResult::Continues;
 }
 
 /// Forwards a response that is not an event stream, usually an error response
@@ -88,33 +86,27 @@
   co_return StreamAttemptResult::Complete;
 }
 
-Milliseconds firstEventTimeout(SharedState &shared,
-                               const RequestContext &context,
-                               const AttemptPlan &plan) {
-  bool mayRetry =
-      context.Route->Resumable &&
-      static_cast<int>(context.Attempts.sentCount()) + 1 <
-          context.Route->MaxAttempts &&
-      shared.service(context.Service).RetryBudget.remaining(MonoClock::now()) >=
-          1;
-  if (!mayRetry)
-    return context.remainingTime();
-  Milliseconds timeout =
-      std::max({MinFirstEventTimeout, context.Route->Objective,
-                toMilliseconds(plan.Estimate * FirstEventTimeoutFactor)});
-  return std::min(timeout, context.remainingTime());
+Milliseconds firstEventPatience(const RequestContext &context,
+                                const AttemptPlan &plan) {
+  return std::max({MinFirstEventTimeout, context.Route->Objective,
+                   toMilliseconds(plan.Estimate * FirstEventTimeoutFactor)});
 }
 
 void recordFirstEvent(SharedState &shared, RequestContext &context,
-                      const AttemptPlan &plan, double queuedTokens,
-                      Seconds duration) {
+                      const OpenStreamAttempt &attempt) {
+  // The time of a pause says nothing about the speed of an engine.
+  if (attempt.WasSilent)
+    return;
   routing::EngineSpeedModels &models =
       shared.service(context.Service).SpeedModels;
+  const AttemptPlan &plan = attempt.Plan;
   if (plan.Handle)
-    recordPhaseDuration(models.Fetch, *plan.Server, plan.Tokens, duration);
+    recordPhaseDuration(models.Fetch, *plan.Server, plan.Tokens,
+                        attempt.TimeToFirstEvent);
   else
     recordPhaseDuration(models.Colocated, *plan.Server,
-                        queuedTokens + plan.Tokens, duration);
+                        attempt.QueuedTokens + plan.Tokens,
+                        attempt.TimeToFirstEvent);
 }
 
 /// Records the time from the first event of a complete stream to its last.
@@ -133,23 +125,24 @@
         requests, duration / static_cast<double>(context.EventCount - 1));
 }
 
-Awaitable<StreamAttemptResult>
-forwardAttemptResponse(SharedState &shared, RequestContext &context,
-                       StreamProgress &progress, http::ResponseStream &stream,
-                       fleet::Server &server) {
-  http::Response head = stream.head();
+/// Begins to forward a response whose head was received.
+Awaitable<StreamAttemptResult> beginResponse(SharedState &shared,
+                                             RequestContext &context,
+                                             StreamProgress &progress,
+                                             OpenStreamAttempt &attempt) {
+  http::Response head = attempt.Response->head();
   bool isStream = shared.Protocol.decodeHead(head).IsEventStream;
-  if (!isStream || head.Status != 200) {
+  if (!isStream || head.Status != http::StatusOk) {
     bool canRetry = context.Route->Resumable &&
                     head.Status >= http::StatusInternalServerError;
     if (context.Out.started() || canRetry) {
       progress.LastDetail =
           "the engine responded with status " + std::to_string(head.Status);
-      server.Health.recordFailure(FailureKind::ServerError, MonoClock::now());
-      stream.close();
+      attempt.Plan.Server->Health.recordFailure(FailureKind::ServerError,
+                                                MonoClock::now());
       co_return StreamAttemptResult::Broken;
     }
-    co_return co_await forwardWholeResponse(shared, context, stream);
+    co_return co_await forwardWholeResponse(shared, context, *attempt.Response);
   }
   if (!context.Out.started()) {
     context.Status = head.Status;
@@ -157,87 +150,117 @@
         shared.Protocol.makeCallerResponse(std::move(head));
     co_await context.Out.startStream(std::move(response));
   }
-  co_return co_await forwardEvents(context, progress, stream);
+  // An incomplete event of an earlier attempt is sent again by this one.
+  progress.Events.dropPending();
+  attempt.Forwards = true;
+  attempt.Patience = eventGapPatience(*context.Route);
+  co_return StreamAttemptResult::Continues;
+}
+
+/// Receives the head and begins to forward the response if it can be used.
+Awaitable<StreamAttemptResult> receiveResponse(SharedState &shared,
+                                               RequestContext &context,
+                                               StreamProgress &progress,
+                                               OpenStreamAttempt &attempt) {
+  const ServerPtr &server = attempt.Plan.Server;
+  co_await attempt.Response->receiveHead(Milliseconds(1));
+  ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
+  std::string error =
+      validateResponse(head, attempt.Response->head(), context.Request.Id);
+  if (!error.empty()) {
+    progress.LastDetail = std::move(error);
+    server->Health.recordFailure(FailureKind::Broken, MonoClock::now());
+    co_return StreamAttemptResult::Broken;
+  }
+  if (head.NotExecuted) {
+    progress.LastDetail = "rejected with status " +
+                          std::to_string(attempt.Response->head().Status);
+    recordRejection(shared, server, head);
+    co_return StreamAttemptResult::NotExecuted;
+  }
+  attempt.LastByteAt = MonoClock::now();
+  attempt.TimeToFirstEvent = attempt.LastByteAt - attempt.StartedAt;
+  attempt.InFlight.releasePromptTokens();
+  recordFirstEvent(shared, context, attempt);
+  co_return co_await beginResponse(shared, context, progress, attempt);
 }
 
 } // namespace
 
-Awaitable<StreamAttemptResult> runAttempt(SharedState &shared,
-                                          RequestContext &context,
-                                          StreamProgress &progress,
-                                          AttemptPlan plan) {
-  const ServerPtr &server = plan.Server;
-  double queuedTokens = server->tokensAhead(progress.Priority);
-  unsigned requests = server->requests() + 1;
-  Reservation inFlight(shared, server, progress.Priority,
-                       plan.Handle ? 0 : plan.Tokens);
+void endAttempt(RequestContext &context, const OpenStreamAttempt &attempt,
+                AttemptOutcome outcome, std::string_view detail) {
+  context.Attempts.setOutcome(attempt.Index, outcome);
+  logAttempt(context, *attempt.Plan.Server,
+             {attempt.Plan.Handle ? "run with fetched cache" : "run", outcome,
+              attempt.Plan.Estimate, attempt.Patience,
+              toMilliseconds(attempt.TimeToFirstEvent), detail,
+              attempt.Plan.Tokens, attempt.QueuedTokens, attempt.silence()});
+}
+
+Awaitable<OpenStreamAttemptPtr> startAttempt(SharedState &shared,
+                                             RequestContext &context,
+                                             StreamProgress &progress,
+                                             AttemptPlan plan) {
+  auto attempt = std::make_unique<OpenStreamAttempt>(shared, std::move(plan),
+                                                     progress.Priority);
+  const ServerPtr &server = attempt->Plan.Server;
+  progress.TriedServers.push_back(server->Entry.Id);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
   AttemptOptions attemptOptions = makeAttemptOptions(context, progress, server);
-  attemptOptions.PrefilledPrompt = plan.Handle;
-  if (plan.Handle)
+  attemptOptions.PrefilledPrompt = attempt->Plan.Handle;
+  if (attempt->Plan.Handle)
     attemptOptions.EnginePriority = FetchPriority;
   attemptOptions.ResumeAfter = context.Request.ResumeAfter;
   if (progress.Events.lastId())
     attemptOptions.ResumeAfter = progress.Events.lastId();
   http::Request request =
       shared.Protocol.makeAttemptRequest(context.Request, attemptOptions);
-  Milliseconds timeout = firstEventTimeout(shared, context, plan);
-  http::CallOptions options =
-      attemptCallOptions(context, !context.Route->mayRepeat(), timeout);
-  size_t attempt = context.Attempts.add(server->Entry.Id);
-  MonoTime start = MonoClock::now();
-  context.LastByteAt = start;
-  StreamAttemptResult result = StreamAttemptResult::Broken;
-  AttemptOutcome outcome = AttemptOutcome::Unknown;
-  std::string detail;
-  Seconds timeToFirstEvent{-0.001};
+  http::CallOptions options = attemptCallOptions(
+      context, !context.Route->mayRepeat(), context.remainingTime());
+  attempt->Patience = firstEventPatience(context, attempt->Plan);
+  attempt->Index = context.Attempts.add(server->Entry.Id);
+  attempt->StartedAt = MonoClock::now();
+  attempt->LastByteAt = attempt->StartedAt;
   try {
-    std::unique_ptr<http::ResponseStream> stream = co_await shared.Client.open(
+    attempt->Response = co_await shared.Client.send(
         server->Entry.Address, std::move(request), std::move(options));
-    ResponseHead head = shared.Protocol.decodeHead(stream->head());
-    detail = validateResponse(head, stream->head(), context.Request.Id);
-    if (!detail.empty()) {
-      stream->close();
-      server->Health.recordFailure(FailureKind::Broken, MonoClock::now());
-    } else if (head.NotExecuted) {
-      detail = "rejected with status " + std::to_string(stream->head().Status);
-      outcome = AttemptOutcome::NotExecuted;
-      result = StreamAttemptResult::NotExecuted;
-      recordRejection(shared, server, head);
-    } else {
-      timeToFirstEvent = MonoClock::now() - start;
-      context.LastByteAt = MonoClock::now();
-      inFlight.releasePromptTokens();
-      recordFirstEvent(shared, context, plan, queuedTokens, timeToFirstEvent);
-      result = co_await forwardAttemptResponse(shared, context, progress,
-                                               *stream, *server);
-      if (result == StreamAttemptResult::Complete) {
-        recordStream(shared, context, requests,
-                     Seconds(MonoClock::now() - start) - timeToFirstEvent);
-        outcome = AttemptOutcome::Answered;
-        server->Health.recordSuccess(MonoClock::now());
-      } else {
-        stream->close();
-        detail = progress.LastDetail;
-      }
-    }
   } catch (const http::TransportError &e) {
-    detail = e.what();
-    if (e.Stage == http::TransportStage::NothingSent) {
-      outcome = AttemptOutcome::NeverSent;
-      result = StreamAttemptResult::NotExecuted;
-    }
+    progress.LastDetail = e.what();
     recordTransportFault(context, *server, e);
+    endAttempt(context, *attempt, AttemptOutcome::NeverSent, e.what());
+    if (attempt->Plan.Handle)
+      freeHandle(shared, *attempt->Plan.Handle);
+    co_return nullptr;
+  }
+  co_return attempt;
+}
+
+Awaitable<StreamAttemptResult> advanceAttempt(SharedState &shared,
+                                              RequestContext &context,
+                                              StreamProgress &progress,
+                                              OpenStreamAttempt &attempt) {
+  fleet::Server &server = *attempt.Plan.Server;
+  StreamAttemptResult result = StreamAttemptResult::Broken;
+  try {
+    if (attempt.Forwards)
+      result = co_await forwardEvents(context, progress, attempt);
+    else
+      result = co_await receiveResponse(shared, context, progress, attempt);
+  } catch (const http::TransportError &e) {
+    progress.LastDetail = e.what();
+    recordTransportFault(context, server, e);
+  }
+  if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
+    server.Health.recordSuccess(MonoClock::now());
+    attempt.WasSilent = false;
+  }
+  if (result == StreamAttemptResult::Complete) {
+    recordStream(shared, context, attempt.Requests,
+                 Seconds(MonoClock::now() - attempt.StartedAt) -
+                     attempt.TimeToFirstEvent);
+    server.Health.recordSuccess(MonoClock::now());
   }
-  context.Attempts.setOutcome(attempt, outcome);
-  if (result != StreamAttemptResult::Complete)
-    progress.LastDetail = detail;
-  logAttempt(context, *server,
-             {plan.Handle ? "run with fetched cache" : "run", outcome,
-              plan.Estimate, timeout, toMilliseconds(timeToFirstEvent), detail,
-              plan.Tokens, queuedTokens,
-              toMilliseconds(MonoClock::now() - context.LastByteAt)});
   co_return result;
 }
 
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -63,13 +64,13 @@
 bool isReusable(Connection &c) {
   std::array<char, 1> buf{};
   beast::error_code ec;
-  c.Stream.socket().non_blocking(true, ec);
   c.Stream.socket().receive(asio::buffer(buf), tcp::socket::message_peek, ec);
   return ec == asio::error::would_block;
 }
 
 void setSocketOptions(tcp::socket &s) {
   beast::error_code ec;
+  s.non_blocking(true, ec);
   s.set_option(tcp::no_delay(true), ec);
   s.set_option(asio::socket_base::keep_alive(true), ec);
   using UserTimeout =
@@ -181,12 +182,21 @@
     co_return c;
   }
 
+  Awaitable<std::unique_ptr<ResponseStream>>
+  send(Endpoint to, BeastRequest message, CallOptions options);
   Awaitable<std::unique_ptr<ResponseStream>> open(Endpoint to, Request request,
                                                   CallOptions options);
 };
 
 namespace {
 
+/// Waits for bytes on a connection. Shared with the pending wait, which may
+/// outlive the response.
+struct Readiness {
+  bool Waiting = false;
+  std::function<void()> Notify;
+};
+
 class Stream : public ResponseStream {
 public:
   Stream(std::shared_ptr<Client::Impl> owner, Endpoint to, ConnectionPtr c,
@@ -200,10 +210,12 @@
   ~Stream() override {
     if (Abort)
       Abort->Close = nullptr;
+    Ready->Notify = nullptr;
     // Bytes after a complete response belong to no request, and a request that
     // is still being sent would mix with the next one. Neither connection is
     // reused.
-    bool clean = Conn->Buffer.size() == 0 && Outgoing->Done && !Outgoing->Error;
+    bool clean = Conn->Buffer.size() == 0 && Outgoing->Done &&
+                 !Outgoing->Error && !Ready->Waiting;
     if (ResponseParser.is_done() && ResponseParser.get().keep_alive() &&
         clean && !Closed) {
       Conn->PeerIdleLimit = peerIdleLimit(Head.Fields);
@@ -213,37 +225,45 @@
     }
   }
 
-  /// Reads the response head within the time limit set before sending.
-  Awaitable<void> readHead() {
-    auto [ec, n] = co_await bhttp::async_read_header(
-        Conn->Stream, Conn->Buffer, ResponseParser,
-        asio::as_tuple(use_awaitable));
-    if (ec)
-      fail(ec);
+  bool isReady() override {
+    for (;;) {
+      if (parse() || AtEnd || Error)
+        return true;
+      receive();
+      if (Blocked)
+        return false;
+    }
+  }
+
+  void notifyReady(std::function<void()> f) override {
+    Ready->Notify = std::move(f);
+    if (std::exchange(Ready->Waiting, true))
+      return;
+    Conn->Stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [ready = Ready, c = Conn](beast::error_code /*ec*/) {
+          ready->Waiting = false;
+          if (ready->Notify)
+            std::exchange(ready->Notify, nullptr)();
+        });
+  }
+
+  Awaitable<void> receiveHead(Milliseconds timeout) override {
+    co_await waitUntilReady(timeout);
+    if (!ResponseParser.is_header_done())
+      fail(Error);
     Head = headOf(ResponseParser.get());
+    HeadReceived = true;
   }
 
   const Response &head() const override { return Head; }
+  bool isReused() const { return Conn->Reused; }
 
   Awaitable<std::string> read(Milliseconds timeout) override {
-    std::string piece(ReadBufferBytes, '\0');
-    Conn->Stream.expires_after(timeout);
-    while (!ResponseParser.is_done()) {
-      ResponseParser.get().body().data = piece.data();
-      ResponseParser.get().body().size = piece.size();
-      ResponseParser.get().body().more = true;
-      auto [ec, n] = co_await bhttp::async_read_some(
-          Conn->Stream, Conn->Buffer, ResponseParser,
-          asio::as_tuple(use_awaitable));
-      if (ec && ec != bhttp::error::need_buffer)
-        fail(ec);
-      size_t bytesRead = piece.size() - ResponseParser.get().body().size;
-      if (bytesRead == 0)
-        continue;
-      piece.resize(bytesRead);
-      co_return piece;
-    }
-    co_return std::string();
+    co_await waitUntilReady(timeout);
+    if (Part.empty() && !ResponseParser.is_done())
+      fail(Error);
+    co_return std::exchange(Part, {});
   }
 
   void close() override {
@@ -253,12 +273,68 @@
   }
 
 private:
+  Awaitable<void> waitUntilReady(Milliseconds timeout) {
+    std::vector<ResponseStream *> self = {this};
+    if (!co_await waitForAny(self, timeout))
+      fail(beast::error::timeout);
+  }
+
+  /// Parses the buffered bytes. Returns true if the head, a part of the body or
+  /// its end can be delivered.
+  bool parse() {
+    for (;;) {
+      bool hasNews = HeadReceived ? !Part.empty() || ResponseParser.is_done()
+                                  : ResponseParser.is_header_done();
+      if (hasNews)
+        return true;
+      if (Error || Conn->Buffer.size() == 0)
+        return false;
+      // The parser copies at most the buffered bytes.
+      std::string part(Conn->Buffer.size(), '\0');
+      ResponseParser.get().body().data = part.data();
+      ResponseParser.get().body().size = part.size();
+      ResponseParser.get().body().more = true;
+      beast::error_code ec;
+      Conn->Buffer.consume(ResponseParser.put(Conn->Buffer.data(), ec));
+      if (ec == bhttp::error::need_more)
+        return false;
+      if (ec && ec != bhttp::error::need_buffer)
+        Error = ec;
+      part.resize(part.size() - ResponseParser.get().body().size);
+      Part = std::move(part);
+    }
+  }
+
+  /// Receives what has arrived, without waiting.
+  void receive() {
+    beast::error_code ec;
+    size_t n = Conn->Stream.socket().read_some(
+        Conn->Buffer.prepare(ReadBufferBytes), ec);
+    Blocked = ec == asio::error::would_block;
+    if (Blocked)
+      return;
+    if (!ec) {
+      Conn->Buffer.commit(n);
+      return;
+    }
+    if (ec != asio::error::eof || !ResponseParser.got_some()) {
+      Error = ec == asio::error::eof ? bhttp::error::end_of_stream : ec;
+      return;
+    }
+    AtEnd = true;
+    ResponseParser.put_eof(ec);
+    Error = ec;
+  }
+
   [[noreturn]] void fail(beast::error_code ec) {
     Closed = true;
+    bool timedOut =
+        ec == beast::error::timeout || Outgoing->Error == beast::error::timeout;
     // Other idle connections to the endpoint may be dead too.
-    if (ec == beast::error::timeout)
+    if (timedOut)
       Owner->Idle.erase(To);
-    throw TransportError(TransportStage::Sent, ec == beast::error::timeout,
+    close();
+    throw TransportError(TransportStage::Sent, timedOut,
                          "response from " + toString(To) + ": " + ec.message());
   }
 
@@ -267,45 +343,59 @@
   ConnectionPtr Conn;
   std::shared_ptr<OutgoingRequest> Outgoing;
   std::shared_ptr<AbortHandle> Abort;
+  std::shared_ptr<Readiness> Ready = std::make_shared<Readiness>();
   Parser ResponseParser;
   Response Head;
+  bool HeadReceived = false;
+  /// Part of the body that is parsed but not delivered yet.
+  std::string Part;
+  /// The last receive found no bytes.
+  bool Blocked = false;
+  /// The peer has closed the connection.
+  bool AtEnd = false;
+  beast::error_code Error;
   bool Closed = false;
 };
 
 } // namespace
 
 Awaitable<std::unique_ptr<ResponseStream>>
-Client::Impl::open(Endpoint to, Request request, CallOptions options) {
+Client::Impl::send(Endpoint to, BeastRequest message, CallOptions options) {
   auto self = shared_from_this();
+  ConnectionPtr c =
+      options.FreshConnection ? nullptr : acquireIdle(to, options.MaxIdleTime);
+  if (!c)
+    c = co_await connect(to, options.ConnectTimeout, options.Abort);
+  bindAbort(options.Abort, c);
+  if ((options.BeforeSend && !options.BeforeSend()) ||
+      (options.Abort && options.Abort->aborted()))
+    throw TransportError(TransportStage::NothingSent, false,
+                         "the call to " + toString(to) + " was cancelled");
+  auto out = std::make_shared<OutgoingRequest>();
+  out->Message = std::move(message);
+  c->Stream.expires_after(options.Timeout);
+  bhttp::async_write(c->Stream, out->Message,
+                     [out, c](beast::error_code ec, size_t) {
+                       out->Done = true;
+                       out->Error = ec;
+                     });
+  co_return std::make_unique<Stream>(self, to, std::move(c), out,
+                                     options.Abort);
+}
+
+Awaitable<std::unique_ptr<ResponseStream>>
+Client::Impl::open(Endpoint to, Request request, CallOptions options) {
   BeastRequest message = toBeast(to, std::move(request));
   for (;;) {
-    ConnectionPtr c = options.FreshConnection
-                          ? nullptr
-                          : acquireIdle(to, options.MaxIdleTime);
-    if (!c)
-      c = co_await connect(to, options.ConnectTimeout, options.Abort);
-    bindAbort(options.Abort, c);
-    bool reused = c->Reused;
-    if ((options.BeforeSend && !options.BeforeSend()) ||
-        (options.Abort && options.Abort->aborted()))
-      throw TransportError(TransportStage::NothingSent, false,
-                           "the call to " + toString(to) + " was cancelled");
-    auto out = std::make_shared<OutgoingRequest>();
-    out->Message = message;
-    c->Stream.expires_after(options.Timeout);
-    bhttp::async_write(c->Stream, out->Message,
-                       [out, c](beast::error_code ec, size_t) {
-                         out->Done = true;
-                         out->Error = ec;
-                       });
-    auto stream =
-        std::make_unique<Stream>(self, to, std::move(c), out, options.Abort);
+    std::unique_ptr<ResponseStream> stream =
+        co_await send(to, message, options);
     try {
-      co_await stream->readHead();
+      co_await stream->receiveHead(options.Timeout);
     } catch (const TransportError &e) {
       // A peer may close an idle connection at any time, which is not a failure
       // of the peer. A timeout is.
-      bool resend = reused && options.ResendOnStale && !e.TimedOut;
+      bool resend = static_cast<Stream &>(*stream).isReused() &&
+                    options.ResendOnStale && !e.TimedOut;
       if (!resend || (options.Abort && options.Abort->aborted()))
         throw;
       continue;
@@ -314,10 +404,44 @@
   }
 }
 
+Awaitable<ResponseStream *>
+waitForAny(const std::vector<ResponseStream *> &responses,
+           Milliseconds timeout) {
+  auto readyOne = [&]() -> ResponseStream * {
+    for (ResponseStream *it : responses)
+      if (it->isReady())
+        return it;
+    return nullptr;
+  };
+  MonoTime end = MonoClock::now() + timeout;
+  if (ResponseStream *it = readyOne())
+    co_return it;
+  auto wake = std::make_shared<asio::steady_timer>(
+      co_await asio::this_coro::executor, end);
+  for (;;) {
+    for (ResponseStream *it : responses)
+      it->notifyReady([wake] { wake->cancel(); });
+    co_await wake->async_wait(asio::as_tuple(use_awaitable));
+    if (ResponseStream *it = readyOne())
+      co_return it;
+    if (MonoClock::now() >= end)
+      co_return nullptr;
+    wake->expires_at(end);
+  }
+}
+
 Client::Client(IoContext &io) : Shared(std::make_shared<Impl>(io)) {}
 
 Client::~Client() = default;
 
+Awaitable<std::unique_ptr<ResponseStream>>
+Client::send(Endpoint to, Request request, CallOptions options) {
+  BeastRequest message = toBeast(to, std::move(request));
+  return Shared->send(std::move(to), std::move(message), std::move(options));
+}
+
+void Client::closeIdle(const Endpoint &to) { Shared->Idle.erase(to); }
+
 Awaitable<std::unique_ptr<ResponseStream>>
 Client::open(Endpoint to, Request request, CallOptions options) {
   return Shared->open(std::move(to), std::move(request), options);
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -145,3 +145,49 @@
   auto bodies = callAll(io, server.at(), 1);
   CHECK(bodies == std::vector<std::string>{"timed out"});
 }
+
+TEST_CASE("a response can be received after waits without a complete part") {
+  // Each piece ends where nothing can be delivered but the bytes before it.
+  const std::vector<std::string> pieces = {"HTTP/1.1 200 OK\r\nTransfer-Enc",
+                                           "oding: chunked\r\n\r\n",
+                                           "5\r\nfi",
+                                           "rst\r",
+                                           "\n6\r\nsecond\r\n0\r",
+                                           "\n\r\n"};
+  IoContext io(1);
+  tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  std::optional<tcp::socket> socket;
+  spawn(io, "server", [&]() -> Awaitable<void> {
+    socket = co_await acceptor.async_accept(use_awaitable);
+  });
+  std::string body;
+  int fruitlessWaits = 0;
+  bool headReceived = false;
+  spawn(io, "client", [&]() -> Awaitable<void> {
+    http::Client client(io);
+    std::unique_ptr<http::ResponseStream> response = co_await client.send(
+        {"127.0.0.1", acceptor.local_endpoint().port()}, {}, {});
+    std::vector<http::ResponseStream *> waited = {response.get()};
+    for (const std::string &it : pieces) {
+      if (!co_await http::waitForAny(waited, Milliseconds(30)))
+        ++fruitlessWaits;
+      co_await boost::asio::async_write(*socket, boost::asio::buffer(it),
+                                        use_awaitable);
+      co_await sleepFor(Milliseconds(10));
+      if (!response->isReady())
+        continue;
+      if (!std::exchange(headReceived, true))
+        co_await response->receiveHead(Milliseconds(1));
+      while (response->isReady()) {
+        std::string part = co_await response->read(Milliseconds(1));
+        if (part.empty())
+          break;
+        body += part;
+      }
+    }
+    io.stop();
+  });
+  io.run();
+  CHECK(body == "firstsecond");
+  CHECK(fruitlessWaits == static_cast<int>(pieces.size()));
+}
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace sardineford::http {
 
@@ -66,12 +67,21 @@
   std::function<bool()> BeforeSend;
 };
 
-/// A response whose body is read incrementally. The destructor closes the
+/// A response that is received incrementally. The destructor closes the
 /// connection unless the body was read to its end.
 class ResponseStream {
 public:
   virtual ~ResponseStream() = default;
 
+  /// Returns whether the head, the next part of the body, its end or an error
+  /// can be received without waiting.
+  virtual bool isReady() = 0;
+  /// Calls the function, at most once, when isReady may have become true.
+  virtual void notifyReady(std::function<void()> f) = 0;
+  /// Receives the head. Throws TransportError when the timeout passes or the
+  /// connection fails.
+  virtual Awaitable<void> receiveHead(Milliseconds timeout) = 0;
+  /// The head; empty until it is received.
   virtual const Response &head() const = 0;
   /// Returns the next part of the body, or an empty string at its end. Throws
   /// TransportError when the timeout passes or the connection fails.
@@ -80,6 +90,12 @@
   virtual void close() = 0;
 };
 
+/// Waits until one of the responses is ready. Returns nullptr if none is within
+/// the time; all of them can still be received later.
+Awaitable<ResponseStream *>
+waitForAny(const std::vector<ResponseStream *> &responses,
+           Milliseconds timeout);
+
 /// An HTTP/1.1 client that keeps idle connections per endpoint. Runs on one
 /// thread.
 class Client {
@@ -93,6 +109,13 @@
   /// Sends a request and reads the complete response.
   Awaitable<Response> call(Endpoint to, Request request,
                            CallOptions options = {});
+  /// Connects, begins to send a request and returns before the response is
+  /// received. The request is never sent again on another connection.
+  Awaitable<std::unique_ptr<ResponseStream>> send(Endpoint to, Request request,
+                                                  CallOptions options);
+  /// Closes the idle connections to an endpoint, which may be dead as well when
+  /// one of them is.
+  void closeIdle(const Endpoint &to);
   /// Sends a request and returns when the response head is received.
   Awaitable<std::unique_ptr<ResponseStream>> open(Endpoint to, Request request,
                                                   CallOptions options = {});
