--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -218,8 +218,9 @@
         co_return std::nullopt;
       continue;
     }
+    std::vector<http::ResponseStream *> responses = responsesOf(open);
     http::ResponseStream *ready =
-        co_await http::waitForAny(responsesOf(open), next.Wait);
+        co_await http::waitForAny(responses, next.Wait);
     if (!ready)
       continue;
     std::optional<StreamAttemptResult> result =
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -165,8 +165,11 @@
   bool headReceived = false;
   spawn(io, "client", [&]() -> Awaitable<void> {
     http::Client client(io);
-    std::unique_ptr<http::ResponseStream> response = co_await client.send(
-        {"127.0.0.1", acceptor.local_endpoint().port()}, {}, {});
+    http::Endpoint to{"127.0.0.1", acceptor.local_endpoint().port()};
+    http::Request request;
+    http::CallOptions options;
+    std::unique_ptr<http::ResponseStream> response =
+        co_await client.send(to, std::move(request), std::move(options));
     std::vector<http::ResponseStream *> waited = {response.get()};
     for (const std::string &it : pieces) {
       if (!co_await http::waitForAny(waited, Milliseconds(30)))
