--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -193,10 +193,10 @@
     return;
   }
   attempt.Server->Health.recordSuccess(MonoClock::now());
-  // The time of a pause says nothing about the speed of the service.
-  if (attempt.WasSilent)
-    return;
+  // A pause says little about the speed of the service.
   Seconds duration = MonoClock::now() - attempt.StartedAt;
+  if (attempt.WasSilent)
+    duration = std::min<Seconds>(duration, attempt.Patience);
   Seconds &mean = shared.service(context.Service).MeanResponseTime;
   mean += (duration - mean) * ResponseTimeWeight;
 }
@@ -261,6 +261,9 @@
   endAttempt(shared, context, *attempt, result.Outcome, result.Detail);
   progress.Cause = FailureCause::Failed;
   if (result.Outcome != AttemptOutcome::Answered) {
+    // Whatever else arrives on the connection belongs to no request.
+    if (result.Outcome == AttemptOutcome::Unknown)
+      attempt->Stream->close();
     progress.Detail = std::move(result.Detail);
     co_return false;
   }
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -15,6 +15,9 @@
 constexpr Milliseconds MaxConnectionIdle{1'500};
 constexpr Milliseconds RetryAfterNoCapacity{400};
 constexpr Milliseconds RetryAfterFailed{150};
+/// Silence that several requests notice within this time counts once against
+/// the health of a server.
+constexpr Milliseconds SilenceInterval{400};
 constexpr std::string_view BudgetExhausted = "the retry budget is exhausted";
 
 Milliseconds defaultRetryAfter(FailureCause cause) {
@@ -154,7 +157,11 @@
 void recordSilence(SharedState &shared, fleet::Server &server) {
   shared.Metrics.count("sardineford_silences_total",
                        {{"service", server.Entry.Service}});
-  server.Health.recordFailure(fleet::FailureKind::TimedOut, MonoClock::now());
+  // All requests at a silent server find the same.
+  MonoTime now = MonoClock::now();
+  if (now - std::exchange(server.SilentAt, now) < SilenceInterval)
+    return;
+  server.Health.recordFailure(fleet::FailureKind::TimedOut, now);
   shared.Client.closeIdle(server.Entry.Address);
 }
 
--- a/Source/Gateway/Stream.h
+++ b/Source/Gateway/Stream.h
@@ -3,6 +3,8 @@
 #include "Gateway/EventSplitter.h"
 #include "Gateway/State.h"
 
+#include <algorithm>
+
 namespace sardineford::gateway {
 
 /// Timeout for the first event of a stream that can resume at another engine:
@@ -31,14 +33,22 @@
   /// Time at which the last events were forwarded.
   MonoTime LastEventAt{};
   std::vector<std::string> TriedServers;
-  /// No engine was found for a further attempt.
-  bool FoundNoEngine = false;
+  /// Responses of the open attempts. If one arrives while a further attempt is
+  /// planned, the plan is dropped.
+  std::vector<http::ResponseStream *> OpenResponses;
+  /// No further attempt is planned before this time.
+  MonoTime NextMoveAt{};
   int PrefillAttempts = 0;
   fleet::WorkPriority Priority = fleet::WorkPriority::Urgent;
   std::optional<Milliseconds> RetryAfter;
   /// Cause and detail of the error response if no further attempt follows.
   FailureCause LastCause = FailureCause::NoServer;
   std::string LastDetail = "no engine is available";
+
+  bool hasOpenResponse() const {
+    return std::any_of(OpenResponses.begin(), OpenResponses.end(),
+                       [](auto *it) { return it->isReady(); });
+  }
 };
 
 /// Server and estimates of one attempt.
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -16,6 +16,9 @@
 constexpr double SlownessWeight = 0.1;
 constexpr double MaxSlowness = 8;
 constexpr double MinSlowness = 0.5;
+/// Time after which engines are looked for again if none was found for a
+/// further attempt.
+constexpr Milliseconds NoEngineDelay{300};
 /// Engine priority of each work priority; engines serve lower numbers first.
 constexpr std::array<int, fleet::NumWorkPriorities> EnginePriorities = {2, 4,
                                                                         7};
@@ -93,9 +96,10 @@
   if (state.Silence < state.Patience)
     return retry::decideOnSilence(state);
   std::string_view obstacle = findRetryObstacle(shared, context);
-  state.MayRetry = obstacle.empty() && !progress.FoundNoEngine;
+  state.MayRetry = obstacle.empty() && MonoClock::now() >= progress.NextMoveAt;
   if (!std::exchange(newest.WasSilent, true)) {
-    recordSilence(shared, *newest.Plan.Server);
+    if (context.Route->mayRepeat())
+      recordSilence(shared, *newest.Plan.Server);
     log::event(log::Category::Gateway, log::Level::Info, "silence",
                {{"request", context.Request.Id},
                 {"server", newest.Plan.Server->Entry.Id},
@@ -107,26 +111,23 @@
   return retry::decideOnSilence(state);
 }
 
-/// Makes the next attempt. Returns false if no engine is found for it, or if an
-/// open attempt responds in the meantime.
+/// Makes the next attempt. Returns false if none is possible now, or if an open
+/// attempt responds in the meantime.
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
                                  StreamProgress &progress,
                                  std::vector<OpenStreamAttemptPtr> &open) {
-  if (!context.Attempts.all().empty() && !acquireRetry(shared, context))
-    co_return false;
+  bool isFirst = context.Attempts.all().empty();
+  if (!isFirst && !findRetryObstacle(shared, context).empty())
+    co_return acquireRetry(shared, context);
+  progress.OpenResponses = responsesOf(open);
   std::optional<AttemptPlan> next =
       co_await planAttempt(shared, context, progress);
-  if (!next) {
-    progress.FoundNoEngine = true;
-    co_return false;
-  }
-  std::optional<KvHandle> handle = next->Handle;
-  bool responded = std::any_of(open.begin(), open.end(), [](const auto &it) {
-    return it->Response->isReady();
-  });
-  if (responded || context.CallerGone || checkTimedOut(context, progress)) {
-    if (handle)
-      freeHandle(shared, *handle);
+  bool mustStop = context.CallerGone || checkTimedOut(context, progress) ||
+                  progress.hasOpenResponse();
+  if (!next || mustStop || (!isFirst && !acquireRetry(shared, context))) {
+    if (next && next->Handle)
+      freeHandle(shared, *next->Handle);
+    progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
     co_return false;
   }
   OpenStreamAttemptPtr attempt =
@@ -137,7 +138,7 @@
 }
 
 /// Ends all attempts but one.
-void abandonOthers(RequestContext &context,
+void abandonOthers(SharedState &shared, RequestContext &context,
                    std::vector<OpenStreamAttemptPtr> &open,
                    const OpenStreamAttempt &kept) {
   std::erase_if(open, [&](const OpenStreamAttemptPtr &it) {
@@ -145,6 +146,8 @@
       return false;
     endAttempt(context, *it, AttemptOutcome::Unknown,
                "another engine has responded");
+    if (it->Plan.Handle && !it->Forwards)
+      freeHandle(shared, *it->Plan.Handle);
     return true;
   });
 }
@@ -165,7 +168,7 @@
       co_await advanceAttempt(shared, context, progress, attempt);
   if (result == StreamAttemptResult::Continues) {
     if (attempt.Forwards)
-      abandonOthers(context, open, attempt);
+      abandonOthers(shared, context, open, attempt);
     co_return std::nullopt;
   }
   bool isComplete = result == StreamAttemptResult::Complete;
@@ -179,10 +182,14 @@
     freeHandle(shared, *attempt.Plan.Handle);
   if (isComplete || result == StreamAttemptResult::CallerGone)
     co_return result;
+  // Whatever else arrives on the connection of an unusable response belongs to
+  // no request.
+  if (result == StreamAttemptResult::Broken)
+    attempt.Response->close();
   if (attempt.Forwards)
     progress.Events.dropPending();
   progress.LastCause = FailureCause::Failed;
-  progress.FoundNoEngine = false;
+  progress.NextMoveAt = {};
   open.erase(std::find_if(open.begin(), open.end(), [&](const auto &other) {
     return other.get() == &attempt;
   }));
@@ -210,7 +217,10 @@
       co_return std::nullopt;
     }
     retry::SilenceDecision next{true, Milliseconds(0)};
-    if (!open.empty())
+    progress.OpenResponses = responsesOf(open);
+    if (progress.hasOpenResponse())
+      next = {false, Milliseconds(0)};
+    else if (!open.empty())
       next = decideNextStep(shared, context, progress, *open.back());
     if (next.TryElsewhere) {
       bool started = co_await startNextAttempt(shared, context, progress, open);
@@ -218,9 +228,8 @@
         co_return std::nullopt;
       continue;
     }
-    std::vector<http::ResponseStream *> responses = responsesOf(open);
     http::ResponseStream *ready =
-        co_await http::waitForAny(responses, next.Wait);
+        co_await http::waitForAny(progress.OpenResponses, next.Wait);
     if (!ready)
       continue;
     std::optional<StreamAttemptResult> result =
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -16,6 +16,18 @@
 /// Maximum number of separate prefills of one request.
 constexpr int MaxPrefillAttempts = 2;
 
+Awaitable<http::Response> readWhole(http::ResponseStream &response,
+                                    Milliseconds timeout) {
+  co_await response.receiveHead(timeout);
+  http::Response out = response.head();
+  for (;;) {
+    std::string part = co_await response.read(timeout);
+    if (part.empty())
+      co_return out;
+    out.Body += part;
+  }
+}
+
 /// Prefills the prompt at an engine. Returns nothing if the prefill fails.
 Awaitable<std::optional<KvHandle>>
 prefill(SharedState &shared, RequestContext &context, StreamProgress &progress,
@@ -36,8 +48,17 @@
   AttemptOutcome outcome = AttemptOutcome::Unknown;
   std::string detail;
   try {
-    http::Response r = co_await shared.Client.call(
-        server->Entry.Address, std::move(request), std::move(options));
+    std::unique_ptr<http::ResponseStream> response =
+        co_await shared.Client.send(server->Entry.Address, std::move(request),
+                                    std::move(options));
+    std::vector<http::ResponseStream *> awaited = progress.OpenResponses;
+    awaited.push_back(response.get());
+    http::ResponseStream *ready = co_await http::waitForAny(awaited, timeout);
+    if (ready && ready != response.get())
+      throw http::TransportError(http::TransportStage::Sent, false,
+                                 "the silent engine has responded");
+    http::Response r =
+        co_await readWhole(*response, ready ? timeout : Milliseconds(1));
     ResponseHead head = shared.Protocol.decodeHead(r);
     if (head.NotExecuted) {
       outcome = AttemptOutcome::NotExecuted;
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -94,19 +94,18 @@
 
 void recordFirstEvent(SharedState &shared, RequestContext &context,
                       const OpenStreamAttempt &attempt) {
-  // The time of a pause says nothing about the speed of an engine.
+  // A pause says little about the speed of an engine.
+  Seconds duration = attempt.TimeToFirstEvent;
   if (attempt.WasSilent)
-    return;
+    duration = std::min<Seconds>(duration, attempt.Patience);
   routing::EngineSpeedModels &models =
       shared.service(context.Service).SpeedModels;
   const AttemptPlan &plan = attempt.Plan;
   if (plan.Handle)
-    recordPhaseDuration(models.Fetch, *plan.Server, plan.Tokens,
-                        attempt.TimeToFirstEvent);
+    recordPhaseDuration(models.Fetch, *plan.Server, plan.Tokens, duration);
   else
     recordPhaseDuration(models.Colocated, *plan.Server,
-                        attempt.QueuedTokens + plan.Tokens,
-                        attempt.TimeToFirstEvent);
+                        attempt.QueuedTokens + plan.Tokens, duration);
 }
 
 /// Records the time from the first event of a complete stream to its last.
--- a/Tests/Process/SilentServerTest.cpp
+++ b/Tests/Process/SilentServerTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <sstream>
 #include <vector>
 
 using namespace sardineford;
@@ -14,9 +15,25 @@
 constexpr Milliseconds StartTime{20'000};
 constexpr Milliseconds Deadline{4'000};
 
+struct SilenceResult {
+  std::vector<CallResult> Calls;
+  /// Further attempts that the daemons made.
+  double Retries = 0;
+};
+
+/// Returns the sum of the metric lines that contain the text.
+double sumOfLines(const std::string &metrics, const std::string &text) {
+  std::istringstream lines(metrics);
+  double sum = 0;
+  for (std::string line; std::getline(lines, line);)
+    if (line.find(text) != std::string::npos)
+      sum += std::stod(line.substr(line.rfind(' ')));
+  return sum;
+}
+
 /// Sends requests on all routes, silences the chosen backend servers for the
 /// time and returns the results of the requests that were open meanwhile.
-std::vector<CallResult>
+SilenceResult
 callDuringSilence(Milliseconds silence,
                   std::function<bool(const DeployedWorker &)> isSilenced) {
   IoContext io(1);
@@ -29,7 +46,8 @@
   o.WorkTime = Milliseconds(400);
   PlatformDeployment deployment(io, o);
   http::Client client(io);
-  std::vector<CallResult> calls;
+  SilenceResult out;
+  std::vector<CallResult> &calls = out.Calls;
   size_t open = 0;
   bool ready = false;
   spawn(io, "case", [&]() -> Awaitable<void> {
@@ -55,21 +73,31 @@
         it.ChildProcess->resume();
     while (open > 0)
       co_await sleepFor(Milliseconds(20));
+    for (const DeployedDaemon &d : deployment.Daemons) {
+      http::Request request;
+      request.Target = "/metrics";
+      http::Response metrics =
+          co_await client.call(d.Metrics, std::move(request));
+      out.Retries += sumOfLines(
+          metrics.Body, "sardineford_further_attempts_total{service=\"model\","
+                        "taken=\"yes\"}");
+    }
     io.stop();
   });
   io.run();
   INFO("folder " << o.Folder);
   REQUIRE(ready);
   REQUIRE(calls.size() == 40);
-  return calls;
+  return out;
 }
 
 } // namespace
 
 TEST_CASE("no response is cut while its silent backend server may go on",
           "[process]") {
-  for (const CallResult &it : callDuringSilence(
-           Milliseconds(1'300), [](const DeployedWorker &) { return true; })) {
+  SilenceResult result = callDuringSilence(
+      Milliseconds(1'300), [](const DeployedWorker &) { return true; });
+  for (const CallResult &it : result.Calls) {
     INFO(it.Id << " on " << it.Route << ", status " << it.Status);
     CHECK(it.Outcome == DaemonCallOutcome::Correct);
   }
@@ -79,17 +107,34 @@
           "[process]") {
   bool isFirst = true;
   std::string silenced;
-  for (const CallResult &it :
-       callDuringSilence(Milliseconds(6'000), [&](const DeployedWorker &w) {
-         if (isFirst && w.Stage == "decode") {
-           silenced = w.Id;
-           isFirst = false;
-         }
-         return w.Id == silenced;
-       })) {
+  SilenceResult result =
+      callDuringSilence(Milliseconds(6'000), [&](const DeployedWorker &w) {
+        if (isFirst && w.Stage == "decode") {
+          silenced = w.Id;
+          isFirst = false;
+        }
+        return w.Id == silenced;
+      });
+  for (const CallResult &it : result.Calls) {
     if (it.Route != ResumableRoute)
       continue;
     INFO(it.Id << ", status " << it.Status);
     CHECK(it.Outcome == DaemonCallOutcome::Correct);
   }
 }
+
+TEST_CASE("a pause of the decode engines does not empty the retry budget",
+          "[process]") {
+  // Prefill engines go on, so that further attempts are being planned when the
+  // decode engines respond again.
+  SilenceResult result =
+      callDuringSilence(Milliseconds(950), [](const DeployedWorker &w) {
+        return w.Stage == "decode";
+      });
+  for (const CallResult &it : result.Calls) {
+    INFO(it.Id << " on " << it.Route << ", status " << it.Status);
+    CHECK(it.Outcome == DaemonCallOutcome::Correct);
+  }
+  // One further attempt of each stream on the resumable route.
+  CHECK(result.Retries <= 10);
+}
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -43,6 +43,8 @@
   WorkInFlight PeerWork;
   /// Ratio of the observed time to the estimate for the service; 1 if equal.
   double Slowness = 1;
+  /// Time at which a request last waited in vain for bytes of the server.
+  MonoTime SilentAt{};
   /// Draining, leaving or removed; receives no new requests.
   bool Leaving = false;
   /// Prompt parts that the engine is estimated to have cached.
