Apply a raised idle timeout to connections that are idle already

The timeout of an idle connection was fixed when it became idle. A configuration that raised it did not reach the connection, while callers reuse connections for four fifths of the new timeout: their request met a close, with no answer and no rejection. The test failed before.

--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -78,6 +79,14 @@
   bool Waiting = false;
 };
 
+/// Waits for the next request on an idle connection.
+struct IdleWait {
+  explicit IdleWait(IoContext &io) : Timer(io) {}
+
+  asio::steady_timer Timer;
+  bool Ended = false;
+};
+
 class Writer : public ResponseWriter {
 public:
   /// shouldKeepAlive is called when the response head is sent and returns
@@ -222,6 +231,8 @@
     auto self = shared_from_this();
     beast::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
+    // The check for a disconnected peer must not block the process.
+    socket.non_blocking(true, ec);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buf;
     try {
@@ -240,7 +251,22 @@
                                  beast::flat_buffer &buf) {
     if (buf.size() > 0)
       co_return true;
-    stream.expires_after(Options.IdleTimeout);
+    // A raised timeout also holds for connections that are idle already.
+    auto wait = std::make_shared<IdleWait>(Io);
+    MonoTime start = MonoClock::now();
+    stream.socket().async_wait(tcp::socket::wait_read,
+                               [wait](beast::error_code /*ec*/) {
+                                 wait->Ended = true;
+                                 wait->Timer.cancel();
+                               });
+    while (!wait->Ended) {
+      MonoTime end = start + Options.IdleTimeout;
+      if (MonoClock::now() >= end)
+        co_return false;
+      wait->Timer.expires_at(end);
+      co_await wait->Timer.async_wait(asio::as_tuple(use_awaitable));
+    }
+    stream.expires_after(Options.ReadTimeout);
     auto [ec, n] = co_await stream.async_read_some(
         buf.prepare(FirstReadBytes), asio::as_tuple(use_awaitable));
     if (ec)
--- /dev/null
+++ b/Tests/Http/ServerTest.cpp
@@ -0,0 +1,61 @@
+#include "Sardineford/Http/Server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace sardineford;
+using boost::asio::use_awaitable;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds ShortIdleTimeout{200};
+constexpr Milliseconds IdleTime{400};
+
+/// Connects, sends a request after the idle time and returns whether it gets a
+/// response.
+bool isServedAfterIdleTime(Milliseconds raisedTimeout) {
+  IoContext io(1);
+  http::ServerOptions options;
+  options.Listen = {"127.0.0.1", 0};
+  options.IdleTimeout = ShortIdleTimeout;
+  http::Server server(io, options,
+                      [](http::Request &, http::ResponseWriter &out) {
+                        return out.send(http::Response());
+                      });
+  server.start();
+  bool served = false;
+  spawn(io, "caller", [&]() -> Awaitable<void> {
+    tcp::socket socket(io);
+    tcp::endpoint to(boost::asio::ip::make_address("127.0.0.1"), server.port());
+    co_await socket.async_connect(to, use_awaitable);
+    co_await sleepFor(ShortIdleTimeout / 2);
+    server.setLimits(options.MaxHeaderBytes, options.MaxBodyBytes,
+                     options.ReadTimeout, raisedTimeout);
+    co_await sleepFor(IdleTime);
+    std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    auto sending = boost::asio::buffer(request);
+    co_await boost::asio::async_write(socket, sending,
+                                      boost::asio::as_tuple(use_awaitable));
+    std::array<char, 64> buf{};
+    auto receiving = boost::asio::buffer(buf);
+    auto [ec, n] = co_await socket.async_read_some(
+        receiving, boost::asio::as_tuple(use_awaitable));
+    served = !ec && n > 0;
+    io.stop();
+  });
+  io.run();
+  return served;
+}
+
+} // namespace
+
+TEST_CASE("a raised idle timeout holds for connections that are idle already") {
+  CHECK(isServedAfterIdleTime(Milliseconds(5'000)));
+  CHECK_FALSE(isServedAfterIdleTime(ShortIdleTimeout));
+}
