Answer requests that end by an exception

Only failed writes to the caller do now; others are logged and get an error response by the record of attempts. Not run: a test, since no input is known that throws.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -274,15 +274,27 @@
       if (std::shared_ptr<http::AbortHandle> guard = it.lock())
         guard->abort();
   });
+  bool failed = false;
   try {
     if (route->Kind == fleet::RequestKind::Stream)
       co_await serveStream(Shared, *context);
     else
       co_await servePlain(Shared, *context);
-  } catch (const std::exception &e) {
+  } catch (const boost::system::system_error &e) {
     // The response could not be written because the caller has disconnected.
     context->CallerGone = true;
     context->Outcome = e.what();
+  } catch (const std::exception &e) {
+    failed = true;
+    context->Outcome = e.what();
+    log::event(Category::Gateway, log::Level::Error, "request_error",
+               {{"request", context->Request.Id},
+                {"error", std::string_view(e.what())}});
+  }
+  if (failed) {
+    std::string detail = context->Outcome;
+    co_await failRequest(Shared, *context, FailureCause::Failed,
+                         std::move(detail), std::nullopt);
   }
   logRequest(*context);
 }
