--- a/Tests/Platform/FleetAdapterTest.cpp
+++ b/Tests/Platform/FleetAdapterTest.cpp
@@ -13,7 +13,8 @@
 
 const std::string ValidServer =
     R"({"service":"m","address":"10.0.0.1:80","zone":"z","slots":8,)"
-    R"("state":"ready","stage":"prefill","born":1700000000001,"sequence":3})";
+    R"("state":"ready","stage":"prefill","born":1700000000001,"sequence":3,)"
+    R"("version":"v1.1"})";
 
 std::string withReplaced(const std::string &from, const std::string &to) {
   std::string out = ValidServer;
@@ -28,6 +29,7 @@
   CHECK(e->Id == "i-1");
   CHECK(e->Role == routing::EngineRole::Prefill);
   CHECK(e->StartedMs == 1700000000001);
+  CHECK(e->SoftwareVersion == "v1.1");
   CHECK_FALSE(e->Draining);
 }
 
@@ -39,6 +41,7 @@
   CHECK_FALSE(a.decodeServer(server("{}")));
   CHECK_FALSE(a.decodeServer(server(withReplaced("\"ready\"", "\"resting\""))));
   CHECK_FALSE(a.decodeServer(server(withReplaced("\"ready\"", "5"))));
+  CHECK_FALSE(a.decodeServer(server(withReplaced("\"v1.1\"", "1"))));
   CHECK_FALSE(a.decodeServer(server(withReplaced("10.0.0.1:80", "nowhere"))));
   CHECK_FALSE(
       a.decodeServer(server(withReplaced("1700000000001", "\"soon\""))));
--- a/Tests/Platform/NamesTest.cpp
+++ b/Tests/Platform/NamesTest.cpp
@@ -24,7 +24,7 @@
     "coldRemainingMs",     "trafficSplit",
     "pathPrefix",          "targetLatencyMs",
     "maxAttempts",         "gapAimMs",
-    "storeRevision"};
+    "storeRevision",       "\"Resumes\""};
 
 std::string contents(const fs::path &file) {
   std::ifstream in(file);
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -64,6 +64,20 @@
   CHECK(out.Fields.find("Expect-Instance") == "i-1");
 }
 
+TEST_CASE("a request that takes up a stream names the attempt that began it") {
+  TrafficAdapter a;
+  CHECK(a.decodeRequest(callerRequest()).StreamId == "9c41d07be2a35f68");
+  http::Request in = callerRequest();
+  in.Fields.add("Resumes", "da6a6aaaad9c973d");
+  in.Fields.add("Last-Event-Id", "12");
+  gateway::CallerRequest r = a.decodeRequest(std::move(in));
+  CHECK(r.Id == "9c41d07be2a35f68");
+  CHECK(r.StreamId == "da6a6aaaad9c973d");
+  CHECK(r.ResumeAfter == 12U);
+  CHECK(a.makeAttemptRequest(r, {}).Fields.find("Resumes") ==
+        "da6a6aaaad9c973d");
+}
+
 TEST_CASE("connection headers are not forwarded") {
   TrafficAdapter a;
   http::Request in = callerRequest();
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -25,6 +25,9 @@
   std::string FailureDomain;
   unsigned Slots = 1;
   bool Draining = false;
+  /// Version of the server's software. A stream goes on only at servers of the
+  /// version that began it. Versions have no order.
+  std::string SoftwareVersion;
   /// Phases that an engine runs; empty for other servers.
   std::optional<routing::EngineRole> Role;
   /// Start time by the server's clock. Distinguishes incarnations with the same
--- a/include/Sardineford/Gateway/CallerRequest.h
+++ b/include/Sardineford/Gateway/CallerRequest.h
@@ -33,6 +33,9 @@
   uint64_t PromptTokens = 0;
   uint64_t MaxOutputTokens = 0;
   std::vector<PromptPart> Parts;
+  /// Id of the caller's attempt that received the first event of the stream. It
+  /// differs from `Id` if the request takes up an interrupted stream.
+  std::string StreamId;
   /// Id of the last event that the caller received of an interrupted stream.
   std::optional<uint64_t> ResumeAfter;
 };
