Let stand-ins and the soak know software versions of servers

Engines of several software versions may serve one service, and a stream may go on only at the version that began it. The stand-ins wrote the same events in all versions, so that a mixture was invisible.

A caller takes a broken stream up at other daemons and says which versions its events came from. Shared prompts differ by request so that they do not all prefer one engine, and a decode engine prefills a prompt in one step: with steps of 120 ms, 900 tokens took 1.7 s and moved streams ran into their deadlines.

Soak: two versions of engines, releases (half of the drained engines are replaced by the next version; the random numbers drawn for a fault stay the same), violation "events of two versions", steps of 20 instead of 4 ms so that faults hit streams.

--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -1,23 +1,57 @@
 #include "StandIns/Platform/PlatformCaller.h"
 
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 #include "StandIns/Platform/PlatformDeployment.h"
 #include "StandIns/Platform/PlatformWorker.h"
 #include "platform/Names.h"
 
+#include <cstdlib>
+#include <functional>
+#include <optional>
+
 namespace sardineford::standins {
 
 namespace names = platform::names;
 
 namespace {
 
-std::string expectedResponse(const std::string &id, bool stream) {
-  if (!stream)
-    return expectedBody(id);
-  std::string out;
-  for (uint64_t i = 1; i <= expectedEvents(id); ++i)
-    out += expectedEvent(id, i);
-  return out;
+/// Number of prompts that requests share. Each prefers another engine.
+constexpr uint64_t SharedPrompts = 8;
+
+/// What a caller has received of a stream over all its requests.
+struct ReceivedStream {
+  /// Empty until the first event.
+  std::string Id;
+  uint64_t Events = 0;
+  std::set<std::string> Versions;
+  /// An event differs from the expected event of every version.
+  bool HasUnexpectedEvent = false;
+  /// Beginning of an event.
+  std::string Pending;
+};
+
+void receiveEvents(ReceivedStream &s, const std::string &requestId,
+                   const std::string &chunk) {
+  constexpr std::string_view EndOfEvent = "\n\n";
+  s.Pending += chunk;
+  for (size_t end = s.Pending.find(EndOfEvent); end != std::string::npos;
+       end = s.Pending.find(EndOfEvent)) {
+    end += EndOfEvent.size();
+    std::string event = s.Pending.substr(0, end);
+    s.Pending.erase(0, end);
+    if (s.Id.empty())
+      s.Id = requestId;
+    ++s.Events;
+    bool expected = false;
+    for (const char *it : SoftwareVersions) {
+      if (event != expectedEvent(s.Id, s.Events, it))
+        continue;
+      s.Versions.insert(it);
+      expected = true;
+    }
+    s.HasUnexpectedEvent |= !expected;
+  }
 }
 
 bool isNeverExecuted(unsigned status) {
@@ -28,6 +62,62 @@
   return route == ResumableRoute || route == StreamRoute;
 }
 
+bool hasWholeResponse(const CallResult &r) {
+  return r.Outcome == DaemonCallOutcome::Correct;
+}
+
+/// Sends one request and passes the parts of a response with status 200 to the
+/// function. The outcome is Correct if the response is complete; its content is
+/// not compared. Returns the time in Retry-After.
+Awaitable<std::optional<Milliseconds>>
+exchange(http::Client &client, http::Endpoint daemon, http::Request request,
+         http::CallOptions options, CallResult &out,
+         std::function<void(const std::string &)> receive) {
+  Milliseconds timeout = options.Timeout;
+  std::optional<Milliseconds> retryAfter;
+  out.Status = 0;
+  out.HasRetryAfter = false;
+  bool gotHead = false;
+  try {
+    std::unique_ptr<http::ResponseStream> response =
+        co_await client.open(daemon, std::move(request), options);
+    gotHead = true;
+    out.Status = response->head().Status;
+    std::optional<std::string> seconds =
+        response->head().Fields.find("Retry-After");
+    out.HasRetryAfter = seconds.has_value();
+    if (seconds)
+      retryAfter =
+          toMilliseconds(fromSeconds(std::strtod(seconds->c_str(), nullptr)));
+    for (;;) {
+      std::string chunk = co_await response->read(timeout);
+      if (chunk.empty())
+        break;
+      if (out.Status == http::StatusOk)
+        receive(chunk);
+    }
+    if (out.Status == http::StatusOk)
+      out.Outcome = DaemonCallOutcome::Correct;
+    else
+      out.Outcome = isNeverExecuted(out.Status) ? DaemonCallOutcome::Rejected
+                                                : DaemonCallOutcome::Failed;
+  } catch (const http::TransportError &e) {
+    bool nothingSent = e.Stage == http::TransportStage::NothingSent;
+    out.Outcome = nothingSent && !gotHead ? DaemonCallOutcome::NotSent
+                                          : DaemonCallOutcome::Disconnected;
+  }
+  co_return retryAfter;
+}
+
+void judgeStream(const ReceivedStream &s, CallResult &out) {
+  out.Versions = s.Versions;
+  bool isWhole = s.Pending.empty() && s.Events == expectedEvents(out.Id);
+  if (s.Versions.size() > 1)
+    out.Outcome = DaemonCallOutcome::MixedVersions;
+  else if (s.HasUnexpectedEvent || (hasWholeResponse(out) && !isWhole))
+    out.Outcome = DaemonCallOutcome::Incorrect;
+}
+
 } // namespace
 
 http::Request makeCall(const std::string &id, const std::string &route,
@@ -43,47 +133,86 @@
     return r;
   r.Fields.add(std::string(names::Model), "m");
   r.Fields.add(std::string(names::TokenCounts), "900,80");
-  r.Fields.add(std::string(names::PromptPrefix), "5c:500,91bd:300,e4:100");
+  r.Fields.add(std::string(names::PromptPrefix),
+               std::to_string(hash64(id) % SharedPrompts) +
+                   ":500,91bd:300,e4:100");
   return r;
 }
 
+Awaitable<CallResult> callStream(http::Client &client,
+                                 std::vector<http::Endpoint> daemons,
+                                 std::string route, Milliseconds deadline) {
+  CallResult out;
+  out.Route = route;
+  ReceivedStream s;
+  MonoTime start = MonoClock::now();
+  MonoTime end = start + deadline;
+  bool isFirst = true;
+  for (const http::Endpoint &it : daemons) {
+    Milliseconds remaining = toMilliseconds(end - MonoClock::now());
+    if (remaining <= Milliseconds(0))
+      break;
+    std::string requestId = makeId();
+    http::Request request = makeCall(requestId, route, remaining);
+    uint64_t eventsBefore = s.Events;
+    if (eventsBefore > 0) {
+      request.Fields.add(std::string(ResumesHeader), s.Id);
+      request.Fields.add(std::string(names::LastEventId),
+                         std::to_string(eventsBefore));
+    }
+    http::CallOptions options;
+    options.Timeout = remaining;
+    options.ResendOnStale = false;
+    options.FreshConnection = !isFirst;
+    isFirst = false;
+    s.Pending.clear();
+    std::function<void(const std::string &)> receive =
+        [&s, &requestId](const std::string &chunk) {
+          receiveEvents(s, requestId, chunk);
+        };
+    std::optional<Milliseconds> retryAfter =
+        co_await exchange(client, it, std::move(request), std::move(options),
+                          out, std::move(receive));
+    out.Id = s.Id.empty() ? requestId : s.Id;
+    if (out.Outcome == DaemonCallOutcome::NotSent)
+      continue;
+    bool goesOn = s.Events > eventsBefore || hasWholeResponse(out);
+    ++(eventsBefore > 0 ? out.TakeUps : out.Begins);
+    out.ContinuedTakeUps += eventsBefore > 0 && goesOn ? 1 : 0;
+    if (hasWholeResponse(out) || s.HasUnexpectedEvent)
+      break;
+    if (retryAfter && MonoClock::now() + *retryAfter >= end)
+      break;
+    if (retryAfter && &it != &daemons.back())
+      co_await sleepFor(*retryAfter);
+  }
+  judgeStream(s, out);
+  out.Elapsed = toMilliseconds(MonoClock::now() - start);
+  co_return out;
+}
+
 Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint daemon,
                                  std::string route, Milliseconds deadline) {
+  if (isStream(route)) {
+    std::vector<http::Endpoint> daemons(1, daemon);
+    co_return co_await callStream(client, std::move(daemons), std::move(route),
+                                  deadline);
+  }
   CallResult out;
   out.Id = makeId();
   out.Route = route;
-  bool stream = isStream(route);
   http::Request request = makeCall(out.Id, route, deadline);
   http::CallOptions options;
   options.Timeout = deadline;
   options.ResendOnStale = false;
   MonoTime start = MonoClock::now();
-  bool gotHead = false;
-  try {
-    std::unique_ptr<http::ResponseStream> response =
-        co_await client.open(daemon, std::move(request), options);
-    gotHead = true;
-    out.Status = response->head().Status;
-    out.HasRetryAfter = response->head().Fields.find("Retry-After").has_value();
-    std::string body;
-    for (;;) {
-      std::string chunk = co_await response->read(deadline);
-      if (chunk.empty())
-        break;
-      body += chunk;
-    }
-    if (out.Status == 200)
-      out.Outcome = body == expectedResponse(out.Id, stream)
-                        ? DaemonCallOutcome::Correct
-                        : DaemonCallOutcome::Incorrect;
-    else
-      out.Outcome = isNeverExecuted(out.Status) ? DaemonCallOutcome::Rejected
-                                                : DaemonCallOutcome::Failed;
-  } catch (const http::TransportError &e) {
-    bool nothingSent = e.Stage == http::TransportStage::NothingSent;
-    out.Outcome = nothingSent && !gotHead ? DaemonCallOutcome::NotSent
-                                          : DaemonCallOutcome::Disconnected;
-  }
+  std::string body;
+  std::function<void(const std::string &)> receive =
+      [&body](const std::string &chunk) { body += chunk; };
+  co_await exchange(client, daemon, std::move(request), std::move(options), out,
+                    std::move(receive));
+  if (hasWholeResponse(out) && body != expectedBody(out.Id))
+    out.Outcome = DaemonCallOutcome::Incorrect;
   out.Elapsed = toMilliseconds(MonoClock::now() - start);
   co_return out;
 }
--- a/StandIns/Platform/PlatformCaller.h
+++ b/StandIns/Platform/PlatformCaller.h
@@ -2,7 +2,9 @@
 
 #include "Sardineford/Http/Client.h"
 
+#include <set>
 #include <string>
+#include <vector>
 
 namespace sardineford::standins {
 
@@ -12,6 +14,8 @@
   Correct,
   /// Complete response with other bytes than the backend server sends.
   Incorrect,
+  /// Events of more than one software version.
+  MixedVersions,
   /// Status 408, 421, 429 or 503: the request was not executed and never will
   /// be.
   Rejected,
@@ -24,18 +28,36 @@
 };
 
 struct CallResult {
+  /// Id of the request. For a stream that has begun, id of the request that
+  /// brought its first event.
   std::string Id;
   std::string Route;
   DaemonCallOutcome Outcome = DaemonCallOutcome::Disconnected;
   unsigned Status = 0;
   bool HasRetryAfter = false;
   Milliseconds Elapsed{0};
+  /// Software versions of the received events.
+  std::set<std::string> Versions;
+  /// Numbers of requests that daemons received while the caller had no event,
+  /// and of requests that took up the stream after an event.
+  unsigned Begins = 0;
+  unsigned TakeUps = 0;
+  /// Number of requests of TakeUps that brought further events or the end.
+  unsigned ContinuedTakeUps = 0;
 };
 
 /// Builds a request for a route of PlatformDeployment.
 http::Request makeCall(const std::string &id, const std::string &route,
                        Milliseconds deadline);
 
+/// Sends a request for a stream to the first daemon. While the response is
+/// rejected or broken and time remains, takes the stream up at the next daemon
+/// of the list, after the time in Retry-After. Compares the events byte by
+/// byte.
+Awaitable<CallResult> callStream(http::Client &client,
+                                 std::vector<http::Endpoint> daemons,
+                                 std::string route, Milliseconds deadline);
+
 /// Sends one request and compares the response byte by byte.
 Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint daemon,
                                  std::string route, Milliseconds deadline);
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -44,17 +44,20 @@
     : Io(io), Options(std::move(options)), Client(io), Store(freeEndpoint()) {
   std::filesystem::create_directories(Options.Folder);
   Daemons.resize(Options.Daemons);
-  addWorkers(Options.PlainServers, "desk", "");
-  addWorkers(Options.PrefillEngines, "model", "prefill");
-  addWorkers(Options.DecodeEngines, "model", "decode");
+  addWorkers(Options.PlainServers, "desk", "", {"v1"});
+  addWorkers(Options.PrefillEngines, "model", "prefill",
+             Options.PrefillVersions);
+  addWorkers(Options.DecodeEngines, "model", "decode", Options.DecodeVersions);
 }
 
 void PlatformDeployment::addWorkers(unsigned n, const std::string &service,
-                                    const std::string &stage) {
+                                    const std::string &stage,
+                                    const std::vector<std::string> &versions) {
   for (unsigned i = 0; i < n; ++i) {
     DeployedWorker w;
     w.Service = service;
     w.Stage = stage;
+    w.Version = versions[i % versions.size()];
     w.Listen = freeEndpoint();
     w.Advertise = freeEndpoint();
     w.Link = std::make_unique<Relay>(Io, w.Advertise, w.Listen, freeEndpoint());
@@ -125,7 +128,8 @@
       ProcessSpec{w.Id,
                   Options.Programs + "/standin-platform-worker",
                   {"--id=" + w.Id, "--service=" + w.Service,
-                   "--stage=" + w.Stage, "--listen=" + http::toString(w.Listen),
+                   "--stage=" + w.Stage, "--software_version=" + w.Version,
+                   "--listen=" + http::toString(w.Listen),
                    "--advertise=" + http::toString(w.Advertise),
                    "--store=" + http::toString(Store), "--slots=64",
                    "--work_ms=" + std::to_string(Options.WorkTime.count()),
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -20,6 +20,9 @@
   unsigned PlainServers = 2;
   unsigned PrefillEngines = 1;
   unsigned DecodeEngines = 3;
+  /// Software versions at the start, dealt out to the engines in turn.
+  std::vector<std::string> PrefillVersions = {"v1"};
+  std::vector<std::string> DecodeVersions = {"v1"};
   /// Processing time of a request at a plain service.
   Milliseconds WorkTime{10};
   /// Time of one batch step of an engine, without its sequences.
@@ -55,6 +58,7 @@
   std::string Id;
   std::string Service;
   std::string Stage;
+  std::string Version;
   http::Endpoint Listen;
   http::Endpoint Advertise;
 };
@@ -72,6 +76,7 @@
   Awaitable<bool> bringUp(Milliseconds timeout);
   void startDaemon(DeployedDaemon &d);
   /// Starts the backend server under a new id, or under its old id with keepId.
+  /// A release changes DeployedWorker::Version before.
   void startWorker(DeployedWorker &w, bool keepId);
   /// Writes a configuration with a higher version and with additional routes.
   Awaitable<void> writeConfiguration(unsigned extraRoutes);
@@ -85,7 +90,8 @@
 
 private:
   void addWorkers(unsigned n, const std::string &service,
-                  const std::string &stage);
+                  const std::string &stage,
+                  const std::vector<std::string> &versions);
 
   IoContext &Io;
   PlatformDeploymentOptions Options;
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -35,6 +35,8 @@
   s.StepBase = step;
   s.StepPerSequence = Microseconds(100);
   s.TotalPieces = 100'000;
+  // A prompt that is prefilled again takes one step, also if steps are long.
+  s.DecodeRoleChunk = 1'000;
   return s;
 }
 
@@ -46,8 +48,9 @@
 
 } // namespace
 
-std::string expectedEvent(const std::string &requestId, uint64_t event) {
-  uint64_t data = hash64(requestId, event);
+std::string expectedEvent(const std::string &streamId, uint64_t event,
+                          const std::string &version) {
+  uint64_t data = hash64(streamId + "/" + version, event);
   return "id: " + std::to_string(event) + "\ndata: " + std::to_string(data) +
          "\n\n";
 }
@@ -59,8 +62,8 @@
   return out;
 }
 
-uint64_t expectedEvents(const std::string &requestId) {
-  return MinEvents + hash64(requestId) % (MaxEvents - MinEvents);
+uint64_t expectedEvents(const std::string &streamId) {
+  return MinEvents + hash64(streamId) % (MaxEvents - MinEvents);
 }
 
 PlatformWorker::PlatformWorker(IoContext &io, PlatformWorkerOptions options)
@@ -84,6 +87,7 @@
 void PlatformWorker::recordEvent(const std::string &id, const char *action) {
   HistoryFile << json::serialize(json::object{{"time_ms", wallMilliseconds()},
                                               {"server", Options.Id},
+                                              {"version", Options.Version},
                                               {"request", id},
                                               {"what", action}})
               << "\n"
@@ -95,7 +99,7 @@
       {"service", Options.Service},
       {"address", http::toString(Options.Advertise)},
       {"zone", Options.FailureDomain},
-      {"version", "v1"},
+      {"version", Options.Version},
       {"slots", Options.Slots},
       {"state",
        std::string_view(Draining ? names::DrainingState : names::ReadyState)},
@@ -212,14 +216,15 @@
 }
 
 SequencePtr PlatformWorker::makeSequence(const http::Request &request,
-                                         const std::string &id) const {
+                                         const std::string &id,
+                                         const std::string &streamId) const {
   auto s = std::make_shared<Sequence>();
   s->RequestId = id;
   s->AttemptId = id + "." + std::to_string(AttemptCount);
   s->PromptTokens = std::strtoull(
       request.Fields.find(names::TokenCounts).value_or("1").c_str(), nullptr,
       10);
-  s->EndToken = expectedEvents(id);
+  s->EndToken = expectedEvents(streamId);
   s->ReaderConnected = true;
   return s;
 }
@@ -228,7 +233,7 @@
                                         const std::string &id,
                                         http::ResponseWriter &out) {
   ++AttemptCount;
-  SequencePtr s = makeSequence(request, id);
+  SequencePtr s = makeSequence(request, id, id);
   s->PrefillOnly = true;
   bool disconnected = false;
   out.onPeerDisconnected([&disconnected, s] {
@@ -261,7 +266,8 @@
                                             http::ResponseWriter &out) {
   ++AttemptCount;
   std::optional<std::string> source = request.Fields.find(names::KvSource);
-  SequencePtr s = makeSequence(request, id);
+  std::string streamId = request.Fields.find(ResumesHeader).value_or(id);
+  SequencePtr s = makeSequence(request, id, streamId);
   // The format is "IP:PORT/HANDLE"; the stand-in simulates no transfer time.
   s->Prefilled = source && source->find('/') != std::string::npos;
   uint64_t from = std::strtoull(
@@ -289,7 +295,7 @@
     }
     std::string events;
     for (; sent < s->NextToken; ++sent)
-      events += expectedEvent(id, sent + 1);
+      events += expectedEvent(streamId, sent + 1, Options.Version);
     co_await out.write(std::move(events));
   }
   if (disconnected || s->Cancelled) {
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -4,12 +4,22 @@
 #include "Sardineford/Http/Server.h"
 #include "StandIns/Engine/Batch.h"
 
+#include <array>
 #include <fstream>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace sardineford::standins {
 
+/// Header of a request that takes a stream up again: id of the request that
+/// brought the first event of the stream.
+inline constexpr std::string_view ResumesHeader = "Resumes";
+
+/// Software versions of the stand-ins. The events of two versions differ.
+inline constexpr std::array<const char *, 4> SoftwareVersions = {"v1", "v1.1",
+                                                                 "v2", "v2.1"};
+
 struct PlatformWorkerOptions {
   std::string Id;
   std::string Service;
@@ -20,6 +30,7 @@
   http::Endpoint Store;
   /// Empty for a plain service.
   std::string Stage;
+  std::string Version = SoftwareVersions[0];
   unsigned Slots = 8;
   Milliseconds Heartbeat{300};
   /// Time for which the draining server continues to accept requests.
@@ -32,12 +43,14 @@
   std::string History;
 };
 
-/// Expected event of a streamed response, and expected body of a response of a
-/// plain service.
-std::string expectedEvent(const std::string &requestId, uint64_t event);
+/// Expected event of a stream. The id of the stream is the id of the request
+/// that brought its first event.
+std::string expectedEvent(const std::string &streamId, uint64_t event,
+                          const std::string &version);
+/// Expected body of a response of a plain service.
 std::string expectedBody(const std::string &requestId);
-/// Expected number of events of a streamed response.
-uint64_t expectedEvents(const std::string &requestId);
+/// Expected number of events of a stream, the same in all versions.
+uint64_t expectedEvents(const std::string &streamId);
 
 /// Stand-in for a backend server that implements the platform's published
 /// protocol: a plain service, or a prefill or decode engine that simulates
@@ -61,8 +74,8 @@
                           http::ResponseWriter &out);
   Awaitable<void> heartbeat();
   Awaitable<void> writeEntry();
-  SequencePtr makeSequence(const http::Request &request,
-                           const std::string &id) const;
+  SequencePtr makeSequence(const http::Request &request, const std::string &id,
+                           const std::string &streamId) const;
   http::Response makeResponse(unsigned status, const std::string &id,
                               std::string body) const;
   void recordEvent(const std::string &id, const char *action);
--- a/StandIns/Platform/WorkerHistory.cpp
+++ b/StandIns/Platform/WorkerHistory.cpp
@@ -18,6 +18,7 @@
       continue;
     out.push_back({Milliseconds(v.at("time_ms").as_int64()),
                    json::value_to<std::string>(v.at("server")),
+                   json::value_to<std::string>(v.at("version")),
                    json::value_to<std::string>(v.at("request")),
                    json::value_to<std::string>(v.at("what"))});
   }
--- a/StandIns/Platform/WorkerHistory.h
+++ b/StandIns/Platform/WorkerHistory.h
@@ -12,6 +12,7 @@
   /// Wall-clock time since 1970.
   Milliseconds Time{0};
   std::string Server;
+  std::string Version;
   /// Empty if the event belongs to no request.
   std::string Request;
   std::string Action;
--- a/StandIns/Programs/sardineford-soak.cpp
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -10,6 +10,9 @@
 DEFINE_int32(seconds, 8, "duration of the fault injection, s");
 DEFINE_uint32(daemons, 3, "number of daemons; more than 12 form a large fleet");
 DEFINE_bool(faults, true, "inject faults");
+DEFINE_bool(planned_only, false,
+            "inject only short silences of backend servers and changes of the "
+            "configuration, under which every response must be complete");
 DEFINE_string(programs, "build/release", "folder with the built programs");
 DEFINE_string(folder, "out/soak", "folder for logs and histories");
 
@@ -26,6 +29,7 @@
     o.Seed = FLAGS_seed + static_cast<uint64_t>(i);
     o.Length = std::chrono::seconds(FLAGS_seconds);
     o.Faults = FLAGS_faults;
+    o.PlannedOnly = FLAGS_planned_only;
     o.Daemons = FLAGS_daemons;
     o.Programs = FLAGS_programs;
     o.Folder = FLAGS_folder + "/" + std::to_string(o.Seed);
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -14,6 +14,7 @@
 DEFINE_string(store, "127.0.0.1:9400", "address of the platform's store");
 DEFINE_string(stage, "",
               "prefill or decode for an engine, empty for a plain service");
+DEFINE_string(software_version, "v1", "software version");
 DEFINE_int32(slots, 8, "maximum number of concurrent requests");
 DEFINE_int32(work_ms, 10, "service time of a plain call, ms");
 DEFINE_int32(step_ms, 4, "duration of an engine step, ms");
@@ -37,6 +38,7 @@
       FLAGS_advertise.empty() ? o.Listen : http::parseEndpoint(FLAGS_advertise);
   o.Store = http::parseEndpoint(FLAGS_store);
   o.Stage = FLAGS_stage;
+  o.Version = FLAGS_software_version;
   o.Slots = static_cast<unsigned>(FLAGS_slots);
   o.WorkTime = Milliseconds(FLAGS_work_ms);
   o.StepTime = Milliseconds(FLAGS_step_ms);
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -3,9 +3,12 @@
 #include "Sardineford/Common/Log.h"
 #include "StandIns/Platform/PlatformCaller.h"
 #include "StandIns/Platform/PlatformDeployment.h"
+#include "StandIns/Platform/PlatformWorker.h"
 #include "StandIns/Soak/SoakChecks.h"
 
+#include <algorithm>
 #include <array>
+#include <csignal>
 #include <functional>
 #include <random>
 
@@ -20,6 +23,8 @@
 constexpr Milliseconds ObservationTime{2'000};
 constexpr Milliseconds CallerPause{30};
 constexpr Milliseconds CallDeadline{3'000};
+/// Maximum number of requests of a caller for one stream.
+constexpr size_t MaxRequests = 4;
 /// Covers the grace time in the settings of the daemons and the exit of the
 /// process.
 constexpr int StopTimeoutMs = 7'500;
@@ -28,8 +33,10 @@
                                             ResumableRoute, StreamRoute};
 
 std::string_view toString(DaemonCallOutcome e) {
-  constexpr std::array<std::string_view, 6> Names = {
-      "correct", "wrong", "rejected", "failed", "disconnected", "not accepted"};
+  constexpr std::array<std::string_view, 7> Names = {
+      "correct",     "wrong",  "events of two versions",
+      "rejected",    "failed", "disconnected",
+      "not accepted"};
   return Names[static_cast<size_t>(e)];
 }
 
@@ -37,9 +44,15 @@
 class Soak {
 public:
   explicit Soak(const SoakOptions &o)
-      : Options(o), Random(o.Seed), Deployment(Io, {.Programs = o.Programs,
-                                                    .Folder = o.Folder,
-                                                    .Daemons = o.Daemons}) {}
+      : Options(o), Random(o.Seed),
+        Deployment(
+            Io, {.Programs = o.Programs,
+                 .Folder = o.Folder,
+                 .Daemons = o.Daemons,
+                 .DecodeEngines = 4,
+                 .DecodeVersions = {SoftwareVersions[0], SoftwareVersions[1]},
+                 // Streams last long enough to be hit by faults.
+                 .StepTime = Milliseconds(20)}) {}
 
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
@@ -47,6 +60,9 @@
     for (const std::string &it :
          checkInvariants(Calls, Deployment.historyFile()))
       Report.Violations.push_back(it);
+    if (Options.PlannedOnly)
+      for (const std::string &it : checkCompleteness(Calls))
+        Report.Violations.push_back(it);
     for (const CallResult &it : Calls)
       ++Report.Outcomes[std::string(toString(it.Outcome))];
     return Report;
@@ -65,7 +81,12 @@
       spawn(Io, "caller", [this, i] { return callLoop(i); });
     MonoTime end = MonoClock::now() + Options.Length;
     while (Options.Faults && MonoClock::now() < end) {
-      spawn(Io, "fault", pickFault());
+      Fault f = pickFault();
+      // Silences of one server that follow one another would exceed deadlines.
+      if (Options.PlannedOnly)
+        co_await f();
+      else
+        spawn(Io, "fault", std::move(f));
       ++Report.Faults;
       co_await sleepFor(randomDuration(100, 700));
     }
@@ -103,10 +124,20 @@
     http::Client client(Io);
     std::string route = Routes[n % Routes.size()];
     for (;;) {
-      const DeployedDaemon &d =
-          Deployment.Daemons[Random() % Deployment.Daemons.size()];
-      CallResult r =
-          co_await callDaemon(client, d.HttpListen, route, CallDeadline);
+      std::vector<http::Endpoint> daemons;
+      size_t first = Random() % Deployment.Daemons.size();
+      for (size_t i = 0; i < MaxRequests; ++i)
+        daemons.push_back(
+            Deployment.Daemons[(first + i) % Deployment.Daemons.size()]
+                .HttpListen);
+      // In the planned mode, a broken response is a violation.
+      bool takesUp = route == ResumableRoute && !Options.PlannedOnly;
+      CallResult r;
+      if (takesUp)
+        r = co_await callStream(client, std::move(daemons), route,
+                                CallDeadline);
+      else
+        r = co_await callDaemon(client, daemons[0], route, CallDeadline);
       Calls.push_back(std::move(r));
       co_await sleepFor(CallerPause);
     }
@@ -136,7 +167,28 @@
     };
   }
 
+  Fault makePlannedFault() {
+    DeployedDaemon &d = pickRandom(Deployment.Daemons);
+    DeployedWorker &w = pickRandom(Deployment.Workers);
+    Milliseconds silence = randomDuration(300, 1'300);
+    switch (Random() % 4) {
+    case 0:
+      return [this]() -> Awaitable<void> {
+        co_await Deployment.writeConfiguration(Random() % 4);
+      };
+    case 1:
+      return [&d]() -> Awaitable<void> {
+        ::kill(d.ChildProcess->id(), SIGHUP);
+        co_return;
+      };
+    default:
+      return [&w, silence] { return pause(*w.ChildProcess, silence); };
+    }
+  }
+
   Fault makeFault() {
+    if (Options.PlannedOnly)
+      return makePlannedFault();
     DeployedDaemon &d = pickRandom(Deployment.Daemons);
     DeployedWorker &w = pickRandom(Deployment.Workers);
     Milliseconds duration = randomDuration(200, 1'800);
@@ -153,7 +205,7 @@
         return killWorker(w, duration, keepId);
       };
     case 4:
-      return [this, &w] { return drainWorker(w); };
+      return [this, &w, keepId] { return drainWorker(w, !keepId); };
     case 5:
       return [&w, duration] { return pause(*w.ChildProcess, duration); };
     case 6:
@@ -226,15 +278,22 @@
       Deployment.startWorker(w, keepId);
   }
 
-  Awaitable<void> drainWorker(DeployedWorker &w) {
+  /// A release starts an engine of the next software version in its place.
+  Awaitable<void> drainWorker(DeployedWorker &w, bool releases) {
     std::string drained = w.Id;
     w.ChildProcess->terminate();
     MonoTime end = MonoClock::now() + Milliseconds(StopTimeoutMs);
     while (w.ChildProcess->running() && w.Id == drained &&
            MonoClock::now() < end)
       co_await sleepFor(Milliseconds(20));
-    if (w.Id == drained)
-      Deployment.startWorker(w, false);
+    if (w.Id != drained)
+      co_return;
+    const auto *version =
+        std::find(SoftwareVersions.begin(), SoftwareVersions.end(), w.Version);
+    size_t n = static_cast<size_t>(version - SoftwareVersions.begin());
+    if (releases && !w.Stage.empty())
+      w.Version = SoftwareVersions[(n + 1) % SoftwareVersions.size()];
+    Deployment.startWorker(w, false);
   }
 
   Awaitable<void> storeFault(Milliseconds duration) {
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -15,6 +15,10 @@
   Milliseconds Length{8'000};
   /// Injects faults; if false, the soak only applies load.
   bool Faults = true;
+  /// Injects only faults under which every response must be complete: backend
+  /// servers that are silent for a short time, changes of the configuration and
+  /// of the settings.
+  bool PlannedOnly = false;
   unsigned Callers = 12;
   /// More than 12 form a large fleet, in which trackers know the loads and a
   /// few daemons watch the store.
--- a/StandIns/Soak/SoakChecks.cpp
+++ b/StandIns/Soak/SoakChecks.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/Soak/SoakChecks.h"
 
+#include "Sardineford/Http/Status.h"
 #include "StandIns/Platform/PlatformDeployment.h"
 #include "StandIns/Platform/WorkerHistory.h"
 
@@ -38,10 +39,25 @@
                     describe(it, n));
     if (it.Outcome == DaemonCallOutcome::Incorrect)
       out.push_back("complete response with wrong content: " + describe(it, n));
+    if (it.Outcome == DaemonCallOutcome::MixedVersions)
+      out.push_back("events of two versions: " + describe(it, n));
     if (it.Outcome == DaemonCallOutcome::Rejected && !it.HasRetryAfter)
       out.push_back("rejected without a retry time: " + describe(it, n));
   }
   return out;
 }
 
+std::vector<std::string>
+checkCompleteness(const std::vector<CallResult> &calls) {
+  std::vector<std::string> out;
+  for (const CallResult &it : calls)
+    if (it.Outcome == DaemonCallOutcome::Disconnected ||
+        it.Status == http::StatusBadGateway ||
+        it.Status == http::StatusGatewayTimeout)
+      out.push_back("incomplete response of a living server: " + it.Id +
+                    " on " + it.Route + ", status " +
+                    std::to_string(it.Status));
+  return out;
+}
+
 } // namespace sardineford::standins
--- a/StandIns/Soak/SoakChecks.h
+++ b/StandIns/Soak/SoakChecks.h
@@ -12,4 +12,9 @@
 std::vector<std::string> checkInvariants(const std::vector<CallResult> &calls,
                                          const std::string &historyFile);
 
+/// Returns a violation for each request that ended without a complete response
+/// although every backend server stayed alive.
+std::vector<std::string>
+checkCompleteness(const std::vector<CallResult> &calls);
+
 } // namespace sardineford::standins
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -41,6 +41,18 @@
   CHECK(all > 100);
 }
 
+TEST_CASE("every response is complete while servers are silent for a short "
+          "time and the configuration changes",
+          "[process]") {
+  SoakOptions o = optionsFor(1);
+  o.PlannedOnly = true;
+  o.Length = std::chrono::seconds(5);
+  INFO("folder " << o.Folder);
+  SoakReport r = runSoak(o);
+  check(r);
+  CHECK(r.Faults > 3);
+}
+
 // Seed 103: all entries of servers expired while the store failed, and no
 // server was readmitted because the stand-in did not answer on its health path.
 // Seed 107: two stops of one process overlapped, and the second stop checked
