--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -68,6 +68,11 @@
                       const http::Endpoint &to) {
                  send("tracking", datagram.SerializeAsString(), {to});
                }),
+      Origins(io, metrics, Local.Address,
+              [this](const messages::LoadShare &datagram,
+                     const http::Endpoint &to) {
+                send("origins", datagram.SerializeAsString(), {to});
+              }),
       LocalReport(std::make_unique<messages::LoadShare>()) {}
 
 LoadExchange::~LoadExchange() = default;
@@ -258,6 +263,7 @@
     PeerSet::Recipients to = Peers.selectRecipients(now);
     interval = sendInterval(to);
     Tracking.setProcesses(Peers.activeProcesses());
+    Origins.setProcesses(Peers.activeProcesses());
     updatePosition();
     LastRecipients = to;
     if (now - SharesRepeatedAt >= RepeatInterval) {
@@ -289,7 +295,7 @@
     Metrics.count("sardineford_load_reports_bad_total", {});
     return;
   }
-  if (Tracking.handle(in, from))
+  if (Origins.handle(in, from) || Tracking.handle(in, from))
     return;
   if (in.has_changes()) {
     applyChanges(in, from);
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -4,6 +4,7 @@
 #include "Peers/LoadTracking.h"
 #include "Peers/PeerSet.h"
 #include "Peers/RunningProcess.h"
+#include "Peers/StreamOrigins.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/StoreView.h"
 #include "Sardineford/Metrics/Metrics.h"
@@ -47,6 +48,7 @@
   /// Publishes that a prompt part is now cached at a server.
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
   LoadTracking &tracking() { return Tracking; }
+  StreamOrigins &origins() { return Origins; }
   /// Returns the position of this process among the running ones; empty until
   /// the list of the processes is read.
   std::optional<fleet::FleetPosition> position() const {
@@ -114,6 +116,7 @@
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
+  StreamOrigins Origins;
   MonoTime SharesRepeatedAt{};
   /// Recipients of the last reports.
   PeerSet::Recipients LastRecipients;
--- /dev/null
+++ b/Source/Peers/OriginCodec.cpp
@@ -0,0 +1,53 @@
+#include "Peers/OriginCodec.h"
+
+#include "Messages/Messages.pb.h"
+
+#include <algorithm>
+
+namespace sardineford::peers {
+
+namespace {
+
+messages::LoadShare makeDatagram() {
+  messages::LoadShare out;
+  // Earlier builds find nothing in it and drop the datagram.
+  out.mutable_relay();
+  return out;
+}
+
+} // namespace
+
+messages::LoadShare encodeOrigins(std::span<const OriginRecord> records) {
+  messages::LoadShare out = makeDatagram();
+  for (const OriginRecord &it : records) {
+    out.mutable_origins()->add_streams(it.Stream);
+    out.mutable_origins()->add_versions(it.Version);
+  }
+  return out;
+}
+
+messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t stream) {
+  messages::LoadShare out = makeDatagram();
+  out.mutable_origins()->set_query(id);
+  out.mutable_origins()->add_streams(stream);
+  return out;
+}
+
+messages::LoadShare encodeOriginAnswer(uint64_t id,
+                                       std::optional<uint32_t> version) {
+  messages::LoadShare out = makeDatagram();
+  out.mutable_origins()->set_answer(id);
+  if (version)
+    out.mutable_origins()->add_versions(*version);
+  return out;
+}
+
+std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in) {
+  std::vector<OriginRecord> out;
+  int n = std::min(in.origins().streams_size(), in.origins().versions_size());
+  for (int i = 0; i < n; ++i)
+    out.push_back({in.origins().streams(i), in.origins().versions(i)});
+  return out;
+}
+
+} // namespace sardineford::peers
--- /dev/null
+++ b/Source/Peers/StreamOrigins.cpp
@@ -0,0 +1,245 @@
+#include "Peers/StreamOrigins.h"
+
+#include "Messages/Messages.pb.h"
+#include "Peers/OriginCodec.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <set>
+#include <span>
+#include <utility>
+
+namespace sardineford::peers {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A few round trips between failure domains, and the time that a busy process
+/// takes for its other work.
+constexpr Milliseconds QueryTimeout{25};
+/// A burst of lost datagrams is over, and the shortest streams have ended.
+constexpr Milliseconds RepeatDelay{75};
+/// Fits into one packet of the network.
+constexpr size_t MaxRecordsPerDatagram = 100;
+/// Streams whose records are sent together when a second version appears.
+constexpr size_t PublishedAtOnce = 32;
+constexpr Milliseconds PublishInterval{20};
+
+} // namespace
+
+struct StreamOrigins::PendingQuery {
+  explicit PendingQuery(IoContext &io) : Done(io) {}
+
+  std::optional<uint32_t> Version;
+  unsigned NotKnown = 0;
+  /// Processes that were asked and have not answered.
+  std::set<http::Endpoint> Silent;
+  asio::steady_timer Done;
+};
+
+StreamOrigins::StreamOrigins(IoContext &io, metrics::Metrics &metrics,
+                             http::Endpoint address, Send send)
+    : Io(io), Metrics(metrics), Address(std::move(address)),
+      SendTo(std::move(send)), RepetitionTimer(io), PublishTimer(io) {}
+
+StreamOrigins::~StreamOrigins() = default;
+
+void StreamOrigins::setProcesses(const std::vector<RunningProcess> &processes) {
+  if (processes == Processes)
+    return;
+  Processes = processes;
+  Candidates = hashProcesses(processes);
+}
+
+void StreamOrigins::record(std::string_view service, std::string_view streamId,
+                           std::string_view version, bool hasSeveralVersions) {
+  uint64_t stream = hashOfStream(service, streamId);
+  Table.putLocal({stream, hashOfVersion(version)}, hashOfService(service),
+                 MonoClock::now());
+  if (!hasSeveralVersions)
+    return;
+  Table.setSent(stream);
+  sendAtOnce(stream);
+}
+
+void StreamOrigins::forget(std::string_view service,
+                           std::string_view streamId) {
+  Table.erase(hashOfStream(service, streamId));
+}
+
+void StreamOrigins::publishAll(std::string_view service) {
+  for (uint64_t it : Table.takeUnsent(hashOfService(service), MonoClock::now()))
+    ToPublish.push_back(it);
+  schedulePublishing();
+}
+
+void StreamOrigins::schedulePublishing() {
+  if (ToPublish.empty() || std::exchange(PublishScheduled, true))
+    return;
+  PublishTimer.expires_after(PublishInterval);
+  PublishTimer.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    PublishScheduled = false;
+    for (size_t i = 0; i < PublishedAtOnce && !ToPublish.empty(); ++i) {
+      sendAtOnce(ToPublish.front());
+      ToPublish.pop_front();
+    }
+    schedulePublishing();
+  });
+}
+
+void StreamOrigins::sendAtOnce(uint64_t stream) {
+  queue(stream, 0, HoldersAtOnce);
+  Repetitions.push_back({MonoClock::now() + RepeatDelay, stream});
+  scheduleRepetition();
+}
+
+void StreamOrigins::queue(uint64_t stream, size_t firstHolder, size_t count) {
+  std::optional<uint32_t> version = Table.find(stream, MonoClock::now());
+  std::vector<http::Endpoint> holders =
+      chooseHolders(stream, Candidates, Address);
+  if (!version || holders.empty())
+    return;
+  // In the smallest fleets, the first holders receive the repetition too.
+  for (size_t i = firstHolder; i < firstHolder + count; ++i) {
+    std::vector<OriginRecord> &out = Queued[holders[i % holders.size()]];
+    OriginRecord record{stream, *version};
+    if (out.empty() || out.back() != record)
+      out.push_back(record);
+  }
+  scheduleFlush();
+}
+
+/// Records of one turn of the event loop are sent together.
+void StreamOrigins::scheduleFlush() {
+  if (std::exchange(FlushScheduled, true))
+    return;
+  asio::post(Io, [this] {
+    FlushScheduled = false;
+    flush();
+  });
+}
+
+void StreamOrigins::flush() {
+  for (const auto &[holder, records] : std::exchange(Queued, {})) {
+    std::span<const OriginRecord> rest = records;
+    while (!rest.empty()) {
+      size_t n = std::min(rest.size(), MaxRecordsPerDatagram);
+      SendTo(encodeOrigins(rest.first(n)), holder);
+      rest = rest.subspan(n);
+    }
+  }
+}
+
+void StreamOrigins::scheduleRepetition() {
+  if (Repetitions.empty() || std::exchange(RepetitionScheduled, true))
+    return;
+  RepetitionTimer.expires_at(Repetitions.front().Due);
+  RepetitionTimer.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    RepetitionScheduled = false;
+    repeatDue();
+    scheduleRepetition();
+  });
+}
+
+void StreamOrigins::repeatDue() {
+  MonoTime now = MonoClock::now();
+  while (!Repetitions.empty() && Repetitions.front().Due <= now) {
+    queue(Repetitions.front().Stream, HoldersAtOnce,
+          HoldersPerStream - HoldersAtOnce);
+    Repetitions.pop_front();
+  }
+}
+
+Awaitable<FoundOrigin> StreamOrigins::find(std::string service,
+                                           std::string streamId) {
+  uint64_t stream = hashOfStream(service, streamId);
+  FoundOrigin out;
+  out.Version = Table.find(stream, MonoClock::now());
+  std::string outcome = "local";
+  if (!out.Version) {
+    co_await askHolders(stream, out);
+    outcome = out.Version ? "found" : "unknown";
+  }
+  Metrics.count("sardineford_stream_origins_total", {{"outcome", outcome}});
+  co_return out;
+}
+
+Awaitable<void> StreamOrigins::askHolders(uint64_t stream, FoundOrigin &out) {
+  std::vector<http::Endpoint> holders =
+      chooseHolders(stream, Candidates, Address);
+  size_t n = std::min(AskedFirst, holders.size());
+  auto end = holders.begin() + static_cast<ptrdiff_t>(n);
+  std::vector<http::Endpoint> first(holders.begin(), end);
+  std::vector<http::Endpoint> further(end, holders.end());
+  uint64_t id = ++NextQuery;
+  auto query = std::make_shared<PendingQuery>(Io);
+  Pending[id] = query;
+  co_await ask(*query, id, stream, std::move(first));
+  if (!query->Version) {
+    // The question or its answer may have been lost.
+    further.insert(further.end(), query->Silent.begin(), query->Silent.end());
+    co_await ask(*query, id, stream, std::move(further));
+  }
+  Pending.erase(id);
+  out.Version = query->Version;
+  out.NotKnown = query->NotKnown;
+  out.Silent = static_cast<unsigned>(query->Silent.size());
+}
+
+Awaitable<void> StreamOrigins::ask(PendingQuery &query, uint64_t id,
+                                   uint64_t stream,
+                                   std::vector<http::Endpoint> holders) {
+  if (holders.empty())
+    co_return;
+  query.Silent.insert(holders.begin(), holders.end());
+  query.Done.expires_after(QueryTimeout);
+  messages::LoadShare datagram = encodeOriginQuery(id, stream);
+  for (const http::Endpoint &it : holders)
+    SendTo(datagram, it);
+  co_await query.Done.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void StreamOrigins::applyAnswer(const messages::LoadShare &in,
+                                const http::Endpoint &from) {
+  auto it = Pending.find(in.origins().answer());
+  if (it == Pending.end())
+    return;
+  PendingQuery &query = *it->second;
+  if (query.Silent.erase(from) == 0)
+    return;
+  if (in.origins().versions_size() > 0)
+    query.Version = in.origins().versions(0);
+  else
+    ++query.NotKnown;
+  if (query.Version || query.Silent.empty())
+    query.Done.cancel();
+}
+
+bool StreamOrigins::handle(const messages::LoadShare &in,
+                           const http::Endpoint &from) {
+  if (!in.has_origins())
+    return false;
+  MonoTime now = MonoClock::now();
+  if (in.origins().answer() != 0) {
+    applyAnswer(in, from);
+  } else if (in.origins().query() != 0) {
+    std::optional<uint32_t> version;
+    if (in.origins().streams_size() > 0)
+      version = Table.find(in.origins().streams(0), now);
+    SendTo(encodeOriginAnswer(in.origins().query(), version), from);
+  } else {
+    for (const OriginRecord &it : decodeOrigins(in))
+      Table.putHeld(it, now);
+  }
+  return true;
+}
+
+} // namespace sardineford::peers
