Find the version that began a stream after its process has died

A stream goes on only at the version that began it, and its process may be gone. Each stream's record (hash of service and id, hash of version) goes to two processes at once and, 75 ms later if it still runs, to a third; they are chosen by rendezvous hashing, in different failure domains among the eight likeliest. The one that asks asks four, then four more and again those that were silent, 25 ms each. The datagrams carry an empty relay, which earlier builds drop without effect; they took the datagram for a report otherwise.

Ways weighed: every other process in fleets up to 12 (at 12 processes of 14 streams/s some 7.7 KB/s without any repetition, by the size of a datagram; the same rule in all fleets is simpler); the repetition to the same holders (a third process guards against loss and death both); nested in the answer of LoadTracking (old builds count it as late).

Only sent while a service has several versions.

A test of datagrams per batch failed once (21 over 20): the repetitions of one turn were split by their microseconds.

--- a/Source/Peers/OriginCodec.cpp
+++ b/Source/Peers/OriginCodec.cpp
@@ -45,6 +45,7 @@
 std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in) {
   std::vector<OriginRecord> out;
   int n = std::min(in.origins().streams_size(), in.origins().versions_size());
+  out.reserve(static_cast<size_t>(n));
   for (int i = 0; i < n; ++i)
     out.push_back({in.origins().streams(i), in.origins().versions(i)});
   return out;
--- a/Source/Peers/OriginHolders.cpp
+++ b/Source/Peers/OriginHolders.cpp
@@ -60,6 +60,7 @@
   candidates.resize(n);
   preferDistinctDomains(candidates);
   std::vector<http::Endpoint> out;
+  out.reserve(candidates.size());
   for (const Candidate &it : candidates)
     out.push_back(it.Process->Address);
   return out;
--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds QueryTimeout{25};
 /// A burst of lost datagrams is over, and the shortest streams have ended.
 constexpr Milliseconds RepeatDelay{75};
+/// Repetitions that are due within this time are sent together.
+constexpr Milliseconds RepeatGrouping{10};
 /// Fits into one packet of the network.
 constexpr size_t MaxRecordsPerDatagram = 100;
 /// Streams whose records are sent together when a second version appears.
@@ -150,8 +152,8 @@
 }
 
 void StreamOrigins::repeatDue() {
-  MonoTime now = MonoClock::now();
-  while (!Repetitions.empty() && Repetitions.front().Due <= now) {
+  MonoTime end = MonoClock::now() + RepeatGrouping;
+  while (!Repetitions.empty() && Repetitions.front().Due <= end) {
     queue(Repetitions.front().Stream, HoldersAtOnce,
           HoldersPerStream - HoldersAtOnce);
     Repetitions.pop_front();
@@ -204,7 +206,8 @@
   messages::LoadShare datagram = encodeOriginQuery(id, stream);
   for (const http::Endpoint &it : holders)
     SendTo(datagram, it);
-  co_await query.Done.async_wait(asio::as_tuple(asio::use_awaitable));
+  if (!query.Version && !query.Silent.empty())
+    co_await query.Done.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 void StreamOrigins::applyAnswer(const messages::LoadShare &in,
--- a/Tests/Peers/LoadExchangeTest.cpp
+++ b/Tests/Peers/LoadExchangeTest.cpp
@@ -1,5 +1,7 @@
 #include "Peers/LoadExchange.h"
 
+#include "Messages/Messages.pb.h"
+#include "Peers/OriginCodec.h"
 #include "StandIns/Deployment/Deployment.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -72,12 +74,14 @@
 
   fleet::ServerPtr engine() { return Servers.find("engine"); }
 
-  /// Bytes of all datagrams that were sent, without their headers.
-  double sentBytes() const {
+  /// Bytes of the datagrams of a kind, or of all, that were sent, without their
+  /// headers.
+  double sentBytes(const std::string &kind = "") const {
     std::istringstream text(Metrics.render());
     double out = 0;
     for (std::string line; std::getline(text, line);)
-      if (line.starts_with("sardineford_peer_bytes_total{"))
+      if (line.starts_with("sardineford_peer_bytes_total{") &&
+          line.find(kind) != std::string::npos)
         out += std::stod(line.substr(line.rfind(' ')));
     return out;
   }
@@ -130,6 +134,19 @@
     return answers->empty() ? TrackedAnswer{} : answers->front();
   }
 
+  FoundOrigin findOrigin(Node &node, std::string streamId) {
+    std::optional<FoundOrigin> out;
+    std::string service = "model";
+    spawn(Io, "find", [&]() -> Awaitable<void> {
+      out = co_await node.Exchange.origins().find(service, streamId);
+    });
+    while (!out) {
+      Io.restart();
+      Io.run_one_for(Milliseconds(20));
+    }
+    return *out;
+  }
+
   /// Ends the process with this number.
   void stop(size_t i) {
     Nodes[i]->Exchange.stop();
@@ -230,6 +247,50 @@
   CHECK(f.runUntil([&](Node &it) { return f.ask(it).CachedTokens == 500; }));
 }
 
+TEST_CASE("the version of a stream is found after its process has gone") {
+  for (size_t n : {size_t{2}, size_t{5}, GroupedProcesses}) {
+    INFO(n << " processes");
+    Fleet f(n);
+    REQUIRE(f.runUntil([&](Node &it) { return it.Exchange.processes() == n; }));
+    f.Nodes[0]->Exchange.origins().record("model", "stream", "v1", true);
+    f.Io.restart();
+    f.Io.run_for(Milliseconds(150));
+    f.stop(0);
+    for (auto &it : f.Nodes)
+      CHECK(f.findOrigin(*it, "stream").Version == hashOfVersion("v1"));
+    FoundOrigin unknown = f.findOrigin(*f.Nodes[0], "other");
+    CHECK(!unknown.Version);
+    CHECK(f.Nodes[0]->sentBytes("origins") > 0);
+  }
+}
+
+// An earlier build does not know the field of the origins.
+TEST_CASE("an earlier build does not take origins for a report") {
+  Fleet f(3);
+  REQUIRE(f.runUntil([](Node &it) { return it.Exchange.processes() == 3; }));
+  asio::ip::udp::socket socket(f.Io, asio::ip::udp::v4());
+  asio::ip::udp::endpoint to(
+      asio::ip::make_address(f.Addresses[0].Address.Host),
+      f.Addresses[0].Address.Port);
+  OriginRecord record{1, 2};
+  for (messages::LoadShare it :
+       {encodeOrigins({&record, 1}), encodeOriginQuery(1, 1),
+        encodeOriginAnswer(1, 2), encodeOriginAnswer(1, std::nullopt)}) {
+    it.clear_origins();
+    socket.send_to(asio::buffer(it.SerializeAsString()), to);
+  }
+  f.Io.restart();
+  f.Io.run_for(Milliseconds(300));
+  CHECK(f.Nodes[0]->Exchange.processes() == 3);
+  // A report from there would count as one of a process.
+  messages::LoadShare report;
+  report.set_node("other");
+  socket.send_to(asio::buffer(report.SerializeAsString()), to);
+  CHECK(f.runUntil([&](Node &it) {
+    return &it != f.Nodes[0].get() || it.Exchange.processes() == 4;
+  }));
+}
+
 TEST_CASE("invalid datagrams do not end the exchange") {
   Fleet f(3);
   CHECK(f.runUntil([](Node &it) { return it.Exchange.processes() == 3; }));
--- /dev/null
+++ b/Tests/Peers/StreamOriginsTest.cpp
@@ -0,0 +1,404 @@
+#include "Peers/StreamOrigins.h"
+
+#include "Messages/Messages.pb.h"
+#include "Peers/OriginCodec.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace sardineford;
+using namespace sardineford::peers;
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr MonoTime Start{std::chrono::seconds(10'000)};
+/// Records are repeated within this time.
+constexpr Milliseconds RepeatLimit{150};
+
+std::vector<RunningProcess> makeProcesses(size_t n, size_t domains) {
+  std::vector<RunningProcess> out;
+  for (size_t i = 0; i < n; ++i)
+    out.push_back({"domain-" + std::to_string(i % domains),
+                   {"10.0.0.1", static_cast<uint16_t>(1'000 + i)}});
+  return out;
+}
+
+/// Processes that exchange datagrams without a network.
+struct Network {
+  struct Datagram {
+    http::Endpoint From;
+    http::Endpoint To;
+    messages::LoadShare Message;
+
+    bool isRecord() const {
+      return Message.origins().query() == 0 && Message.origins().answer() == 0;
+    }
+  };
+
+  explicit Network(size_t n) : Processes(makeProcesses(n, 3)) {
+    for (const RunningProcess &it : Processes) {
+      http::Endpoint from = it.Address;
+      auto send = [this, from](const messages::LoadShare &message,
+                               const http::Endpoint &to) {
+        deliver({from, to, message});
+      };
+      Origins.push_back(
+          std::make_unique<StreamOrigins>(Io, Metrics, from, send));
+      Origins.back()->setProcesses(Processes);
+    }
+  }
+
+  void deliver(Datagram datagram) {
+    Sent.push_back(datagram);
+    if (IsLost && IsLost(datagram))
+      return;
+    std::string bytes = datagram.Message.SerializeAsString();
+    asio::post(Io, [this, datagram, bytes] {
+      messages::LoadShare in;
+      REQUIRE(in.ParseFromString(bytes));
+      for (size_t i = 0; i < Processes.size(); ++i)
+        if (Processes[i].Address == datagram.To && !Dead.contains(i))
+          CHECK(Origins[i]->handle(in, datagram.From));
+    });
+  }
+
+  void runFor(Milliseconds t) {
+    Io.restart();
+    Io.run_for(t);
+  }
+
+  FoundOrigin find(size_t i, std::string streamId) {
+    std::optional<FoundOrigin> out;
+    std::string service = "model";
+    spawn(Io, "find", [&]() -> Awaitable<void> {
+      out = co_await Origins[i]->find(service, streamId);
+    });
+    while (!out) {
+      Io.restart();
+      Io.run_one_for(Milliseconds(20));
+    }
+    return *out;
+  }
+
+  size_t records() const {
+    return static_cast<size_t>(
+        std::count_if(Sent.begin(), Sent.end(),
+                      [](const Datagram &it) { return it.isRecord(); }));
+  }
+
+  /// Returns the process that received the record with this number.
+  size_t receiver(size_t record) const {
+    auto it = std::find_if(Processes.begin(), Processes.end(),
+                           [&](const RunningProcess &process) {
+                             return process.Address == Sent.at(record).To;
+                           });
+    return static_cast<size_t>(it - Processes.begin());
+  }
+
+  IoContext Io{1};
+  metrics::Metrics Metrics;
+  std::vector<RunningProcess> Processes;
+  std::vector<std::unique_ptr<StreamOrigins>> Origins;
+  std::function<bool(const Datagram &)> IsLost;
+  std::set<size_t> Dead;
+  std::vector<Datagram> Sent;
+};
+
+std::vector<http::Endpoint> holdersOf(uint64_t stream,
+                                      const std::vector<RunningProcess> &all,
+                                      const RunningProcess &local) {
+  return chooseHolders(stream, hashProcesses(all), local.Address);
+}
+
+} // namespace
+
+TEST_CASE("the record of a stream is kept for its time") {
+  OriginTable table;
+  table.putLocal({1, 7}, 5, Start);
+  table.putHeld({2, 8}, Start + std::chrono::seconds(10));
+  CHECK(table.find(1, Start + OriginAge) == 7U);
+  CHECK(!table.find(1, Start + OriginAge + Milliseconds(1)));
+  CHECK(table.find(2, Start + OriginAge + Milliseconds(1)) == 8U);
+  table.putHeld({3, 9}, Start + OriginAge + Milliseconds(1));
+  CHECK(table.size() == 2);
+}
+
+TEST_CASE("a renewed record of a stream is kept from then on") {
+  OriginTable table;
+  table.putHeld({1, 7}, Start);
+  table.putHeld({1, 7}, Start + OriginAge);
+  table.putHeld({2, 8}, Start + OriginAge + std::chrono::seconds(1));
+  CHECK(table.find(1, Start + OriginAge + std::chrono::seconds(1)) == 7U);
+}
+
+TEST_CASE("the oldest records of streams are dropped at the bound") {
+  OriginTable table(100);
+  for (uint32_t i = 0; i < 250; ++i)
+    table.putHeld({i, i}, Start + Milliseconds(i));
+  CHECK(table.size() == 100);
+  MonoTime now = Start + Milliseconds(250);
+  CHECK(!table.find(149, now));
+  CHECK(table.find(150, now) == 150U);
+  CHECK(table.find(249, now) == 249U);
+}
+
+TEST_CASE("records of one stream that is renewed all the time are bounded") {
+  OriginTable table(100);
+  table.putHeld({1, 1}, Start);
+  for (uint32_t i = 0; i < 1'000; ++i)
+    table.putHeld({2, 2}, Start + Milliseconds(i));
+  CHECK(table.size() == 1);
+  CHECK(table.find(2, Start + std::chrono::seconds(1)) == 2U);
+}
+
+TEST_CASE("only streams of this process that were not sent are published") {
+  OriginTable table;
+  table.putLocal({1, 7}, 5, Start);
+  table.putLocal({2, 7}, 5, Start);
+  table.putLocal({3, 7}, 6, Start);
+  table.putHeld({4, 7}, Start);
+  table.setSent(2);
+  table.putHeld({1, 7}, Start + std::chrono::seconds(1));
+  CHECK(table.takeUnsent(5, Start + std::chrono::seconds(1)) ==
+        std::vector<uint64_t>{1});
+  CHECK(table.takeUnsent(5, Start + std::chrono::seconds(1)).empty());
+}
+
+TEST_CASE("streams of two services with the same id are different") {
+  CHECK(hashOfStream("a", "stream") != hashOfStream("b", "stream"));
+  CHECK(hashOfStream("a", "stream") == hashOfStream("a", "stream"));
+}
+
+TEST_CASE("the holders of a stream lie in different failure domains") {
+  std::vector<RunningProcess> all = makeProcesses(60, 5);
+  std::map<http::Endpoint, std::string> domains;
+  for (const RunningProcess &it : all)
+    domains[it.Address] = it.FailureDomain;
+  size_t distinct = 0;
+  constexpr size_t N = 1'000;
+  for (uint64_t stream = 0; stream < N; ++stream) {
+    std::vector<http::Endpoint> holders = holdersOf(stream, all, all[3]);
+    REQUIRE(holders.size() == MaxHolderCandidates);
+    CHECK(std::set(holders.begin(), holders.end()).size() == holders.size());
+    CHECK(std::count(holders.begin(), holders.end(), all[3].Address) == 0);
+    std::set<std::string> of;
+    for (size_t i = 0; i < HoldersPerStream; ++i)
+      of.insert(domains[holders[i]]);
+    distinct += of.size() == HoldersPerStream ? 1 : 0;
+  }
+  CHECK(distinct > N * 95 / 100);
+}
+
+TEST_CASE("a process that asks knows the holders that the sender chose") {
+  std::vector<RunningProcess> all = makeProcesses(60, 5);
+  std::vector<RunningProcess> reversed(all.rbegin(), all.rend());
+  for (uint64_t stream = 0; stream < 500; ++stream) {
+    std::vector<http::Endpoint> holders = holdersOf(stream, all, all[3]);
+    CHECK(holdersOf(stream, reversed, all[3]) == holders);
+    // The one that asks knows the sender and not itself.
+    std::vector<http::Endpoint> asked = holdersOf(stream, all, all[8]);
+    for (size_t i = 0; i < HoldersPerStream; ++i)
+      CHECK((holders[i] == all[8].Address ||
+             std::count(asked.begin(), asked.end(), holders[i]) == 1));
+  }
+}
+
+TEST_CASE("the only process of a failure domain holds few of the records") {
+  std::vector<RunningProcess> all = makeProcesses(200, 1);
+  all.push_back({"small", {"10.0.0.2", 1}});
+  constexpr size_t N = 5'000;
+  size_t held = 0;
+  for (uint64_t stream = 0; stream < N; ++stream) {
+    std::vector<http::Endpoint> holders = holdersOf(stream, all, all[0]);
+    auto end = holders.begin() + HoldersPerStream;
+    held += static_cast<size_t>(
+        std::count(holders.begin(), end, all.back().Address));
+  }
+  // The others hold 75 on average.
+  CHECK(held < 4 * N * HoldersPerStream / all.size());
+}
+
+TEST_CASE("a version is found by the processes that do not hold it") {
+  for (size_t n : {2, 6, 40}) {
+    INFO(n << " processes");
+    Network f(n);
+    f.Origins[0]->record("model", "stream", "v1", true);
+    f.runFor(RepeatLimit);
+    f.Dead = {0};
+    for (size_t i = 1; i < n; ++i)
+      CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
+  }
+}
+
+TEST_CASE("a version is found by the process that began the stream") {
+  Network f(6);
+  f.Origins[0]->record("model", "stream", "v1", false);
+  f.runFor(RepeatLimit);
+  CHECK(f.find(0, "stream").Version == hashOfVersion("v1"));
+  CHECK(f.Sent.empty());
+}
+
+TEST_CASE("an unknown stream is told from processes that do not answer") {
+  Network f(6);
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(!out.Version);
+  CHECK(out.NotKnown == 5);
+  CHECK(out.Silent == 0);
+  f.Dead = {3, 4};
+  out = f.find(0, "stream");
+  CHECK(!out.Version);
+  CHECK(out.NotKnown == 3);
+  CHECK(out.Silent == 2);
+}
+
+TEST_CASE("a process without peers finds nothing at once") {
+  Network f(1);
+  f.Origins[0]->record("model", "other", "v1", true);
+  f.runFor(RepeatLimit);
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(!out.Version);
+  CHECK(f.Sent.empty());
+}
+
+TEST_CASE("records go out in the turn in which they are made") {
+  Network f(40);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.Io.restart();
+  f.Io.poll();
+  CHECK(f.records() == HoldersAtOnce);
+}
+
+TEST_CASE("records of one turn are sent together to a holder") {
+  Network f(2);
+  for (int i = 0; i < 10; ++i)
+    f.Origins[0]->record("model", "stream-" + std::to_string(i), "v1", true);
+  f.Io.poll();
+  REQUIRE(f.records() == 1);
+  CHECK(f.Sent[0].Message.origins().streams_size() == 10);
+}
+
+TEST_CASE("the record of a running stream is repeated to another holder") {
+  Network f(40);
+  f.IsLost = [&](const Network::Datagram &) {
+    return f.records() <= HoldersAtOnce;
+  };
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  REQUIRE(f.records() == HoldersPerStream);
+  CHECK(std::set{f.receiver(0), f.receiver(1), f.receiver(2)}.size() == 3);
+  f.Dead = {0};
+  for (size_t i = 1; i < 40; ++i)
+    CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("the record is repeated to the only other process") {
+  Network f(2);
+  f.IsLost = [&](const Network::Datagram &) { return f.records() <= 1; };
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  f.Dead = {0};
+  CHECK(f.find(1, "stream").Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("the record of a stream that has ended is not repeated") {
+  Network f(40);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.Io.poll();
+  f.Origins[0]->forget("model", "stream");
+  f.runFor(RepeatLimit);
+  CHECK(f.records() == HoldersAtOnce);
+}
+
+TEST_CASE("a stream that has ended is not published") {
+  Network f(6);
+  f.Origins[0]->record("model", "ended", "v1", false);
+  f.Origins[0]->record("model", "running", "v1", false);
+  f.Origins[0]->record("other", "running", "v1", false);
+  f.Origins[0]->forget("model", "ended");
+  f.Origins[0]->publishAll("model");
+  f.runFor(RepeatLimit);
+  CHECK(f.records() == HoldersPerStream);
+  f.Dead = {0};
+  CHECK(f.find(1, "running").Version == hashOfVersion("v1"));
+  CHECK(!f.find(1, "ended").Version);
+}
+
+TEST_CASE("many streams are published in few datagrams to a holder") {
+  Network f(2);
+  constexpr size_t N = 300;
+  for (size_t i = 0; i < N; ++i)
+    f.Origins[0]->record("model", std::to_string(i), "v1", false);
+  f.Origins[0]->publishAll("model");
+  f.runFor(RepeatLimit * 4);
+  // Each is sent twice.
+  CHECK(f.records() <= 2 * (N / 32 + 1));
+  f.Dead = {0};
+  for (size_t i = 0; i < N; ++i)
+    CHECK(f.find(1, std::to_string(i)).Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("a lost question for a version is asked again") {
+  Network f(2);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  f.Sent.clear();
+  // Process 1 has it; a third one that has just joined asks.
+  f.Processes.push_back({"domain-2", {"10.0.0.3", 1}});
+  http::Endpoint from = f.Processes.back().Address;
+  f.Origins.push_back(std::make_unique<StreamOrigins>(
+      f.Io, f.Metrics, from,
+      [&f, from](const messages::LoadShare &message, const http::Endpoint &to) {
+        f.deliver({from, to, message});
+      }));
+  f.Origins.back()->setProcesses(f.Processes);
+  f.Dead = {0};
+  f.IsLost = [&](const Network::Datagram &) { return f.Sent.size() <= 2; };
+  CHECK(f.find(2, "stream").Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("answers to other questions and from other processes are ignored") {
+  Network f(3);
+  f.Dead = {1, 2};
+  f.IsLost = [&](const Network::Datagram &it) {
+    uint64_t id = it.Message.origins().query();
+    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5), it.To);
+    f.Origins[0]->handle(encodeOriginAnswer(id, 5), {"10.0.0.9", 1});
+    return true;
+  };
+  CHECK(!f.find(0, "stream").Version);
+}
+
+TEST_CASE("datagrams of other kinds are left to others") {
+  Network f(2);
+  messages::LoadShare report;
+  report.set_node("old");
+  report.set_sequence(4);
+  CHECK(!f.Origins[0]->handle(report, f.Processes[1].Address));
+  report.mutable_query()->set_id(1);
+  CHECK(!f.Origins[0]->handle(report, f.Processes[1].Address));
+  report.mutable_relay();
+  CHECK(!f.Origins[0]->handle(report, f.Processes[1].Address));
+}
+
+TEST_CASE("incomplete datagrams of origins are harmless") {
+  Network f(2);
+  messages::LoadShare in;
+  in.mutable_origins()->add_streams(1);
+  CHECK(f.Origins[0]->handle(in, f.Processes[1].Address));
+  in.mutable_origins()->add_versions(1);
+  in.mutable_origins()->add_versions(2);
+  CHECK(f.Origins[0]->handle(in, f.Processes[1].Address));
+  in.mutable_origins()->clear_streams();
+  in.mutable_origins()->set_query(3);
+  CHECK(f.Origins[0]->handle(in, f.Processes[1].Address));
+  in.mutable_origins()->set_answer(3);
+  CHECK(f.Origins[0]->handle(in, f.Processes[1].Address));
+}
