--- a/Tests/Process/SilentServerTest.cpp
+++ b/Tests/Process/SilentServerTest.cpp
@@ -35,12 +35,14 @@
 /// time and returns the results of the requests that were open meanwhile.
 SilenceResult
 callDuringSilence(Milliseconds silence,
-                  std::function<bool(const DeployedWorker &)> isSilenced) {
+                  std::function<bool(const DeployedWorker &)> isSilenced,
+                  double retrySlack = 10) {
   IoContext io(1);
   PlatformDeploymentOptions o;
   o.Programs = SARDINEFORD_PROGRAMS;
   o.Folder = makeTemporaryFolder();
   o.Daemons = 2;
+  o.RetrySlack = retrySlack;
   // Streams last longer than it takes to silence the servers.
   o.StepTime = Milliseconds(60);
   o.WorkTime = Milliseconds(400);
--- a/Tests/Retry/SilenceTest.cpp
+++ b/Tests/Retry/SilenceTest.cpp
@@ -5,7 +5,6 @@
 using namespace sardineford;
 using retry::decideOnSilence;
 using retry::SilenceDecision;
-using retry::SilenceState;
 
 namespace {
 
