--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -148,7 +148,7 @@
     while (stream.isReady()) {
       attempt.LastByteAt = MonoClock::now();
       if (!attempt.HeadReceived) {
-        co_await stream.receiveHead(Milliseconds(1));
+        co_await stream.receiveHead(http::ReadyTimeout);
         attempt.HeadReceived = true;
         attempt.Response = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Response);
@@ -160,7 +160,7 @@
                                              MonoClock::now());
         co_return done;
       }
-      std::string chunk = co_await stream.read(Milliseconds(1));
+      std::string chunk = co_await stream.read(http::ReadyTimeout);
       if (!chunk.empty()) {
         attempt.Response.Body += chunk;
         continue;
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -28,7 +28,8 @@
   }
 }
 
-/// Prefills the prompt at an engine. Returns nothing if the prefill fails.
+/// Prefills the prompt at an engine. Returns nothing if the prefill fails, or
+/// if an open attempt responds in the meantime.
 Awaitable<std::optional<KvHandle>>
 prefill(SharedState &shared, RequestContext &context, StreamProgress &progress,
         ServerPtr server, double tokens, Seconds estimate) {
@@ -54,11 +55,15 @@
     std::vector<http::ResponseStream *> awaited = progress.OpenResponses;
     awaited.push_back(response.get());
     http::ResponseStream *ready = co_await http::waitForAny(awaited, timeout);
-    if (ready && ready != response.get())
-      throw http::TransportError(http::TransportStage::Sent, false,
-                                 "the silent engine has responded");
+    if (ready && ready != response.get()) {
+      logAttempt(context, *server,
+                 {"prefill", AttemptOutcome::Unknown, estimate, timeout,
+                  toMilliseconds(MonoClock::now() - start),
+                  "the silent engine has responded", tokens, queuedTokens});
+      co_return std::nullopt;
+    }
     http::Response r =
-        co_await readWhole(*response, ready ? timeout : Milliseconds(1));
+        co_await readWhole(*response, ready ? timeout : http::ReadyTimeout);
     ResponseHead head = shared.Protocol.decodeHead(r);
     if (head.NotExecuted) {
       outcome = AttemptOutcome::NotExecuted;
@@ -236,6 +241,8 @@
         freeHandle(shared, *handle);
       co_return std::nullopt;
     }
+    if (!handle && progress.hasOpenResponse())
+      co_return std::nullopt;
     if (!handle) {
       progress.Filter.ExcludedServers.push_back(
           view.Servers[prefillIndex]->Entry.Id);
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -34,7 +34,7 @@
                                              StreamProgress &progress,
                                              OpenStreamAttempt &attempt) {
   while (attempt.Response->isReady()) {
-    std::string chunk = co_await attempt.Response->read(Milliseconds(1));
+    std::string chunk = co_await attempt.Response->read(http::ReadyTimeout);
     if (chunk.empty()) {
       if (progress.Events.pending() > 0) {
         progress.LastDetail = "the stream ended within an event";
@@ -164,7 +164,7 @@
                                                StreamProgress &progress,
                                                OpenStreamAttempt &attempt) {
   const ServerPtr &server = attempt.Plan.Server;
-  co_await attempt.Response->receiveHead(Milliseconds(1));
+  co_await attempt.Response->receiveHead(http::ReadyTimeout);
   ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
   std::string error =
       validateResponse(head, attempt.Response->head(), context.Request.Id);
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -180,9 +180,9 @@
       if (!response->isReady())
         continue;
       if (!std::exchange(headReceived, true))
-        co_await response->receiveHead(Milliseconds(1));
+        co_await response->receiveHead(http::ReadyTimeout);
       while (response->isReady()) {
-        std::string part = co_await response->read(Milliseconds(1));
+        std::string part = co_await response->read(http::ReadyTimeout);
         if (part.empty())
           break;
         body += part;
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -90,6 +90,9 @@
   virtual void close() = 0;
 };
 
+/// Timeout of an operation on a response that is ready.
+inline constexpr Milliseconds ReadyTimeout{1};
+
 /// Waits until one of the responses is ready. Returns nullptr if none is within
 /// the time; all of them can still be received later.
 Awaitable<ResponseStream *>
