--- a/Tests/Process/SilentServerTest.cpp
+++ b/Tests/Process/SilentServerTest.cpp
@@ -36,7 +36,8 @@
 SilenceResult
 callDuringSilence(Milliseconds silence,
                   std::function<bool(const DeployedWorker &)> isSilenced,
-                  double retrySlack = 10) {
+                  double retrySlack = 10,
+                  Milliseconds prefillDelay = Milliseconds(0)) {
   IoContext io(1);
   PlatformDeploymentOptions o;
   o.Programs = SARDINEFORD_PROGRAMS;
@@ -66,9 +67,12 @@
           });
         }
     co_await sleepFor(Milliseconds(250));
-    for (const DeployedWorker &it : deployment.Workers)
+    for (const DeployedWorker &it : deployment.Workers) {
       if (isSilenced(it))
         it.ChildProcess->pause();
+      if (it.Stage == "prefill")
+        it.Link->setDelay(prefillDelay);
+    }
     co_await sleepFor(silence);
     for (const DeployedWorker &it : deployment.Workers)
       if (isSilenced(it))
@@ -127,11 +131,12 @@
 
 TEST_CASE("a pause of the decode engines does not empty the retry budget",
           "[process]") {
-  // Prefill engines go on, so that further attempts are being planned when the
-  // decode engines respond again.
+  // The decode engines respond again while prompts are prefilled for further
+  // attempts.
   SilenceResult result = callDuringSilence(
-      Milliseconds(910),
-      [](const DeployedWorker &w) { return w.Stage == "decode"; }, 200);
+      Milliseconds(1'050),
+      [](const DeployedWorker &w) { return w.Stage == "decode"; }, 200,
+      Milliseconds(150));
   for (const CallResult &it : result.Calls) {
     INFO(it.Id << " on " << it.Route << ", status " << it.Status);
     CHECK(it.Outcome == DaemonCallOutcome::Correct);
