--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -21,31 +21,17 @@
 constexpr double MaxAttemptTimeRatio = 0.5;
 constexpr double ResponseTimeWeight = 0.05;
 
-/// An attempt whose connection is open.
-struct OpenPlainAttempt {
+struct OpenPlainAttempt : OpenAttempt {
   OpenPlainAttempt(SharedState &shared, ServerPtr server)
       : Server(std::move(server)),
         InFlight(shared, Server, fleet::WorkPriority::Urgent, 0) {}
 
   ServerPtr Server;
   Reservation InFlight;
-  /// Index in the record of attempts.
-  size_t Index = 0;
-  std::unique_ptr<http::ResponseStream> Stream;
   bool HeadReceived = false;
   ResponseHead Head;
   /// What has been received so far.
-  http::Response Response;
-  /// Silence from which the request is attempted elsewhere.
-  Milliseconds Patience{0};
-  MonoTime StartedAt{};
-  MonoTime LastByteAt{};
-  /// The server has been silent for longer than expected.
-  bool WasSilent = false;
-
-  Milliseconds silence() const {
-    return toMilliseconds(MonoClock::now() - LastByteAt);
-  }
+  http::Response Received;
 };
 
 using OpenPlainAttemptPtr = std::unique_ptr<OpenPlainAttempt>;
@@ -119,7 +105,7 @@
   attempt->StartedAt = MonoClock::now();
   attempt->LastByteAt = attempt->StartedAt;
   try {
-    attempt->Stream = co_await shared.Client.send(
+    attempt->Response = co_await shared.Client.send(
         server->Entry.Address, std::move(request), std::move(options));
   } catch (const http::TransportError &e) {
     recordTransportFault(context, *server, e);
@@ -142,7 +128,7 @@
 Awaitable<PlainAttemptResult> advanceAttempt(SharedState &shared,
                                              RequestContext &context,
                                              OpenPlainAttempt &attempt) {
-  http::ResponseStream &stream = *attempt.Stream;
+  http::ResponseStream &stream = *attempt.Response;
   PlainAttemptResult done{true, AttemptOutcome::Unknown, ""};
   try {
     while (stream.isReady()) {
@@ -150,9 +136,9 @@
       if (!attempt.HeadReceived) {
         co_await stream.receiveHead(http::ReadyTimeout);
         attempt.HeadReceived = true;
-        attempt.Response = stream.head();
-        attempt.Head = shared.Protocol.decodeHead(attempt.Response);
-        done.Detail = validateResponse(attempt.Head, attempt.Response,
+        attempt.Received = stream.head();
+        attempt.Head = shared.Protocol.decodeHead(attempt.Received);
+        done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
         if (done.Detail.empty())
           continue;
@@ -162,11 +148,11 @@
       }
       std::string chunk = co_await stream.read(http::ReadyTimeout);
       if (!chunk.empty()) {
-        attempt.Response.Body += chunk;
+        attempt.Received.Body += chunk;
         continue;
       }
       done.Outcome = AttemptOutcome::Answered;
-      unsigned status = attempt.Response.Status;
+      unsigned status = attempt.Received.Status;
       if (attempt.Head.NotExecuted) {
         done.Outcome = AttemptOutcome::NotExecuted;
         done.Detail = "rejected with status " + std::to_string(status);
@@ -187,7 +173,7 @@
 
 void recordResponse(SharedState &shared, RequestContext &context,
                     const OpenPlainAttempt &attempt) {
-  if (attempt.Response.Status >= http::StatusInternalServerError) {
+  if (attempt.Received.Status >= http::StatusInternalServerError) {
     attempt.Server->Health.recordFailure(FailureKind::ServerError,
                                          MonoClock::now());
     return;
@@ -252,7 +238,7 @@
                                     const http::ResponseStream *ready) {
   auto it = std::find_if(
       progress.Open.begin(), progress.Open.end(),
-      [&](const auto &attempt) { return attempt->Stream.get() == ready; });
+      [&](const auto &attempt) { return attempt->Response.get() == ready; });
   PlainAttemptResult result = co_await advanceAttempt(shared, context, **it);
   if (!result.IsDone)
     co_return false;
@@ -263,12 +249,12 @@
   if (result.Outcome != AttemptOutcome::Answered) {
     // Whatever else arrives on the connection belongs to no request.
     if (result.Outcome == AttemptOutcome::Unknown)
-      attempt->Stream->close();
+      attempt->Response->close();
     progress.Detail = std::move(result.Detail);
     co_return false;
   }
   recordResponse(shared, context, *attempt);
-  http::Response response = std::move(attempt->Response);
+  http::Response response = std::move(attempt->Received);
   bool serverFailed = response.Status >= http::StatusInternalServerError;
   if (serverFailed && context.Route->mayRepeat()) {
     progress.ErrorResponse = std::move(response);
@@ -303,7 +289,7 @@
     }
     std::vector<http::ResponseStream *> responses;
     for (const OpenPlainAttemptPtr &it : progress.Open)
-      responses.push_back(it->Stream.get());
+      responses.push_back(it->Response.get());
     http::ResponseStream *ready =
         co_await http::waitForAny(responses, next.Wait);
     if (ready && co_await advanceOpenAttempts(shared, context, progress, ready))
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -101,6 +101,23 @@
   }
 };
 
+/// An attempt whose connection is open.
+struct OpenAttempt {
+  /// Index in the record of attempts.
+  size_t Index = 0;
+  std::unique_ptr<http::ResponseStream> Response;
+  /// Silence from which the request is attempted elsewhere.
+  Milliseconds Patience{0};
+  MonoTime StartedAt{};
+  MonoTime LastByteAt{};
+  /// The server has been silent for longer than expected.
+  bool WasSilent = false;
+
+  Milliseconds silence() const {
+    return toMilliseconds(MonoClock::now() - LastByteAt);
+  }
+};
+
 /// Counts a request as in flight at a backend server while the reservation
 /// exists.
 class Reservation {
--- a/Source/Gateway/Stream.h
+++ b/Source/Gateway/Stream.h
@@ -74,8 +74,7 @@
 void recordStreamOrigin(SharedState &shared, const RequestContext &context,
                         const fleet::Server &server);
 
-/// An attempt whose connection is open.
-struct OpenStreamAttempt {
+struct OpenStreamAttempt : OpenAttempt {
   OpenStreamAttempt(SharedState &shared, AttemptPlan plan,
                     fleet::WorkPriority priority)
       : Plan(std::move(plan)), QueuedTokens(Plan.Server->tokensAhead(priority)),
@@ -89,23 +88,10 @@
   double QueuedTokens;
   unsigned Requests;
   Reservation InFlight;
-  /// Index in the record of attempts.
-  size_t Index = 0;
-  std::unique_ptr<http::ResponseStream> Response;
-  /// Silence from which the stream is attempted elsewhere.
-  Milliseconds Patience{0};
-  MonoTime StartedAt{};
-  MonoTime LastByteAt{};
   /// Negative until the first event.
   Seconds TimeToFirstEvent{-0.001};
   /// The caller receives the events of this attempt.
   bool Forwards = false;
-  /// The engine has been silent for longer than expected.
-  bool WasSilent = false;
-
-  Milliseconds silence() const {
-    return toMilliseconds(MonoClock::now() - LastByteAt);
-  }
 };
 
 using OpenStreamAttemptPtr = std::unique_ptr<OpenStreamAttempt>;
@@ -143,8 +129,8 @@
                                              AttemptPlan plan);
 
 /// Receives what has arrived: the head, or events, which are forwarded to the
-/// caller. The caller ends all other attempts before the first event of this
-/// one.
+/// caller. All other attempts are ended before the first event of this one is
+/// forwarded.
 Awaitable<StreamAttemptResult> advanceAttempt(SharedState &shared,
                                               RequestContext &context,
                                               StreamProgress &progress,
