--- a/Source/Gateway/StreamOrigin.cpp
+++ b/Source/Gateway/StreamOrigin.cpp
@@ -1,3 +1,5 @@
+#include "Gateway/StreamOrigin.h"
+
 #include "Gateway/Stream.h"
 #include "Sardineford/Common/Log.h"
 
@@ -5,18 +7,21 @@
 
 namespace sardineford::gateway {
 
-namespace {
-
-/// Returns the version with the hash; nothing if no server has it.
 std::optional<std::string>
-versionWithHash(const std::set<std::string> &versions, uint32_t hash) {
+chooseTakeUpVersion(const std::set<std::string> &versions,
+                    std::optional<uint32_t> found) {
+  if (!found)
+    return versions.size() == 1 ? std::make_optional(*versions.begin())
+                                : std::nullopt;
   auto it =
       std::find_if(versions.begin(), versions.end(), [&](const std::string &v) {
-        return peers::hashOfVersion(v) == hash;
+        return peers::hashOfVersion(v) == *found;
       });
   return it == versions.end() ? std::nullopt : std::make_optional(*it);
 }
 
+namespace {
+
 /// Looks for the stream at every service of the route, and continues the
 /// request at the one that knows it.
 Awaitable<peers::FoundOrigin> findAtServices(SharedState &shared,
@@ -64,10 +69,8 @@
     found.Version =
         shared.Origins.findLocal(context.Service, context.Request.StreamId);
   versions = shared.Servers.softwareVersions(context.Service, MonoClock::now());
-  if (found.Version)
-    progress.Filter.SoftwareVersion = versionWithHash(versions, *found.Version);
-  else if (versions.size() == 1)
-    progress.Filter.SoftwareVersion = *versions.begin();
+  progress.Filter.SoftwareVersion =
+      chooseTakeUpVersion(versions, found.Version);
   bool goesOn = progress.Filter.SoftwareVersion.has_value();
   logOrigin(context, progress, found, versions.size(),
             goesOn ? "goes on" : "rejected");
