--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -69,11 +69,10 @@
   }
 }
 
-/// Returns the parts of the prompt that other requests may share.
-std::vector<peers::PartSize> sharedParts(const CallerRequest &request) {
+std::vector<peers::PartSize> sharedPartSizes(const CallerRequest &request) {
   std::vector<peers::PartSize> out;
-  for (size_t i = 0; i + 1 < request.Parts.size(); ++i)
-    out.push_back({request.Parts[i].Id, request.Parts[i].Tokens});
+  for (const PromptPart &it : sharedParts(request))
+    out.push_back({it.Id, it.Tokens});
   return out;
 }
 
@@ -81,8 +80,8 @@
 
 uint64_t sharedTokens(const CallerRequest &request) {
   uint64_t tokens = 0;
-  for (size_t i = 0; i + 1 < request.Parts.size(); ++i)
-    tokens += request.Parts[i].Tokens;
+  for (const PromptPart &it : sharedParts(request))
+    tokens += it.Tokens;
   return tokens;
 }
 
@@ -101,7 +100,7 @@
                                         role, shared.Random))
     servers.push_back(view.Servers[i]->Entry.Id);
   std::vector<peers::TrackedAnswer> answers = co_await shared.Tracking.query(
-      std::move(servers), sharedParts(context.Request));
+      std::move(servers), sharedPartSizes(context.Request));
   bool hasDecodeEngine = false;
   for (const peers::TrackedAnswer &it : answers) {
     fleet::ServerPtr server = shared.Servers.find(it.Server);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <csignal>
 
@@ -36,6 +38,14 @@
           toMilliseconds(Seconds(settings.get(RetryWindow)))};
 }
 
+/// Returns the ids of the prompt parts that other requests may share.
+std::string sharedPartNames(const CallerRequest &request) {
+  std::string out;
+  for (const PromptPart &it : sharedParts(request))
+    out += (out.empty() ? "" : ",") + fmt::format("{:x}", it.Id);
+  return out;
+}
+
 } // namespace
 
 Gateway::Gateway(IoContext &io, const settings::Settings &settings,
@@ -326,6 +336,7 @@
              {{"request", context.Request.Id},
               {"route", context.Route->Name},
               {"service", context.Service},
+              {"parts", sharedPartNames(context.Request)},
               {"kind", fleet::toString(context.Route->Kind)},
               {"prompt_tokens", context.Request.PromptTokens},
               {"most_output_tokens", context.Request.MaxOutputTokens},
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -84,7 +84,7 @@
              {"run", outcome, shared.service(context.Service).MeanResponseTime,
               attempt.Patience,
               toMilliseconds(MonoClock::now() - attempt.StartedAt), detail, 0,
-              0, attempt.silence()});
+              0, attempt.silence(), attempt.responseAge()});
 }
 
 /// Sends the request to a server.
@@ -136,6 +136,7 @@
       if (!attempt.HeadReceived) {
         co_await stream.receiveHead(http::ReadyTimeout);
         attempt.HeadReceived = true;
+        attempt.RespondedAt = attempt.LastByteAt;
         attempt.Received = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
         done.Detail = validateResponse(attempt.Head, attempt.Received,
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -213,6 +213,7 @@
        {"patience_ms", entry.Timeout.count()},
        {"took_ms", entry.Duration.count()},
        {"silent_ms", entry.Silence.count()},
+       {"response_age_ms", entry.ResponseAge.count()},
        {"left_ms", context.remainingTime().count()},
        {"outcome", toString(entry.Outcome)},
        {"detail", entry.Detail}});
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -110,12 +110,20 @@
   Milliseconds Patience{0};
   MonoTime StartedAt{};
   MonoTime LastByteAt{};
+  /// Time at which the head of the response was received.
+  MonoTime RespondedAt{};
   /// The server has been silent for longer than expected.
   bool WasSilent = false;
 
   Milliseconds silence() const {
     return toMilliseconds(MonoClock::now() - LastByteAt);
   }
+  /// Returns the time since the head of the response; -1 without a head.
+  Milliseconds responseAge() const {
+    return RespondedAt == MonoTime{}
+               ? Milliseconds(-1)
+               : toMilliseconds(MonoClock::now() - RespondedAt);
+  }
 };
 
 /// Counts a request as in flight at a backend server while the reservation
@@ -191,6 +199,9 @@
   double QueuedTokens = 0;
   /// Time without a byte from the server when the attempt ended.
   Milliseconds Silence{0};
+  /// Time since the head of the response when the attempt ended; -1 without a
+  /// head.
+  Milliseconds ResponseAge{-1};
 };
 
 void logAttempt(const RequestContext &context, const fleet::Server &server,
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -180,6 +180,7 @@
     co_return StreamAttemptResult::NotExecuted;
   }
   attempt.LastByteAt = MonoClock::now();
+  attempt.RespondedAt = attempt.LastByteAt;
   attempt.TimeToFirstEvent = attempt.LastByteAt - attempt.StartedAt;
   attempt.InFlight.releasePromptTokens();
   recordFirstEvent(shared, context, attempt);
@@ -195,7 +196,8 @@
              {attempt.Plan.Handle ? "run with fetched cache" : "run", outcome,
               attempt.Plan.Estimate, attempt.Patience,
               toMilliseconds(attempt.TimeToFirstEvent), detail,
-              attempt.Plan.Tokens, attempt.QueuedTokens, attempt.silence()});
+              attempt.Plan.Tokens, attempt.QueuedTokens, attempt.silence(),
+              attempt.responseAge()});
 }
 
 Awaitable<OpenStreamAttemptPtr> startAttempt(SharedState &shared,
--- a/include/Sardineford/Gateway/CallerRequest.h
+++ b/include/Sardineford/Gateway/CallerRequest.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -40,4 +41,11 @@
   std::optional<uint64_t> ResumeAfter;
 };
 
+/// Returns the parts of the prompt that other requests may share. The last part
+/// belongs to the request alone.
+inline std::span<const PromptPart> sharedParts(const CallerRequest &request) {
+  return std::span(request.Parts)
+      .first(request.Parts.empty() ? 0 : request.Parts.size() - 1);
+}
+
 } // namespace sardineford::gateway
