--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -121,7 +121,7 @@
 } // namespace
 
 http::Request makeCall(const std::string &id, const std::string &route,
-                       Milliseconds deadline) {
+                       Milliseconds deadline, std::string sharedParts) {
   http::Request r;
   r.Method = route == RepeatableRoute ? "GET" : "POST";
   r.Target = route + "1";
@@ -133,15 +133,16 @@
     return r;
   r.Fields.add(std::string(names::Model), "m");
   r.Fields.add(std::string(names::TokenCounts), "900,80");
-  r.Fields.add(std::string(names::PromptPrefix),
-               std::to_string(hash64(id) % SharedPrompts) +
-                   ":500,91bd:300,e4:100");
+  if (sharedParts.empty())
+    sharedParts = std::to_string(hash64(id) % SharedPrompts) + ":500,91bd:300";
+  r.Fields.add(std::string(names::PromptPrefix), sharedParts + ",e4:100");
   return r;
 }
 
 Awaitable<CallResult> callStream(http::Client &client,
                                  std::vector<http::Endpoint> daemons,
-                                 std::string route, Milliseconds deadline) {
+                                 std::string route, Milliseconds deadline,
+                                 std::string sharedParts) {
   CallResult out;
   out.Route = route;
   ReceivedStream s;
@@ -153,7 +154,7 @@
     if (remaining <= Milliseconds(0))
       break;
     std::string requestId = makeId();
-    http::Request request = makeCall(requestId, route, remaining);
+    http::Request request = makeCall(requestId, route, remaining, sharedParts);
     uint64_t eventsBefore = s.Events;
     if (eventsBefore > 0) {
       request.Fields.add(std::string(ResumesHeader), s.Id);
@@ -192,11 +193,12 @@
 }
 
 Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint daemon,
-                                 std::string route, Milliseconds deadline) {
+                                 std::string route, Milliseconds deadline,
+                                 std::string sharedParts) {
   if (isStream(route)) {
     std::vector<http::Endpoint> daemons(1, daemon);
     co_return co_await callStream(client, std::move(daemons), std::move(route),
-                                  deadline);
+                                  deadline, std::move(sharedParts));
   }
   CallResult out;
   out.Id = makeId();
--- a/StandIns/Platform/PlatformCaller.h
+++ b/StandIns/Platform/PlatformCaller.h
@@ -46,9 +46,11 @@
   unsigned ContinuedTakeUps = 0;
 };
 
-/// Builds a request for a route of PlatformDeployment.
+/// Builds a request for a route of PlatformDeployment. `sharedParts` are the
+/// prompt parts before the request's own one, as in the header; empty for one
+/// of a few prompts.
 http::Request makeCall(const std::string &id, const std::string &route,
-                       Milliseconds deadline);
+                       Milliseconds deadline, std::string sharedParts = "");
 
 /// Sends a request for a stream to the first daemon. While the response is
 /// rejected or broken and time remains, takes the stream up at the next daemon
@@ -56,10 +58,12 @@
 /// byte.
 Awaitable<CallResult> callStream(http::Client &client,
                                  std::vector<http::Endpoint> daemons,
-                                 std::string route, Milliseconds deadline);
+                                 std::string route, Milliseconds deadline,
+                                 std::string sharedParts = "");
 
 /// Sends one request and compares the response byte by byte.
 Awaitable<CallResult> callDaemon(http::Client &client, http::Endpoint daemon,
-                                 std::string route, Milliseconds deadline);
+                                 std::string route, Milliseconds deadline,
+                                 std::string sharedParts = "");
 
 } // namespace sardineford::standins
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -31,6 +31,8 @@
   double RetrySlack = 10;
   /// Time for which a draining backend server continues to accept requests.
   Milliseconds DrainTime{1'500};
+  /// Id of a prompt part that crashes engines; empty for none.
+  std::string CrashingPart;
 };
 
 /// Maximum time from SIGTERM to the exit of a daemon.
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -24,6 +24,8 @@
 /// Interval at which a request checks whether its caller has disconnected.
 constexpr Milliseconds DisconnectPollInterval{10};
 constexpr std::string_view HealthPath = "/health";
+/// Time from the first event of an answer to the end of the process.
+constexpr Milliseconds CrashDelay{60};
 /// The platform's servers are back in the store within two seconds of the end
 /// of an outage.
 constexpr Milliseconds StoreTimeout{1'000};
@@ -215,6 +217,20 @@
   co_await out.send(std::move(r));
 }
 
+void PlatformWorker::crashIfPromptCrashes(const http::Request &request,
+                                          const std::string &id) {
+  std::string parts =
+      "," + request.Fields.find(names::PromptPrefix).value_or("");
+  if (Options.CrashingPart.empty() ||
+      parts.find("," + Options.CrashingPart + ":") == std::string::npos)
+    return;
+  spawn(Io, "crash", [this, id]() -> Awaitable<void> {
+    co_await sleepFor(CrashDelay);
+    recordEvent(id, "crash");
+    std::_Exit(1);
+  });
+}
+
 SequencePtr PlatformWorker::makeSequence(const http::Request &request,
                                          const std::string &id,
                                          const std::string &streamId) const {
@@ -291,6 +307,7 @@
     }
     if (!out.started()) {
       recordEvent(id, "run");
+      crashIfPromptCrashes(request, id);
       co_await out.startStream(head);
     }
     std::string events;
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -39,6 +39,9 @@
   Milliseconds WorkTime{10};
   /// Time of one batch step of an engine, without its sequences.
   Milliseconds StepTime{4};
+  /// Id of a prompt part, as in the header of requests, that ends the process
+  /// soon after it has begun to answer; empty for none.
+  std::string CrashingPart;
   /// File to which a line is appended for each event.
   std::string History;
 };
@@ -74,6 +77,9 @@
                           http::ResponseWriter &out);
   Awaitable<void> heartbeat();
   Awaitable<void> writeEntry();
+  /// Ends the process after a while if the prompt has the crashing part.
+  void crashIfPromptCrashes(const http::Request &request,
+                            const std::string &id);
   SequencePtr makeSequence(const http::Request &request, const std::string &id,
                            const std::string &streamId) const;
   http::Response makeResponse(unsigned status, const std::string &id,
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -20,6 +20,8 @@
 DEFINE_int32(step_ms, 4, "duration of an engine step, ms");
 DEFINE_int32(drain_ms, 1500,
              "time to continue serving after reporting as leaving, ms");
+DEFINE_string(crashing_part, "",
+              "id of a prompt part that ends the process; empty for none");
 DEFINE_string(history, "", "file to append the history to");
 
 using namespace sardineford;
@@ -43,6 +45,7 @@
   o.WorkTime = Milliseconds(FLAGS_work_ms);
   o.StepTime = Milliseconds(FLAGS_step_ms);
   o.DrainTime = Milliseconds(FLAGS_drain_ms);
+  o.CrashingPart = FLAGS_crashing_part;
   o.History = FLAGS_history;
   standins::PlatformWorker worker(io, o);
   worker.start();
