Reject requests whose prompt part has crashed several engines

Callers saw: deed-draft and clerk-query not served for 30 s, twice, while 75 engines ended one after another under requests with one prompt part; each request went to the next engine 1 ms after it had ended the one before.

Cause: nothing linked the end of a server to what it had just begun to answer. A broken connection counted against the server alone, at each process for itself, and the request was the next one's. Class: a fault that is in the request is held against the resource, and knowledge of it stays at one process.

Now a stream that breaks within 400 ms of its first byte, or before it, leads to one health check; if the server is gone, the shared parts of such streams are suspect. Answers that go on for longer clear their parts. After three crash moments without a sound answer (five if the part was sound before) all processes reject requests with the part with 503, before any engine is asked. Evidence is a set of crashes and refutations per part whose merge does not depend on order; new suspicions are sent to all at once in two steps, a digest in the reports repairs what was missed. A part that only came along with a worse suspect is not blocked without it; a blocked part is tried after 1 s, 10 s, 5 min and 1 h.

--- /dev/null
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -0,0 +1,152 @@
+#include "Sardineford/Fleet/CrashEvidence.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sardineford::fleet {
+
+namespace {
+
+/// Servers that end within this time of the first count as one crash.
+constexpr Milliseconds CrashMomentLength{100};
+/// Crash moments after which requests with a part are rejected. Two can be one
+/// request and its further attempt.
+constexpr unsigned MomentsToBlock = 3;
+/// The same for a part that was sound before.
+constexpr unsigned MomentsToBlockSound = 5;
+/// Time after the last crash or trial until the next trial, by the number of
+/// trials so far. The first ones are for parts that were in use by chance; each
+/// can cost an engine.
+constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
+    std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
+    std::chrono::hours(1)};
+/// Time in which the number of processes that may make the trial doubles, since
+/// few requests with the part may arrive at one of them.
+constexpr std::chrono::seconds TrialSpread{10};
+constexpr int64_t MaxTrialDoublings = 16;
+/// Evidence that no crash and no rejected request has renewed for this time is
+/// dropped.
+constexpr std::chrono::minutes EvidenceLifetime{10};
+/// Bounds memory and datagrams. Much less is needed: only parts of answers that
+/// had just begun have evidence.
+constexpr size_t MaxParts = 256;
+constexpr size_t MaxCrashesPerPart = 8;
+
+void sortAndLimit(std::vector<CrashSighting> &crashes) {
+  std::sort(crashes.begin(), crashes.end(),
+            [](const CrashSighting &a, const CrashSighting &b) {
+              return a.At < b.At;
+            });
+  if (crashes.size() > MaxCrashesPerPart)
+    crashes.erase(crashes.begin(),
+                  crashes.end() - static_cast<ptrdiff_t>(MaxCrashesPerPart));
+}
+
+size_t countUnrefuted(const PartEvidence &e) {
+  return static_cast<size_t>(
+      std::count_if(e.Crashes.begin(), e.Crashes.end(),
+                    [](const CrashSighting &it) { return !it.Refuted; }));
+}
+
+bool hasCrash(const PartEvidence &e, uint32_t server) {
+  return std::any_of(
+      e.Crashes.begin(), e.Crashes.end(),
+      [&](const CrashSighting &it) { return it.Server == server; });
+}
+
+} // namespace
+
+unsigned countCrashMoments(const PartEvidence &e) {
+  unsigned n = 0;
+  MonoTime start{};
+  for (const CrashSighting &it : e.Crashes) {
+    if (it.Refuted || (n > 0 && it.At - start < CrashMomentLength))
+      continue;
+    ++n;
+    start = it.At;
+  }
+  return n;
+}
+
+bool isBlocking(const PartEvidence &e) {
+  return countCrashMoments(e) >=
+         (e.WasSound ? MomentsToBlockSound : MomentsToBlock);
+}
+
+bool mergeEvidence(PartEvidence &into, const PartEvidence &from) {
+  bool isNews = from.WasSound && !into.WasSound;
+  into.WasSound = into.WasSound || from.WasSound;
+  into.LastUseAt = std::max(into.LastUseAt, from.LastUseAt);
+  into.TriedAt = std::max(into.TriedAt, from.TriedAt);
+  isNews = isNews || from.Trials > into.Trials;
+  into.Trials = std::max(into.Trials, from.Trials);
+  for (const CrashSighting &it : from.Crashes) {
+    auto known = std::find_if(
+        into.Crashes.begin(), into.Crashes.end(),
+        [&](const CrashSighting &other) { return other.Server == it.Server; });
+    if (known == into.Crashes.end()) {
+      into.Crashes.push_back(it);
+      isNews = true;
+      continue;
+    }
+    isNews = isNews || (it.Refuted && !known->Refuted);
+    known->Refuted = known->Refuted || it.Refuted;
+    // Datagrams and busy processes only add to the age of a crash.
+    known->At = std::min(known->At, it.At);
+  }
+  sortAndLimit(into.Crashes);
+  return isNews;
+}
+
+bool refuteCrashes(PartEvidence &e, MonoTime begin) {
+  bool isNews = false;
+  for (CrashSighting &it : e.Crashes) {
+    if (it.Refuted || it.At > begin)
+      continue;
+    it.Refuted = true;
+    isNews = true;
+  }
+  e.WasSound = e.WasSound || isNews;
+  return isNews;
+}
+
+void dropOldEvidence(EvidenceByPart &evidence, MonoTime now) {
+  std::erase_if(evidence, [&](const auto &it) {
+    return now - it.second.LastUseAt > EvidenceLifetime;
+  });
+  while (evidence.size() > MaxParts)
+    evidence.erase(std::min_element(
+        evidence.begin(), evidence.end(), [](const auto &a, const auto &b) {
+          size_t crashesOfA = countUnrefuted(a.second);
+          size_t crashesOfB = countUnrefuted(b.second);
+          return crashesOfA != crashesOfB
+                     ? crashesOfA < crashesOfB
+                     : a.second.LastUseAt < b.second.LastUseAt;
+        }));
+}
+
+bool isExplainedByOthers(const EvidenceByPart &evidence, const PartEvidence &e,
+                         std::span<const uint64_t> parts) {
+  size_t n = countUnrefuted(e);
+  return std::any_of(evidence.begin(), evidence.end(), [&](const auto &it) {
+    const auto &[part, other] = it;
+    if (std::find(parts.begin(), parts.end(), part) != parts.end() ||
+        !isBlocking(other) || countUnrefuted(other) <= n)
+      return false;
+    return std::all_of(e.Crashes.begin(), e.Crashes.end(),
+                       [&](const CrashSighting &crash) {
+                         return crash.Refuted || hasCrash(other, crash.Server);
+                       });
+  });
+}
+
+bool mayTry(const PartEvidence &e, TrialRank rank, MonoTime now) {
+  size_t n = std::min<size_t>(e.Trials, TrialDelays.size() - 1);
+  auto waited = now - std::max(e.Crashes.back().At, e.TriedAt) - TrialDelays[n];
+  if (waited < waited.zero())
+    return false;
+  auto doublings = std::min<int64_t>(waited / TrialSpread, MaxTrialDoublings);
+  return rank < (TrialRank{1} << static_cast<unsigned>(doublings));
+}
+
+} // namespace sardineford::fleet
--- a/Source/Gateway/AttemptRecord.cpp
+++ b/Source/Gateway/AttemptRecord.cpp
@@ -32,6 +32,8 @@
     return "timed_out";
   case FailureCause::VersionUnknown:
     return "version_unknown";
+  case FailureCause::Blocked:
+    return "blocked";
   }
   return "failed";
 }
--- /dev/null
+++ b/Source/Gateway/CrashCheck.cpp
@@ -0,0 +1,135 @@
+#include "Gateway/CrashCheck.h"
+
+#include "Gateway/HealthCheck.h"
+#include "Sardineford/Common/Log.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace sardineford::gateway {
+
+namespace {
+
+using log::Category;
+
+/// A server may close single connections although it runs: two health checks
+/// have to fail, at this interval.
+constexpr Milliseconds CheckInterval{50};
+constexpr int MaxChecks = 2;
+/// Answers that break later are not due to the same crash.
+constexpr std::chrono::seconds CrashMemory{5};
+
+uint32_t incarnationOf(const fleet::Server &server) {
+  return peers::hashOfIncarnation(server.Entry.Id, server.Entry.StartedMs);
+}
+
+std::vector<uint64_t> sharedPartIds(const RequestContext &context) {
+  std::vector<uint64_t> out;
+  for (const PromptPart &it : sharedParts(context.Request))
+    out.push_back(it.Id);
+  return out;
+}
+
+void publishCrash(SharedState &shared, uint32_t incarnation) {
+  BrokenServer &broken = shared.BrokenServers[incarnation];
+  std::vector<uint64_t> parts(broken.Parts.begin(), broken.Parts.end());
+  shared.Findings.recordCrash(incarnation, broken.At, parts, MonoClock::now());
+}
+
+Awaitable<void> checkServer(SharedState &shared, fleet::ServerPtr server) {
+  uint32_t incarnation = incarnationOf(*server);
+  HealthCheckResult result = HealthCheckResult::Unknown;
+  for (int i = 0; i < MaxChecks; ++i) {
+    if (i > 0)
+      co_await sleepFor(CheckInterval);
+    result = co_await checkHealth(shared, server->Entry);
+    if (result != HealthCheckResult::Closed)
+      break;
+  }
+  BrokenServer &broken = shared.BrokenServers[incarnation];
+  bool crashed = broken.Crashed || result == HealthCheckResult::Refused ||
+                 result == HealthCheckResult::Closed;
+  log::event(Category::Gateway, log::Level::Info, "server_crash",
+             {{"server", server->Entry.Id},
+              {"started_ms", server->Entry.StartedMs},
+              {"check", toString(result)},
+              {"parts", broken.Parts.size()},
+              {"outcome", crashed ? "crashed" : "runs"}});
+  if (!crashed) {
+    shared.BrokenServers.erase(incarnation);
+    co_return;
+  }
+  shared.Metrics.count("sardineford_server_crashes_total",
+                       {{"service", server->Entry.Service}});
+  broken.Crashed = true;
+  publishCrash(shared, incarnation);
+}
+
+void removeOld(SharedState &shared) {
+  MonoTime now = MonoClock::now();
+  std::erase_if(shared.BrokenServers, [&](const auto &it) {
+    return it.second.Crashed && now - it.second.At > CrashMemory;
+  });
+}
+
+} // namespace
+
+void recordBrokenAnswer(SharedState &shared, const RequestContext &context,
+                        const fleet::ServerPtr &server) {
+  std::vector<uint64_t> parts = sharedPartIds(context);
+  if (parts.empty())
+    return;
+  removeOld(shared);
+  uint32_t incarnation = incarnationOf(*server);
+  auto [it, isFirst] = shared.BrokenServers.try_emplace(incarnation);
+  it->second.Parts.insert(parts.begin(), parts.end());
+  if (isFirst) {
+    it->second.At = MonoClock::now();
+    spawn(shared.Io, "check-crash",
+          [&shared, server] { return checkServer(shared, server); });
+  } else if (it->second.Crashed) {
+    publishCrash(shared, incarnation);
+  }
+}
+
+void recordRefusedConnection(SharedState &shared,
+                             const fleet::ServerPtr &server) {
+  auto [it, isFirst] = shared.BrokenServers.try_emplace(incarnationOf(*server));
+  if (isFirst)
+    it->second.At = MonoClock::now();
+  it->second.Crashed = true;
+}
+
+void recordSoundAnswer(SharedState &shared, const RequestContext &context,
+                       MonoTime begin) {
+  shared.Findings.recordSound(sharedPartIds(context), begin, MonoClock::now());
+}
+
+void recordUnframedAnswer(SharedState &shared, const RequestContext &context,
+                          const fleet::ServerPtr &server, MonoTime begin) {
+  spawn(shared.Io, "unframed-answer",
+        [&shared, server, parts = sharedPartIds(context),
+         begin]() -> Awaitable<void> {
+          co_await sleepFor(fleet::CrashAnswerTime);
+          uint32_t incarnation = incarnationOf(*server);
+          auto it = shared.BrokenServers.find(incarnation);
+          if (it == shared.BrokenServers.end()) {
+            shared.Findings.recordSound(parts, begin, MonoClock::now());
+          } else {
+            it->second.Parts.insert(parts.begin(), parts.end());
+            if (it->second.Crashed)
+              publishCrash(shared, incarnation);
+          }
+        });
+}
+
+std::string findBlockedPart(SharedState &shared, RequestContext &context) {
+  fleet::PartsDecision decision =
+      shared.Findings.decide(sharedPartIds(context), MonoClock::now());
+  context.TriedPart = decision.TriedPart;
+  if (!decision.BlockedPart)
+    return "";
+  return fmt::format("prompt part {:x} has crashed several engines",
+                     *decision.BlockedPart);
+}
+
+} // namespace sardineford::gateway
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -76,7 +76,8 @@
              {},
              {},
              Peers.tracking(),
-             Peers.origins()} {
+             Peers.origins(),
+             Peers.findings()} {
   Watch.expectPosition();
   Watch.onConfiguration([this] { applyLimits(); });
   Peers.onPeersChanged([this] {
--- /dev/null
+++ b/Source/Gateway/HealthCheck.cpp
@@ -0,0 +1,57 @@
+#include "Gateway/HealthCheck.h"
+
+#include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Status.h"
+
+#include <array>
+
+namespace sardineford::gateway {
+
+namespace {
+
+using log::Category;
+
+constexpr Milliseconds CheckTimeout{500};
+
+} // namespace
+
+std::string_view toString(HealthCheckResult r) {
+  constexpr std::array<std::string_view, 5> Names = {
+      "healthy", "answered", "refused", "closed", "unknown"};
+  return Names[static_cast<size_t>(r)];
+}
+
+Awaitable<HealthCheckResult> checkHealth(SharedState &shared,
+                                         fleet::ServerEntry entry) {
+  if (!shared.Watch.routes())
+    co_return HealthCheckResult::Unknown;
+  const auto &services = shared.Watch.routes()->config().Services;
+  auto spec = services.find(entry.Service);
+  if (spec == services.end())
+    co_return HealthCheckResult::Unknown;
+  http::Request request =
+      shared.Protocol.makeHealthCheckRequest(spec->second.HealthPath, entry.Id);
+  http::CallOptions options;
+  options.Timeout = CheckTimeout;
+  options.FreshConnection = true;
+  try {
+    http::Response r =
+        co_await shared.Client.call(entry.Address, std::move(request), options);
+    ResponseHead head = shared.Protocol.decodeHead(r);
+    if (head.RespondingServer && *head.RespondingServer != entry.Id)
+      co_return HealthCheckResult::Refused;
+    co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id
+        ? HealthCheckResult::Healthy
+        : HealthCheckResult::Answered;
+  } catch (const http::TransportError &e) {
+    log::debug(Category::Fleet, "health check of {} failed: {}", entry.Id,
+               e.what());
+    if (e.Refused)
+      co_return HealthCheckResult::Refused;
+    co_return e.TimedOut || e.Stage == http::TransportStage::NothingSent
+        ? HealthCheckResult::Unknown
+        : HealthCheckResult::Closed;
+  }
+}
+
+} // namespace sardineford::gateway
--- a/Source/Gateway/ReturnCheck.cpp
+++ b/Source/Gateway/ReturnCheck.cpp
@@ -1,7 +1,7 @@
 #include "Gateway/ReturnCheck.h"
 
+#include "Gateway/HealthCheck.h"
 #include "Sardineford/Common/Log.h"
-#include "Sardineford/Http/Status.h"
 #include "Sardineford/Store/Write.h"
 
 namespace sardineford::gateway {
@@ -14,30 +14,6 @@
 /// increases.
 constexpr Milliseconds InitialCheckDelay{500};
 constexpr Milliseconds MaxCheckDelay{8'000};
-constexpr Milliseconds CheckTimeout{500};
-
-Awaitable<bool> isHealthy(SharedState &shared,
-                          const fleet::ServerEntry &entry) {
-  const auto &services = shared.Watch.routes()->config().Services;
-  auto spec = services.find(entry.Service);
-  if (spec == services.end())
-    co_return false;
-  http::Request request =
-      shared.Protocol.makeHealthCheckRequest(spec->second.HealthPath, entry.Id);
-  http::CallOptions options;
-  options.Timeout = CheckTimeout;
-  options.FreshConnection = true;
-  try {
-    http::Response r =
-        co_await shared.Client.call(entry.Address, std::move(request), options);
-    ResponseHead head = shared.Protocol.decodeHead(r);
-    co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id;
-  } catch (const http::TransportError &e) {
-    log::debug(Category::Fleet, "health check of {} failed: {}", entry.Id,
-               e.what());
-  }
-  co_return false;
-}
 
 } // namespace
 
@@ -46,7 +22,7 @@
   store::Backoff backoff(InitialCheckDelay, MaxCheckDelay);
   bool healthy = false;
   while (!healthy && shared.Servers.awaitsReadmission(entry)) {
-    healthy = shared.Watch.routes() && co_await isHealthy(shared, entry);
+    healthy = co_await checkHealth(shared, entry) == HealthCheckResult::Healthy;
     if (!healthy)
       co_await sleepFor(backoff.next());
   }
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -20,7 +20,12 @@
 constexpr Milliseconds SilenceInterval{400};
 constexpr std::string_view BudgetExhausted = "the retry budget is exhausted";
 
+/// A blocked prompt part stays blocked for longer than callers wait.
+constexpr Milliseconds RetryAfterBlocked{30'000};
+
 Milliseconds defaultRetryAfter(FailureCause cause) {
+  if (cause == FailureCause::Blocked)
+    return RetryAfterBlocked;
   bool noCapacity =
       cause == FailureCause::NoServer || cause == FailureCause::Overloaded;
   return noCapacity ? RetryAfterNoCapacity : RetryAfterFailed;
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/FleetWatch.h"
+#include "Peers/Findings.h"
 #include "Peers/LoadTracking.h"
 #include "Peers/StreamOrigins.h"
 #include "Sardineford/Admission/SizeFairness.h"
@@ -15,6 +16,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 namespace sardineford::gateway {
 
@@ -41,6 +43,16 @@
   Seconds MeanStreamDuration{0};
 };
 
+/// A server at which answers broke that had just begun.
+struct BrokenServer {
+  /// Time of the first broken answer.
+  MonoTime At{};
+  /// Prompt parts of these answers that other requests may share.
+  std::set<uint64_t> Parts;
+  /// The server is known to have crashed.
+  bool Crashed = false;
+};
+
 /// State that all requests of the process share.
 struct SharedState {
   IoContext &Io;
@@ -63,6 +75,10 @@
   peers::LoadTracking &Tracking;
   /// Versions that began the streams of all processes.
   peers::StreamOrigins &Origins;
+  /// What backend servers have shown to all processes.
+  peers::Findings &Findings;
+  /// Keyed by hashOfIncarnation.
+  std::map<uint32_t, BrokenServer> BrokenServers = {};
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
@@ -82,6 +98,8 @@
   /// Close the connections to the backend servers if the caller disconnects.
   std::vector<std::weak_ptr<http::AbortHandle>> Guards;
   bool CallerGone = false;
+  /// Blocked prompt part that the next attempt tries.
+  std::optional<uint64_t> TriedPart;
   /// Status and outcome for the log.
   unsigned Status = 0;
   std::string Outcome;
--- a/Source/Gateway/Stream.h
+++ b/Source/Gateway/Stream.h
@@ -92,6 +92,10 @@
   Seconds TimeToFirstEvent{-0.001};
   /// The caller receives the events of this attempt.
   bool Forwards = false;
+  /// The answer has been received without a long pause since this time.
+  MonoTime SteadySince{};
+  /// The answer has gone on for longer than one that crashes its server.
+  bool IsSound = false;
 };
 
 using OpenStreamAttemptPtr = std::unique_ptr<OpenStreamAttempt>;
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/CrashCheck.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Retry/Silence.h"
@@ -111,6 +112,18 @@
   return retry::decideOnSilence(state);
 }
 
+/// Returns whether the request may not be sent to an engine since a prompt part
+/// crashes engines.
+bool checkBlocked(SharedState &shared, RequestContext &context,
+                  StreamProgress &progress) {
+  std::string detail = findBlockedPart(shared, context);
+  if (detail.empty())
+    return false;
+  progress.LastCause = FailureCause::Blocked;
+  progress.LastDetail = std::move(detail);
+  return true;
+}
+
 /// Makes the next attempt. Returns false if none is possible now, or if an open
 /// attempt responds in the meantime.
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
@@ -119,17 +132,25 @@
   bool isFirst = context.Attempts.all().empty();
   if (!isFirst && !findRetryObstacle(shared, context).empty())
     co_return acquireRetry(shared, context);
+  if (checkBlocked(shared, context, progress)) {
+    progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
+    co_return false;
+  }
   progress.OpenResponses = responsesOf(open);
   std::optional<AttemptPlan> next =
       co_await planAttempt(shared, context, progress);
+  // The part may have been blocked while the prompt was prefilled.
   bool mustStop = context.CallerGone || checkTimedOut(context, progress) ||
-                  progress.hasOpenResponse();
+                  progress.hasOpenResponse() ||
+                  checkBlocked(shared, context, progress);
   if (!next || mustStop || (!isFirst && !acquireRetry(shared, context))) {
     if (next && next->Handle)
       freeHandle(shared, *next->Handle);
     progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
     co_return false;
   }
+  if (context.TriedPart)
+    shared.Findings.recordTrial(*context.TriedPart, MonoClock::now());
   OpenStreamAttemptPtr attempt =
       co_await startAttempt(shared, context, progress, std::move(*next));
   if (attempt)
@@ -246,8 +267,9 @@
   std::optional<StreamAttemptResult> result;
   if (co_await findStreamOrigin(shared, context, progress))
     result = co_await serveOnEngines(shared, context, progress);
-  shared.RouteStates[context.Route->Name].Fairness.record(
-      fairnessSize(context), result == StreamAttemptResult::Complete);
+  if (result || progress.LastCause != FailureCause::Blocked)
+    shared.RouteStates[context.Route->Name].Fairness.record(
+        fairnessSize(context), result == StreamAttemptResult::Complete);
   if (result == StreamAttemptResult::Complete) {
     context.Outcome = "answered";
     shared.Origins.forget(context.Service, context.Request.StreamId);
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/CrashCheck.h"
 #include "Gateway/EngineView.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Http/Status.h"
@@ -29,8 +30,38 @@
                                                    EventGapTimeoutFactor));
 }
 
+/// Records that bytes were received, and that the prompt is sound if the answer
+/// goes on for long enough. Bytes that waited while this process was paused say
+/// nothing about the time before.
+void recordProgress(SharedState &shared, const RequestContext &context,
+                    OpenStreamAttempt &attempt, MonoTime now) {
+  if (now - attempt.LastByteAt > fleet::CrashAnswerTime)
+    attempt.SteadySince = now;
+  attempt.LastByteAt = now;
+  if (attempt.IsSound || now - attempt.SteadySince < fleet::CrashAnswerTime)
+    return;
+  attempt.IsSound = true;
+  recordSoundAnswer(shared, context, attempt.RespondedAt);
+}
+
+/// Records what the end of a complete answer shows of its prompt.
+void recordCompleteAnswer(SharedState &shared, const RequestContext &context,
+                          const OpenStreamAttempt &attempt) {
+  if (attempt.IsSound)
+    return;
+  const http::Headers &fields = attempt.Response->head().Fields;
+  bool isFramed =
+      fields.find("Content-Length") || fields.find("Transfer-Encoding");
+  if (isFramed)
+    recordSoundAnswer(shared, context, attempt.RespondedAt);
+  else
+    recordUnframedAnswer(shared, context, attempt.Plan.Server,
+                         attempt.RespondedAt);
+}
+
 /// Forwards the events that have arrived.
-Awaitable<StreamAttemptResult> forwardEvents(RequestContext &context,
+Awaitable<StreamAttemptResult> forwardEvents(SharedState &shared,
+                                             RequestContext &context,
                                              StreamProgress &progress,
                                              OpenStreamAttempt &attempt) {
   while (attempt.Response->isReady()) {
@@ -44,7 +75,7 @@
       co_return StreamAttemptResult::Complete;
     }
     MonoTime now = MonoClock::now();
-    attempt.LastByteAt = now;
+    recordProgress(shared, context, attempt, now);
     std::string completeEvents = progress.Events.push(chunk);
     if (completeEvents.empty())
       continue;
@@ -181,6 +212,7 @@
   }
   attempt.LastByteAt = MonoClock::now();
   attempt.RespondedAt = attempt.LastByteAt;
+  attempt.SteadySince = attempt.LastByteAt;
   attempt.TimeToFirstEvent = attempt.LastByteAt - attempt.StartedAt;
   attempt.InFlight.releasePromptTokens();
   recordFirstEvent(shared, context, attempt);
@@ -231,6 +263,8 @@
   } catch (const http::TransportError &e) {
     progress.LastDetail = e.what();
     recordTransportFault(context, *server, e);
+    if (e.Refused)
+      recordRefusedConnection(shared, server);
     endAttempt(context, *attempt, AttemptOutcome::NeverSent, e.what());
     if (attempt->Plan.Handle)
       freeHandle(shared, *attempt->Plan.Handle);
@@ -245,15 +279,20 @@
                                               OpenStreamAttempt &attempt) {
   fleet::Server &server = *attempt.Plan.Server;
   StreamAttemptResult result = StreamAttemptResult::Broken;
+  // The connection ended before the response did.
+  bool isCut = false;
   try {
     if (attempt.Forwards)
-      result = co_await forwardEvents(context, progress, attempt);
+      result = co_await forwardEvents(shared, context, progress, attempt);
     else
       result = co_await receiveResponse(shared, context, progress, attempt);
   } catch (const http::TransportError &e) {
     progress.LastDetail = e.what();
     recordTransportFault(context, server, e);
+    isCut = !e.TimedOut && !context.CallerGone;
   }
+  if (isCut && !attempt.IsSound)
+    recordBrokenAnswer(shared, context, attempt.Plan.Server);
   if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
     server.Health.recordSuccess(MonoClock::now());
     attempt.WasSilent = false;
@@ -263,6 +302,8 @@
                  Seconds(MonoClock::now() - attempt.StartedAt) -
                      attempt.TimeToFirstEvent);
     server.Health.recordSuccess(MonoClock::now());
+    if (attempt.Forwards)
+      recordCompleteAnswer(shared, context, attempt);
   }
   co_return result;
 }
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -177,7 +177,8 @@
     if (failed)
       throw TransportError(
           TransportStage::NothingSent, failed == beast::error::timeout,
-          "connect to " + toString(to) + ": " + failed.message());
+          "connect to " + toString(to) + ": " + failed.message(),
+          failed == asio::error::connection_refused);
     setSocketOptions(c->Stream.socket());
     co_return c;
   }
--- /dev/null
+++ b/Source/Peers/Findings.cpp
@@ -0,0 +1,234 @@
+#include "Peers/Findings.h"
+
+#include "Messages/Messages.pb.h"
+#include "Peers/FindingCodec.h"
+#include "Sardineford/Common/Log.h"
+#include "Sardineford/Common/Random.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sardineford::peers {
+
+namespace {
+
+using log::Category;
+
+/// A peer is sent everything at most at this interval, the one of its reports.
+constexpr Milliseconds SendAllInterval{500};
+/// A part whose last sound answer is older may have been sound with another
+/// software version.
+constexpr std::chrono::seconds SoundMemory{60};
+constexpr size_t MaxSoundParts = 4'096;
+/// Answers with a sound part go on well somewhere within this time.
+constexpr std::chrono::seconds ConfirmTime{1};
+
+} // namespace
+
+uint32_t hashOfIncarnation(std::string_view id, int64_t startedMs) {
+  return static_cast<uint32_t>(hash64(id, static_cast<uint64_t>(startedMs)));
+}
+
+Findings::Findings(metrics::Metrics &metrics, const http::Endpoint &address,
+                   Send send, SendToAll sendToAll)
+    : Metrics(metrics), AddressHash(hash64(http::toString(address))),
+      SendTo(std::move(send)), SendAll(std::move(sendToAll)) {}
+
+void Findings::setProcesses(const std::vector<RunningProcess> &processes) {
+  if (processes == Processes)
+    return;
+  Processes = processes;
+  ProcessHashes.clear();
+  for (const RunningProcess &it : processes)
+    ProcessHashes.push_back(hash64(http::toString(it.Address)));
+}
+
+fleet::TrialRank Findings::rankOf(uint64_t part) const {
+  std::string name = std::to_string(part);
+  auto scoreOf = [&](uint64_t process) { return hash64(name, process); };
+  uint64_t local = scoreOf(AddressHash);
+  return static_cast<fleet::TrialRank>(
+      std::count_if(ProcessHashes.begin(), ProcessHashes.end(),
+                    [&](uint64_t it) { return scoreOf(it) < local; }));
+}
+
+bool Findings::wasRecentlySound(uint64_t part, MonoTime at) const {
+  auto it = SoundParts.find(part);
+  return it != SoundParts.end() && at - it->second < SoundMemory;
+}
+
+void Findings::recordCrash(uint32_t server, MonoTime at,
+                           std::span<const uint64_t> parts, MonoTime now) {
+  std::vector<uint64_t> news;
+  for (uint64_t it : parts) {
+    fleet::CrashSighting crash{server, at, false};
+    if (wasRecentlySound(it, at)) {
+      Unconfirmed[it].push_back(crash);
+      continue;
+    }
+    merge(it, {{crash}, false, now, 0, {}}, "local");
+    news.push_back(it);
+  }
+  fleet::dropOldEvidence(Parts, now);
+  updateDigest();
+  sendParts(news, now);
+}
+
+void Findings::recordSound(std::span<const uint64_t> parts, MonoTime begin,
+                           MonoTime now) {
+  for (uint64_t part : parts) {
+    MonoTime &last = SoundParts[part];
+    last = std::max(last, begin);
+    if (auto it = Unconfirmed.find(part); it != Unconfirmed.end())
+      std::erase_if(it->second, [&](const fleet::CrashSighting &crash) {
+        return crash.At <= begin;
+      });
+    auto it = Parts.find(part);
+    if (it == Parts.end())
+      continue;
+    bool wasBlocking = fleet::isBlocking(it->second);
+    if (!fleet::refuteCrashes(it->second, begin))
+      continue;
+    logVerdict(part, it->second, wasBlocking, "local");
+    ToSend.insert(part);
+    updateDigest();
+  }
+  if (SoundParts.size() > MaxSoundParts)
+    removeOld(now);
+}
+
+void Findings::endTurn(MonoTime now) {
+  for (auto &[part, crashes] : Unconfirmed)
+    std::erase_if(crashes, [&](const fleet::CrashSighting &it) {
+      if (now - it.At < ConfirmTime)
+        return false;
+      merge(part, {{it}, true, now, 0, {}}, "local");
+      ToSend.insert(part);
+      return true;
+    });
+  std::erase_if(Unconfirmed, [](const auto &it) { return it.second.empty(); });
+  updateDigest();
+  std::set<uint64_t> news = std::exchange(ToSend, {});
+  sendParts(std::vector<uint64_t>(news.begin(), news.end()), now);
+  removeOld(now);
+}
+
+fleet::PartsDecision Findings::decide(std::span<const uint64_t> parts,
+                                      MonoTime now) {
+  fleet::PartsDecision out = fleet::decideOnParts(
+      Parts, parts, now, [this](uint64_t part) { return rankOf(part); });
+  if (out.BlockedPart)
+    Parts[*out.BlockedPart].LastUseAt = now;
+  return out;
+}
+
+void Findings::recordTrial(uint64_t part, MonoTime now) {
+  fleet::PartEvidence &e = Parts[part];
+  ++e.Trials;
+  e.TriedAt = now;
+  log::event(Category::Peers, log::Level::Warning, "prompt_part",
+             {{"part", fmt::format("{:x}", part)},
+              {"outcome", "tried"},
+              {"trials", e.Trials}});
+  sendParts(std::span(&part, 1), now);
+}
+
+void Findings::removeOld(MonoTime now) {
+  std::erase_if(SoundParts,
+                [&](const auto &it) { return now - it.second > SoundMemory; });
+  while (SoundParts.size() > MaxSoundParts)
+    SoundParts.erase(std::min_element(
+        SoundParts.begin(), SoundParts.end(),
+        [](const auto &a, const auto &b) { return a.second < b.second; }));
+  std::erase_if(SentAllAt, [&](const auto &it) {
+    return now - it.second > SendAllInterval;
+  });
+  size_t n = Parts.size();
+  fleet::dropOldEvidence(Parts, now);
+  if (Parts.size() != n)
+    updateDigest();
+}
+
+bool Findings::merge(uint64_t part, const fleet::PartEvidence &from,
+                     std::string_view source) {
+  fleet::PartEvidence &e = Parts[part];
+  bool wasBlocking = fleet::isBlocking(e);
+  fleet::mergeEvidence(e, from);
+  // What went on well here may not be known to the others yet.
+  if (!e.Crashes.empty() && wasRecentlySound(part, e.Crashes.front().At)) {
+    e.WasSound = true;
+    fleet::refuteCrashes(e, SoundParts[part]);
+  }
+  logVerdict(part, e, wasBlocking, source);
+  fleet::PartEvidence known = from;
+  return fleet::mergeEvidence(known, e);
+}
+
+void Findings::logVerdict(uint64_t part, const fleet::PartEvidence &e,
+                          bool wasBlocking, std::string_view source) {
+  bool isBlocking = fleet::isBlocking(e);
+  if (isBlocking == wasBlocking)
+    return;
+  Metrics.count("sardineford_prompt_part_verdicts_total",
+                {{"outcome", isBlocking ? "blocked" : "cleared"}});
+  log::event(Category::Peers, log::Level::Warning, "prompt_part",
+             {{"part", fmt::format("{:x}", part)},
+              {"outcome", isBlocking ? "blocked" : "cleared"},
+              {"crashes", e.Crashes.size()},
+              {"crash_moments", fleet::countCrashMoments(e)},
+              {"was_sound", e.WasSound},
+              {"source", source}});
+}
+
+void Findings::updateDigest() {
+  uint32_t out = 0;
+  for (const auto &[part, e] : Parts)
+    if (fleet::isBlocking(e))
+      out ^= static_cast<uint32_t>(hash64(std::to_string(part)));
+  Digest = out;
+}
+
+void Findings::sendParts(std::span<const uint64_t> parts, MonoTime now) {
+  messages::LoadShare datagram = makeFindings();
+  for (uint64_t it : parts)
+    if (auto found = Parts.find(it); found != Parts.end())
+      encodePart(it, found->second, now, datagram);
+  if (datagram.findings().parts_size() > 0)
+    SendAll(datagram);
+}
+
+void Findings::checkPeer(uint32_t digest, const http::Endpoint &peer,
+                         MonoTime now) {
+  if (digest == Digest || Digest == 0)
+    return;
+  auto [it, isFirst] = SentAllAt.try_emplace(peer, now);
+  if (!isFirst && now - it->second < SendAllInterval)
+    return;
+  it->second = now;
+  Metrics.count("sardineford_findings_repaired_total", {});
+  messages::LoadShare datagram = makeFindings();
+  for (const auto &[part, e] : Parts)
+    if (fleet::isBlocking(e))
+      encodePart(part, e, now, datagram);
+  // Not to be passed on.
+  datagram.mutable_findings()->set_relayed(true);
+  SendTo(datagram, peer);
+}
+
+bool Findings::handle(const messages::LoadShare &in, MonoTime now) {
+  if (!in.has_findings())
+    return false;
+  for (const auto &[part, e] : decodeParts(in, now)) {
+    if (merge(part, e, "peer"))
+      ToSend.insert(part);
+    else
+      ToSend.erase(part);
+  }
+  fleet::dropOldEvidence(Parts, now);
+  updateDigest();
+  return true;
+}
+
+} // namespace sardineford::peers
--- /dev/null
+++ b/Source/Peers/Findings.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Peers/RunningProcess.h"
+#include "Sardineford/Fleet/CrashEvidence.h"
+#include "Sardineford/Metrics/Metrics.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace sardineford::messages {
+class LoadShare;
+} // namespace sardineford::messages
+
+namespace sardineford::peers {
+
+/// What backend servers have shown to some process and binds all of them. A
+/// crash under a part that is not known to be sound is sent to all processes at
+/// once, other news at the next turn unless a peer has sent the same before.
+/// Reports carry a digest of what binds; a process whose digest differs, since
+/// it was cut off, has restarted or lost a datagram, is sent that. Nothing is
+/// sent while there is nothing to know.
+class Findings {
+public:
+  using Send =
+      std::function<void(const messages::LoadShare &, const http::Endpoint &)>;
+  using SendToAll = std::function<void(const messages::LoadShare &)>;
+
+  Findings(metrics::Metrics &metrics, const http::Endpoint &address, Send send,
+           SendToAll sendToAll);
+
+  /// Sets the running processes, including this one.
+  void setProcesses(const std::vector<RunningProcess> &processes);
+
+  /// Records the crash of a server at which answers with these prompt parts had
+  /// just begun. `server` is its hashOfIncarnation.
+  void recordCrash(uint32_t server, MonoTime at,
+                   std::span<const uint64_t> parts, MonoTime now);
+  /// Records an answer with these prompt parts that went on well.
+  void recordSound(std::span<const uint64_t> parts, MonoTime begin,
+                   MonoTime now);
+  /// Decides whether a request with these prompt parts may be sent to an
+  /// engine.
+  fleet::PartsDecision decide(std::span<const uint64_t> parts, MonoTime now);
+  /// Records that a request is sent although a part is blocked.
+  void recordTrial(uint64_t part, MonoTime now);
+  const fleet::EvidenceByPart &evidence() const { return Parts; }
+  /// Sends the news of this turn and drops what is no longer needed. Called
+  /// several times a second.
+  void endTurn(MonoTime now);
+
+  /// Equal for processes that reject requests for the same prompt parts; 0 for
+  /// none.
+  uint32_t digest() const { return Digest; }
+  /// Sends the evidence against these parts to a peer that differs. If it is
+  /// refuted there, the peer tells all.
+  void checkPeer(uint32_t digest, const http::Endpoint &peer, MonoTime now);
+  /// Handles a datagram. Returns false if it is none of this class.
+  bool handle(const messages::LoadShare &in, MonoTime now);
+
+private:
+  /// Adds evidence on a part, and what this process knows of it. Returns
+  /// whether anything was new, also to the source of the evidence.
+  bool merge(uint64_t part, const fleet::PartEvidence &from,
+             std::string_view source);
+  bool wasRecentlySound(uint64_t part, MonoTime at) const;
+  void sendParts(std::span<const uint64_t> parts, MonoTime now);
+  void removeOld(MonoTime now);
+  void logVerdict(uint64_t part, const fleet::PartEvidence &e, bool wasBlocking,
+                  std::string_view source);
+  void updateDigest();
+  fleet::TrialRank rankOf(uint64_t part) const;
+
+  metrics::Metrics &Metrics;
+  uint64_t AddressHash;
+  Send SendTo;
+  SendToAll SendAll;
+  std::vector<RunningProcess> Processes;
+  std::vector<uint64_t> ProcessHashes;
+  fleet::EvidenceByPart Parts;
+  /// Begin of the last sound answer with each part, here.
+  std::map<uint64_t, MonoTime> SoundParts;
+  /// Crashes under parts that were sound, which are told only if no sound
+  /// answer follows soon.
+  std::map<uint64_t, std::vector<fleet::CrashSighting>> Unconfirmed;
+  /// Parts of which this process knows more than a peer.
+  std::set<uint64_t> ToSend;
+  std::map<http::Endpoint, MonoTime> SentAllAt;
+  uint32_t Digest = 0;
+};
+
+/// Identifies one start of a backend server.
+uint32_t hashOfIncarnation(std::string_view id, int64_t startedMs);
+
+} // namespace sardineford::peers
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -73,6 +73,15 @@
                      const http::Endpoint &to) {
                 send("origins", datagram.SerializeAsString(), {to});
               }),
+      Known(
+          metrics, Local.Address,
+          [this](const messages::LoadShare &datagram,
+                 const http::Endpoint &to) {
+            send("findings", datagram.SerializeAsString(), {to});
+          },
+          [this](const messages::LoadShare &datagram) {
+            sendToAll("findings", datagram);
+          }),
       LocalReport(std::make_unique<messages::LoadShare>()) {}
 
 LoadExchange::~LoadExchange() = default;
@@ -195,6 +204,7 @@
   if (LocalView)
     view = LocalView();
   encodeDigests(view, out);
+  out.set_findings_digest(Known.digest());
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
   // All processes of a large fleet learn of a change from the watchers at about
@@ -235,6 +245,7 @@
 void LoadExchange::sendRelay(const std::vector<http::Endpoint> &to) {
   messages::LoadShare datagram;
   datagram.set_node(Node);
+  datagram.set_findings_digest(Known.digest());
   messages::GroupRelay &out = *datagram.mutable_relay();
   std::vector<RunningProcess> running = {Local};
   for (const auto &[process, time] : GroupReports)
@@ -264,6 +275,8 @@
     interval = sendInterval(to);
     Tracking.setProcesses(Peers.activeProcesses());
     Origins.setProcesses(Peers.activeProcesses());
+    Known.setProcesses(Peers.activeProcesses());
+    Known.endTurn(now);
     updatePosition();
     LastRecipients = to;
     if (now - SharesRepeatedAt >= RepeatInterval) {
@@ -297,10 +310,16 @@
   }
   if (Origins.handle(in, from) || Tracking.handle(in, from))
     return;
+  MonoTime now = MonoClock::now();
+  if (Known.handle(in, now)) {
+    relayFindings(in, from);
+    return;
+  }
   if (in.has_changes()) {
     applyChanges(in, from);
     return;
   }
+  Known.checkPeer(in.findings_digest(), from, now);
   if (in.has_relay()) {
     applyRelay(in);
     return;
@@ -366,9 +385,7 @@
   encodeChangesHead(changes, datagram);
   messages::ObjectChanges &out = *datagram.mutable_changes();
   auto flush = [&] {
-    std::string bytes = datagram.SerializeAsString();
-    send("changes", bytes, LastRecipients.SameGroup);
-    send("changes", bytes, LastRecipients.OtherGroups);
+    sendToAll("changes", datagram);
     out.clear_objects();
   };
   for (const store::Object &it : changes.Changes.Objects) {
@@ -397,6 +414,22 @@
     OnChanges(decodeChanges(in));
 }
 
+void LoadExchange::sendToAll(std::string_view kind,
+                             const messages::LoadShare &datagram) {
+  std::string bytes = datagram.SerializeAsString();
+  send(kind, bytes, LastRecipients.SameGroup);
+  send(kind, bytes, LastRecipients.OtherGroups);
+}
+
+void LoadExchange::relayFindings(const messages::LoadShare &in,
+                                 const http::Endpoint &from) {
+  if (in.findings().relayed() || !Peers.isInGroup(from))
+    return;
+  messages::LoadShare copy = in;
+  copy.mutable_findings()->set_relayed(true);
+  send("findings", copy.SerializeAsString(), LastRecipients.OtherGroups);
+}
+
 void LoadExchange::queueForRelay(const messages::LoadShare &in,
                                  const http::Endpoint &from) {
   if (isCompact(from))
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/WatchDuty.h"
+#include "Peers/Findings.h"
 #include "Peers/LoadTracking.h"
 #include "Peers/PeerSet.h"
 #include "Peers/RunningProcess.h"
@@ -49,6 +50,7 @@
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
   LoadTracking &tracking() { return Tracking; }
   StreamOrigins &origins() { return Origins; }
+  Findings &findings() { return Known; }
   /// Returns the position of this process among the running ones; empty until
   /// the list of the processes is read.
   std::optional<fleet::FleetPosition> position() const {
@@ -91,7 +93,11 @@
   void sendRelay(const std::vector<http::Endpoint> &to);
   void send(std::string_view kind, const std::string &bytes,
             const std::vector<http::Endpoint> &to);
+  /// Sends a datagram to the recipients of reports and relays. Those of the
+  /// local group pass it on to the others.
+  void sendToAll(std::string_view kind, const messages::LoadShare &datagram);
   void handleDatagram(std::string_view bytes, const http::Endpoint &from);
+  void relayFindings(const messages::LoadShare &in, const http::Endpoint &from);
   void applyReport(const messages::LoadShare &in, const http::Endpoint &from);
   void applyRelay(const messages::LoadShare &in);
   void queueForRelay(const messages::LoadShare &in, const http::Endpoint &from);
@@ -117,6 +123,7 @@
   PeerSet Peers;
   LoadTracking Tracking;
   StreamOrigins Origins;
+  Findings Known;
   MonoTime SharesRepeatedAt{};
   /// Recipients of the last reports.
   PeerSet::Recipients LastRecipients;
--- /dev/null
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -0,0 +1,119 @@
+#include "Sardineford/Fleet/CrashEvidence.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using namespace sardineford::fleet;
+
+namespace {
+
+MonoTime at(int seconds) { return MonoTime{} + std::chrono::seconds(seconds); }
+
+/// Crashes of different servers, one a second.
+PartEvidence crashesFrom(uint32_t first, uint32_t last, bool wasSound = false) {
+  PartEvidence out;
+  out.WasSound = wasSound;
+  for (uint32_t i = first; i <= last; ++i)
+    out.Crashes.push_back({i, at(static_cast<int>(i)), false});
+  out.LastUseAt = at(static_cast<int>(last));
+  return out;
+}
+
+bool isRejected(const EvidenceByPart &evidence, std::vector<uint64_t> parts,
+                TrialRank rank, int seconds) {
+  auto rankOf = [rank](uint64_t /*part*/) { return rank; };
+  return decideOnParts(evidence, parts, at(seconds), rankOf)
+      .BlockedPart.has_value();
+}
+
+} // namespace
+
+TEST_CASE("a part is blocked after three crashes, a sound one after five") {
+  CHECK_FALSE(isBlocking(crashesFrom(1, 2)));
+  CHECK(isBlocking(crashesFrom(1, 3)));
+  CHECK_FALSE(isBlocking(crashesFrom(1, 4, true)));
+  CHECK(isBlocking(crashesFrom(1, 5, true)));
+}
+
+TEST_CASE("servers that crash together count once") {
+  PartEvidence e;
+  for (uint32_t i = 0; i < 20; ++i)
+    e.Crashes.push_back({i, at(1) + Milliseconds(i), false});
+  CHECK(countCrashMoments(e) == 1);
+}
+
+TEST_CASE("a sound answer refutes the crashes before it") {
+  PartEvidence e = crashesFrom(1, 5);
+  CHECK(refuteCrashes(e, at(3)));
+  CHECK(countCrashMoments(e) == 2);
+  CHECK(e.WasSound);
+  CHECK_FALSE(refuteCrashes(e, at(2)));
+}
+
+TEST_CASE("evidence is the same in whatever order it is merged") {
+  PartEvidence refuted = crashesFrom(1, 4);
+  refuteCrashes(refuted, at(2));
+  PartEvidence later = crashesFrom(2, 5);
+  for (CrashSighting &it : later.Crashes)
+    it.At += Milliseconds(30);
+  PartEvidence ab = refuted;
+  CHECK(mergeEvidence(ab, later));
+  PartEvidence ba = later;
+  CHECK(mergeEvidence(ba, refuted));
+  CHECK(ab.Crashes == ba.Crashes);
+  CHECK(ab.WasSound == ba.WasSound);
+  CHECK_FALSE(mergeEvidence(ab, later));
+  CHECK(countCrashMoments(ab) == 3);
+}
+
+TEST_CASE("a part that came with a crashing one is sound without it") {
+  constexpr uint64_t Caller = 7;
+  constexpr uint64_t Crashing = 9;
+  EvidenceByPart evidence = {{Caller, crashesFrom(1, 3)},
+                             {Crashing, crashesFrom(1, 5)}};
+  CHECK(isRejected(evidence, {Caller, Crashing}, 0, 6));
+  CHECK(isRejected(evidence, {Crashing}, 1, 6));
+  CHECK_FALSE(isRejected(evidence, {Caller}, 5, 6));
+}
+
+TEST_CASE("a request with two blocked parts is no trial") {
+  EvidenceByPart evidence = {{7, crashesFrom(1, 3)}, {9, crashesFrom(1, 3)}};
+  CHECK(isRejected(evidence, {7, 9}, 0, 5));
+  CHECK_FALSE(isRejected(evidence, {7}, 0, 5));
+  CHECK(isRejected(evidence, {7}, 1, 5));
+}
+
+TEST_CASE("more processes try a blocked part while nothing is heard of it") {
+  EvidenceByPart evidence = {{9, crashesFrom(1, 8)}};
+  CHECK(isRejected(evidence, {9}, 0, 8));
+  CHECK_FALSE(isRejected(evidence, {9}, 0, 9));
+  CHECK(isRejected(evidence, {9}, 1, 9));
+  CHECK_FALSE(isRejected(evidence, {9}, 1, 19));
+  CHECK_FALSE(isRejected(evidence, {9}, 349, 110));
+}
+
+TEST_CASE("a crashing part is tried twice, and then for minutes no more") {
+  EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
+  evidence[9].Trials = 2;
+  evidence[9].TriedAt = at(20);
+  CHECK(isRejected(evidence, {9}, 0, 300));
+  CHECK_FALSE(isRejected(evidence, {9}, 0, 321));
+}
+
+TEST_CASE("evidence is kept while requests are rejected because of it") {
+  EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
+  evidence[9].LastUseAt = at(400);
+  dropOldEvidence(evidence, at(900));
+  CHECK(evidence.contains(9));
+  dropOldEvidence(evidence, at(1'100));
+  CHECK(evidence.empty());
+}
+
+TEST_CASE("much evidence leaves room for the strongest") {
+  EvidenceByPart evidence = {{9, crashesFrom(1, 3)}};
+  for (uint64_t i = 100; i < 1'000; ++i)
+    evidence[i] = crashesFrom(5, 5);
+  dropOldEvidence(evidence, at(6));
+  CHECK(evidence.size() == 256);
+  CHECK(evidence.contains(9));
+}
--- /dev/null
+++ b/Tests/Load/CrashScaleTest.cpp
@@ -0,0 +1,95 @@
+#include "StandIns/Placement/CrashSimulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+using namespace sardineford;
+using namespace sardineford::standins;
+
+namespace {
+
+/// Requests that may reach engines later than a stability window after the
+/// fifth crash.
+constexpr unsigned AllowedArrivals = 3;
+/// Target of all control traffic of a process.
+constexpr double TargetBytesPerSecond = 7'000;
+
+CrashSimulationOptions fleetOf(size_t processes) {
+  CrashSimulationOptions o;
+  o.Processes = processes;
+  o.Engines = processes == 6 ? 6 : processes;
+  o.SoundPerSecond = 10.0 * static_cast<double>(o.Engines);
+  return o;
+}
+
+uint64_t seedsOf(size_t processes) { return processes > 60 ? 1 : 3; }
+
+void print(const char *name, const CrashSimulationOptions &o,
+           const CrashOutcome &out) {
+  std::printf(
+      "crashes: %3zu processes, %-28s %3u crashes, %u late arrivals, "
+      "late sound begun %.3f, sound rejected %.4f, %.0f B/s, most %.0f\n",
+      o.Processes, name, out.Crashes, out.LateArrivals, out.lateBegunRatio(),
+      out.rejectedRatio(), out.MeanBytesPerSecond, out.MostBytesPerSecond);
+}
+
+} // namespace
+
+TEST_CASE("a prompt part that crashes engines is stopped by the whole fleet") {
+  for (size_t processes : {6, 60, 350})
+    for (double rate : {0.5, 2.0, 8.0})
+      for (bool disturbed : {false, true}) {
+        CrashSimulationOptions o = fleetOf(processes);
+        o.CrashingPerSecond = rate;
+        if (disturbed) {
+          o.CutOffRatio = 0.3;
+          o.RestartRatio = 0.2;
+        }
+        for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+          o.Seed = seed;
+          CrashOutcome out = simulateCrashes(o);
+          print(disturbed ? "cut off and restarted" : "calm", o, out);
+          INFO(processes << " processes, " << rate << "/s, seed " << seed);
+          CHECK(out.LateArrivals <= AllowedArrivals);
+          CHECK(out.lateBegunRatio() >= 0.5);
+          CHECK(out.MeanBytesPerSecond < TargetBytesPerSecond);
+        }
+      }
+}
+
+TEST_CASE("engines that crash for other reasons block no prompt part") {
+  for (size_t processes : {6, 60, 350})
+    for (size_t takenAlong : {0, 2})
+      for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+        CrashSimulationOptions o = fleetOf(processes);
+        o.CrashingPerSecond = 0;
+        o.OtherCrashesPerSecond = 1;
+        o.TakenAlong = takenAlong;
+        o.Seed = seed;
+        CrashOutcome out = simulateCrashes(o);
+        print("other crashes", o, out);
+        INFO(processes << " processes, " << takenAlong << " taken along, seed "
+                       << seed);
+        CHECK(out.rejectedRatio() <= 0.05);
+      }
+}
+
+TEST_CASE("sound requests that share parts with crashing ones are served") {
+  for (size_t processes : {6, 350})
+    for (double oneCaller : {0.0, 1.0})
+      for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+        CrashSimulationOptions o = fleetOf(processes);
+        o.OneCallerRatio = oneCaller;
+        o.OtherCrashesPerSecond = 0.2;
+        o.TakenAlong = 1;
+        o.Seed = seed;
+        CrashOutcome out = simulateCrashes(o);
+        print(oneCaller > 0 ? "one caller" : "all callers", o, out);
+        INFO(processes << " processes, one caller " << oneCaller << ", seed "
+                       << seed);
+        CHECK(out.LateArrivals <= AllowedArrivals);
+        CHECK(out.lateBegunRatio() >= 0.5);
+        CHECK(out.rejectedRatio() <= 0.05);
+      }
+}
--- a/include/Sardineford/Gateway/AttemptRecord.h
+++ b/include/Sardineford/Gateway/AttemptRecord.h
@@ -60,6 +60,8 @@
   /// It is not known which software version began the stream, or no server has
   /// it.
   VersionUnknown,
+  /// Requests like this one have crashed several servers.
+  Blocked,
 };
 
 std::string_view toString(FailureCause c);
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -22,13 +22,15 @@
 class TransportError : public Error {
 public:
   TransportError(TransportStage stage, bool timedOut,
-                 const std::string &message)
+                 const std::string &message, bool refused = false)
       : Error(ErrorKind::BackendFailed, message,
               "check that the server is running and reachable"),
-        Stage(stage), TimedOut(timedOut) {}
+        Stage(stage), TimedOut(timedOut), Refused(refused) {}
 
   TransportStage Stage;
   bool TimedOut;
+  /// Nothing listens at the address.
+  bool Refused;
 };
 
 /// Aborts a call from another coroutine, also while the call is connecting.
