Read and log the limit of requests that a server names

The header is decoded once, logged with each attempt and not passed on to callers. It limits nothing yet.

--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -84,7 +84,8 @@
              {"run", outcome, shared.service(context.Service).MeanResponseTime,
               attempt.Patience,
               toMilliseconds(MonoClock::now() - attempt.StartedAt), detail, 0,
-              0, attempt.silence(), attempt.responseAge()});
+              0, attempt.silence(), attempt.responseAge(),
+              attempt.RequestLimit});
 }
 
 /// Sends the request to a server.
@@ -139,6 +140,7 @@
         attempt.RespondedAt = attempt.LastByteAt;
         attempt.Received = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
+        attempt.RequestLimit = attempt.Head.RequestLimit;
         done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
         if (done.Detail.empty())
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -219,6 +219,7 @@
        {"took_ms", entry.Duration.count()},
        {"silent_ms", entry.Silence.count()},
        {"response_age_ms", entry.ResponseAge.count()},
+       {"request_limit", entry.RequestLimit.value_or(-1)},
        {"left_ms", context.remainingTime().count()},
        {"outcome", toString(entry.Outcome)},
        {"detail", entry.Detail}});
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -132,6 +132,8 @@
   MonoTime RespondedAt{};
   /// The server has been silent for longer than expected.
   bool WasSilent = false;
+  /// Limit that the response named, requests a second.
+  std::optional<double> RequestLimit;
 
   Milliseconds silence() const {
     return toMilliseconds(MonoClock::now() - LastByteAt);
@@ -220,6 +222,8 @@
   /// Time since the head of the response when the attempt ended; -1 without a
   /// head.
   Milliseconds ResponseAge{-1};
+  /// Limit that the response named, requests a second.
+  std::optional<double> RequestLimit;
 };
 
 void logAttempt(const RequestContext &context, const fleet::Server &server,
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -197,6 +197,7 @@
   const ServerPtr &server = attempt.Plan.Server;
   co_await attempt.Response->receiveHead(http::ReadyTimeout);
   ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
+  attempt.RequestLimit = head.RequestLimit;
   std::string error =
       validateResponse(head, attempt.Response->head(), context.Request.Id);
   if (!error.empty()) {
@@ -229,7 +230,7 @@
               attempt.Plan.Estimate, attempt.Patience,
               toMilliseconds(attempt.TimeToFirstEvent), detail,
               attempt.Plan.Tokens, attempt.QueuedTokens, attempt.silence(),
-              attempt.responseAge()});
+              attempt.responseAge(), attempt.RequestLimit});
 }
 
 Awaitable<OpenStreamAttemptPtr> startAttempt(SharedState &shared,
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -128,3 +128,18 @@
   CHECK(r.Status == 503);
   CHECK(r.Fields.find("Retry-After") == "1.250");
 }
+
+TEST_CASE("the limit that a server names is read and not passed on") {
+  TrafficAdapter a;
+  auto limitOf = [&](const char *text) {
+    http::Response r;
+    r.Fields.add("Server-Limit", text);
+    CHECK_FALSE(a.makeCallerResponse(r).Fields.find("Server-Limit"));
+    return a.decodeHead(r).RequestLimit;
+  };
+  CHECK(limitOf("2.5") == 2.5);
+  CHECK(limitOf("0") == 0.0);
+  for (const char *it : {"", "x", "-1", "nan", "inf", "1e999", "2,5"})
+    CHECK_FALSE(limitOf(it));
+  CHECK_FALSE(a.decodeHead(http::Response{}).RequestLimit);
+}
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -46,6 +46,9 @@
   bool IsEventStream = false;
   /// Empty if the response contains no request id.
   std::optional<std::string> RequestId;
+  /// Requests a second that the server takes from all processes together; empty
+  /// if it names no limit.
+  std::optional<double> RequestLimit;
 };
 
 /// Translates between the gateway and the protocols of callers and backend
