--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Http/Client.h"
 #include "StandIns/Deployment/Process.h"
+#include "StandIns/Platform/PlatformWorker.h"
 #include "StandIns/Relay/Relay.h"
 
 #include <memory>
@@ -33,6 +34,8 @@
   Milliseconds DrainTime{1'500};
   /// Id of a prompt part that crashes engines; empty for none.
   std::string CrashingPart;
+  /// Named by the last decode engine.
+  NamedLimit Limit;
 };
 
 /// Maximum time from SIGTERM to the exit of a daemon.
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -161,6 +161,12 @@
   r.Status = status;
   r.Fields.add(std::string(names::RequestId), id);
   r.Fields.add(std::string(names::ServerSeal), "stand-in");
+  MonoTime from = StartedAt + Options.Limit.From;
+  MonoTime now = MonoClock::now();
+  if (Options.Limit.PerSecond >= 0 && now >= from &&
+      now < from + Options.Limit.Length)
+    r.Fields.add(std::string(names::ServerLimit),
+                 std::to_string(Options.Limit.PerSecond));
   r.Body = std::move(body);
   return r;
 }
@@ -185,6 +191,7 @@
     co_await out.send(std::move(r));
     co_return;
   }
+  recordEvent(id, "arrival");
   if (Listener.openRequests() > Options.Slots) {
     http::Response r = makeResponse(503, id, "");
     r.Fields.add(std::string(names::NotExecuted), "1");
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -20,6 +20,15 @@
 inline constexpr std::array<const char *, 4> SoftwareVersions = {"v1", "v1.1",
                                                                  "v2", "v2.1"};
 
+/// Limit of requests that a backend server names in its responses for a while.
+struct NamedLimit {
+  /// Requests a second; negative to name none.
+  double PerSecond = -1;
+  /// Time from the start of the server, and how long.
+  Milliseconds From{0};
+  Milliseconds Length{0};
+};
+
 struct PlatformWorkerOptions {
   std::string Id;
   std::string Service;
@@ -42,6 +51,7 @@
   /// Id of a prompt part, as in the header of requests, that ends the process
   /// soon after it has begun to answer; empty for none.
   std::string CrashingPart;
+  NamedLimit Limit;
   /// File to which a line is appended for each event.
   std::string History;
 };
@@ -93,6 +103,7 @@
   Batch ActiveBatch;
   std::ofstream HistoryFile;
   int64_t StartedAtMs;
+  MonoTime StartedAt = MonoClock::now();
   bool Draining = false;
   uint64_t AttemptCount = 0;
   /// Request ids of prefilled prompts, by KV handle.
