Keep to the limit that a server names, over all processes

Callers saw nothing yet; a server in need got 45 requests in 4 s where its limit of 3.1 a second allows 24, as many as before it named one.

Cause: the header was not read. Class: a statement of a server about all its callers is no use to one of them alone; each must know the whole and its own part of it.

Now every response read (streams, plain calls, prefills, health checks) gives a statement on the server's limit; the newer one holds, and the begin is told to all processes at once with the findings. A response without a limit ends it only if its request was sent after the limit was last seen. Only so many processes, by rendezvous hashing, share a limit that each may send about once a second; the others pass the server over. A share begins empty. A process that is no longer heard of keeps its part for 30 s, so that the cut-off do not take all.

Ruled out: a limit that was known but not divided, or not kept by some kinds of calls: no line or metric of the record holds one, arrivals did not change.

--- a/Source/Gateway/CrashCheck.cpp
+++ b/Source/Gateway/CrashCheck.cpp
@@ -93,6 +93,7 @@
 
 void recordRefusedConnection(SharedState &shared,
                              const fleet::ServerPtr &server) {
+  removeOld(shared);
   auto [it, isFirst] = shared.BrokenServers.try_emplace(incarnationOf(*server));
   if (isFirst)
     it->second.At = MonoClock::now();
--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/EngineView.h"
 
+#include "Gateway/LimitCheck.h"
+
 #include "Sardineford/Common/Random.h"
 #include "Sardineford/Routing/EngineProbes.h"
 
@@ -125,7 +127,7 @@
   Seconds meanStreamDuration =
       shared.service(context.Service).MeanStreamDuration;
   for (const fleet::ServerPtr &it : shared.Servers.ofService(context.Service)) {
-    if (!isAllowed(filter, it->Entry))
+    if (!isAllowed(filter, it->Entry) || !isWithinLimit(shared, *it))
       continue;
     auto answer = probed.CachedTokens.find(it->Entry.Id);
     bool isProbed = answer != probed.CachedTokens.end();
--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/HealthCheck.h"
 
+#include "Gateway/LimitCheck.h"
+
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Http/Status.h"
 
@@ -34,10 +36,12 @@
   http::CallOptions options;
   options.Timeout = CheckTimeout;
   options.FreshConnection = true;
+  MonoTime start = MonoClock::now();
   try {
     http::Response r =
         co_await shared.Client.call(entry.Address, std::move(request), options);
     ResponseHead head = shared.Protocol.decodeHead(r);
+    recordResponseLimit(shared, entry, head, start);
     if (head.RespondingServer && *head.RespondingServer != entry.Id)
       co_return HealthCheckResult::Refused;
     co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/LimitCheck.h"
 #include "Gateway/State.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Http/Status.h"
@@ -52,7 +53,7 @@
   std::vector<ServerPtr> servers;
   MonoTime now = MonoClock::now();
   for (const ServerPtr &it : shared.Servers.ofService(context.Service)) {
-    if (triedServers.contains(it->Entry.Id))
+    if (triedServers.contains(it->Entry.Id) || !isWithinLimit(shared, *it))
       continue;
     candidates.push_back({it->Entry.FailureDomain == shared.FailureDomain,
                           it->requests(), it->Entry.Slots,
@@ -92,6 +93,7 @@
 Awaitable<void> startAttempt(SharedState &shared, RequestContext &context,
                              PlainProgress &progress, ServerPtr server) {
   progress.TriedServers.insert(server->Entry.Id);
+  recordLimitedRequest(shared, *server);
   auto attempt = std::make_unique<OpenPlainAttempt>(shared, server);
   AttemptOptions attemptOptions;
   attemptOptions.ServerId = server->Entry.Id;
@@ -141,6 +143,8 @@
         attempt.Received = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
         attempt.RequestLimit = attempt.Head.RequestLimit;
+        recordResponseLimit(shared, attempt.Server->Entry, attempt.Head,
+                            attempt.StartedAt);
         done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
         if (done.Detail.empty())
--- a/Source/Gateway/StateGauges.cpp
+++ b/Source/Gateway/StateGauges.cpp
@@ -71,6 +71,12 @@
           [&peers] { return static_cast<double>(peers.processes()); });
   m.gauge("sardineford_log_lines_dropped_total", {},
           [] { return static_cast<double>(log::droppedLines()); });
+  m.gauge("sardineford_limited_servers", {}, [&shared] {
+    return static_cast<double>(shared.Findings.limitedServers());
+  });
+  m.gauge("sardineford_suspect_prompt_parts", {}, [&shared] {
+    return static_cast<double>(shared.Findings.evidence().size());
+  });
   m.gauges("sardineford_servers", [&shared] { return countServers(shared); });
   m.gauges("sardineford_requests_in_flight", [&shared] {
     return sumByService(shared, [](const fleet::Server &it) {
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/EngineView.h"
+#include "Gateway/LimitCheck.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Admission/StreamAdmission.h"
 #include "Sardineford/Common/Log.h"
@@ -35,6 +36,7 @@
         ServerPtr server, double tokens, Seconds estimate) {
   double queuedTokens = server->tokensAhead(progress.Priority);
   Reservation inFlight(shared, server, progress.Priority, tokens);
+  recordLimitedRequest(shared, *server);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
   AttemptOptions attemptOptions = makeAttemptOptions(context, progress, server);
@@ -65,6 +67,7 @@
     http::Response r =
         co_await readWhole(*response, ready ? timeout : http::ReadyTimeout);
     ResponseHead head = shared.Protocol.decodeHead(r);
+    recordResponseLimit(shared, server->Entry, head, start);
     if (head.NotExecuted) {
       outcome = AttemptOutcome::NotExecuted;
       detail = "rejected with status " + std::to_string(r.Status);
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CrashCheck.h"
 #include "Gateway/EngineView.h"
+#include "Gateway/LimitCheck.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Http/Status.h"
 
@@ -198,6 +199,7 @@
   co_await attempt.Response->receiveHead(http::ReadyTimeout);
   ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
   attempt.RequestLimit = head.RequestLimit;
+  recordResponseLimit(shared, server->Entry, head, attempt.StartedAt);
   std::string error =
       validateResponse(head, attempt.Response->head(), context.Request.Id);
   if (!error.empty()) {
@@ -241,6 +243,7 @@
                                                      progress.Priority);
   const ServerPtr &server = attempt->Plan.Server;
   progress.Filter.ExcludedServers.push_back(server->Entry.Id);
+  recordLimitedRequest(shared, *server);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
   AttemptOptions attemptOptions = makeAttemptOptions(context, progress, server);
--- a/Source/Peers/FindingCodec.cpp
+++ b/Source/Peers/FindingCodec.cpp
@@ -61,4 +61,26 @@
   return out;
 }
 
+void encodeLimit(uint32_t server, const ServerLimit &limit, MonoTime now,
+                 messages::LoadShare &out) {
+  messages::LimitFinding &l = *out.mutable_findings()->add_limits();
+  l.set_server(server);
+  l.set_id(limit.Id);
+  if (limit.Limit.PerSecond)
+    l.set_per_second(*limit.Limit.PerSecond);
+  l.set_age_ms(ageOf(limit.Limit.SeenAt, now));
+}
+
+LimitByServer decodeLimits(const messages::LoadShare &in, MonoTime now) {
+  LimitByServer out;
+  for (const messages::LimitFinding &it : in.findings().limits()) {
+    ServerLimit &l = out[it.server()];
+    l.Id = it.id();
+    l.Limit.SeenAt = timeOf(it.age_ms(), now);
+    if (it.has_per_second())
+      l.Limit.PerSecond = it.per_second();
+  }
+  return out;
+}
+
 } // namespace sardineford::peers
--- a/Source/Peers/FindingCodec.h
+++ b/Source/Peers/FindingCodec.h
@@ -1,6 +1,10 @@
 #pragma once
 
 #include "Sardineford/Fleet/CrashEvidence.h"
+#include "Sardineford/Fleet/RequestLimit.h"
+
+#include <map>
+#include <string>
 
 namespace sardineford::messages {
 class LoadShare;
@@ -18,4 +22,17 @@
 /// Reads the evidence on all prompt parts of the datagram.
 fleet::EvidenceByPart decodeParts(const messages::LoadShare &in, MonoTime now);
 
+/// A server and what it said last of its limit.
+struct ServerLimit {
+  std::string Id;
+  fleet::RequestLimit Limit;
+};
+
+/// By hashOfIncarnation.
+using LimitByServer = std::map<uint32_t, ServerLimit>;
+
+void encodeLimit(uint32_t server, const ServerLimit &limit, MonoTime now,
+                 messages::LoadShare &out);
+LimitByServer decodeLimits(const messages::LoadShare &in, MonoTime now);
+
 } // namespace sardineford::peers
--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -25,6 +25,12 @@
 /// Answers with a sound part go on well somewhere within this time.
 constexpr std::chrono::seconds ConfirmTime{1};
 
+/// Time for which a process that is no longer heard of keeps its share of a
+/// limit: it may only be cut off from this one.
+constexpr std::chrono::seconds LeftMemory{30};
+/// Limits that nothing was heard of for this time are dropped.
+constexpr std::chrono::minutes LimitMemory{10};
+
 } // namespace
 
 uint32_t hashOfIncarnation(std::string_view id, int64_t startedMs) {
@@ -36,17 +42,28 @@
     : Metrics(metrics), AddressHash(hash64(http::toString(address))),
       SendTo(std::move(send)), SendAll(std::move(sendToAll)) {}
 
-void Findings::setProcesses(const std::vector<RunningProcess> &processes) {
-  if (processes == Processes)
+void Findings::setProcesses(const std::vector<RunningProcess> &processes,
+                            MonoTime now) {
+  size_t left = LeftAt.size();
+  std::erase_if(LeftAt,
+                [&](const auto &it) { return now - it.second > LeftMemory; });
+  if (processes == Processes && left == LeftAt.size())
     return;
-  Processes = processes;
-  ProcessHashes.clear();
+  std::set<uint64_t> running;
   for (const RunningProcess &it : processes)
-    ProcessHashes.push_back(hash64(http::toString(it.Address)));
+    running.insert(hash64(http::toString(it.Address)));
+  for (const RunningProcess &it : std::exchange(Processes, processes))
+    LeftAt.try_emplace(hash64(http::toString(it.Address)), now);
+  std::erase_if(LeftAt,
+                [&](const auto &it) { return running.contains(it.first); });
+  ProcessHashes.assign(running.begin(), running.end());
+  for (const auto &[hash, time] : LeftAt)
+    ProcessHashes.push_back(hash);
+  for (const auto &[server, it] : Limits)
+    StaleShares.insert(server);
 }
 
-fleet::TrialRank Findings::rankOf(uint64_t part) const {
-  std::string name = std::to_string(part);
+fleet::TrialRank Findings::rankOf(const std::string &name) const {
   auto scoreOf = [&](uint64_t process) { return hash64(name, process); };
   uint64_t local = scoreOf(AddressHash);
   return static_cast<fleet::TrialRank>(
@@ -112,13 +129,16 @@
   updateDigest();
   std::set<uint64_t> news = std::exchange(ToSend, {});
   sendParts(std::vector<uint64_t>(news.begin(), news.end()), now);
+  sendLimits(std::exchange(LimitsToSend, {}), now);
   removeOld(now);
 }
 
 fleet::PartsDecision Findings::decide(std::span<const uint64_t> parts,
                                       MonoTime now) {
-  fleet::PartsDecision out = fleet::decideOnParts(
-      Parts, parts, now, [this](uint64_t part) { return rankOf(part); });
+  fleet::PartsDecision out =
+      fleet::decideOnParts(Parts, parts, now, [this](uint64_t part) {
+        return rankOf(std::to_string(part));
+      });
   if (out.BlockedPart)
     Parts[*out.BlockedPart].LastUseAt = now;
   return out;
@@ -147,7 +167,10 @@
   });
   size_t n = Parts.size();
   fleet::dropOldEvidence(Parts, now);
-  if (Parts.size() != n)
+  size_t dropped = std::erase_if(Limits, [&](const auto &it) {
+    return now - it.second.Limit.SeenAt > LimitMemory;
+  });
+  if (Parts.size() != n || dropped > 0)
     updateDigest();
 }
 
@@ -187,6 +210,10 @@
   for (const auto &[part, e] : Parts)
     if (fleet::isBlocking(e))
       out ^= static_cast<uint32_t>(hash64(std::to_string(part)));
+  for (const auto &[server, it] : Limits)
+    if (it.Limit.PerSecond)
+      out ^= static_cast<uint32_t>(
+          hash64(fmt::format("{}/{}", server, *it.Limit.PerSecond)));
   Digest = out;
 }
 
@@ -212,6 +239,9 @@
   for (const auto &[part, e] : Parts)
     if (fleet::isBlocking(e))
       encodePart(part, e, now, datagram);
+  for (const auto &[server, limit] : Limits)
+    if (limit.Limit.PerSecond)
+      encodeLimit(server, limit, now, datagram);
   // Not to be passed on.
   datagram.mutable_findings()->set_relayed(true);
   SendTo(datagram, peer);
@@ -227,8 +257,97 @@
       ToSend.erase(part);
   }
   fleet::dropOldEvidence(Parts, now);
+  for (const auto &[server, limit] : decodeLimits(in, now)) {
+    fleet::RequestLimit known = limit.Limit;
+    if (applyLimit(server, limit, "peer", now) &&
+        fleet::mergeLimit(known, Limits[server].Limit))
+      LimitsToSend.insert(server);
+    else
+      LimitsToSend.erase(server);
+  }
   updateDigest();
   return true;
 }
 
+bool Findings::applyLimit(uint32_t server, const ServerLimit &limit,
+                          std::string_view source, MonoTime now) {
+  auto [it, isFirst] = Limits.try_emplace(server, ServerLimit{limit.Id, {}});
+  if (!fleet::mergeLimit(it->second.Limit, limit.Limit))
+    return true;
+  StaleShares.insert(server);
+  Metrics.count("sardineford_server_limit_changes_total", {});
+  log::event(Category::Peers, log::Level::Info, "server_limit",
+             {{"server", limit.Id},
+              {"request_limit", limit.Limit.PerSecond.value_or(-1)},
+              {"age_ms", toMilliseconds(now - limit.Limit.SeenAt).count()},
+              {"source", source}});
+  return false;
+}
+
+void Findings::recordLimit(uint32_t server, const std::string &id,
+                           std::optional<double> perSecond, MonoTime sentAt,
+                           MonoTime now) {
+  auto known = Limits.find(server);
+  if (known == Limits.end() && !perSecond)
+    return;
+  fleet::RequestLimit before;
+  if (known != Limits.end())
+    before = known->second.Limit;
+  ServerLimit after{id,
+                    fleet::limitAfterResponse(before, perSecond, sentAt, now)};
+  if (applyLimit(server, after, "local", now))
+    return;
+  updateDigest();
+  // The begin of a limit is urgent, a change can wait for the end of the turn.
+  if (before.PerSecond)
+    LimitsToSend.insert(server);
+  else
+    sendLimits({server}, now);
+}
+
+void Findings::sendLimits(const std::set<uint32_t> &servers, MonoTime now) {
+  messages::LoadShare datagram = makeFindings();
+  for (uint32_t it : servers)
+    if (auto found = Limits.find(it); found != Limits.end())
+      encodeLimit(it, found->second, now, datagram);
+  if (datagram.findings().limits_size() > 0)
+    SendAll(datagram);
+}
+
+fleet::RequestTokens *Findings::tokensOf(uint32_t server, MonoTime now) {
+  auto limit = Limits.find(server);
+  if (limit == Limits.end() || !limit->second.Limit.PerSecond) {
+    Shares.erase(server);
+    return nullptr;
+  }
+  auto [it, isFirst] = Shares.try_emplace(server);
+  // What was sent before the limit was known counts as well, so that the share
+  // begins empty.
+  if (isFirst)
+    it->second.Tokens.UpdatedAt = now;
+  if (isFirst || StaleShares.erase(server) > 0)
+    it->second.PerSecond = fleet::shareOfLimit(
+        *limit->second.Limit.PerSecond, rankOf(std::to_string(server)),
+        std::max<size_t>(1, ProcessHashes.size()));
+  fleet::refillTokens(it->second.Tokens, it->second.PerSecond, now);
+  return &it->second.Tokens;
+}
+
+bool Findings::maySend(uint32_t server, MonoTime now) {
+  fleet::RequestTokens *tokens = tokensOf(server, now);
+  return !tokens || tokens->Available >= 1;
+}
+
+void Findings::recordRequest(uint32_t server, MonoTime now) {
+  if (fleet::RequestTokens *tokens = tokensOf(server, now))
+    tokens->Available -= 1;
+}
+
+size_t Findings::limitedServers() const {
+  return static_cast<size_t>(
+      std::count_if(Limits.begin(), Limits.end(), [](const auto &it) {
+        return it.second.Limit.PerSecond.has_value();
+      }));
+}
+
 } // namespace sardineford::peers
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Peers/FindingCodec.h"
 #include "Peers/RunningProcess.h"
 #include "Sardineford/Fleet/CrashEvidence.h"
 #include "Sardineford/Metrics/Metrics.h"
@@ -33,7 +34,7 @@
            SendToAll sendToAll);
 
   /// Sets the running processes, including this one.
-  void setProcesses(const std::vector<RunningProcess> &processes);
+  void setProcesses(const std::vector<RunningProcess> &processes, MonoTime now);
 
   /// Records the crash of a server at which answers with these prompt parts had
   /// just begun. `server` is its hashOfIncarnation.
@@ -48,12 +49,25 @@
   /// Records that a request is sent although a part is blocked.
   void recordTrial(uint64_t part, MonoTime now);
   const fleet::EvidenceByPart &evidence() const { return Parts; }
+  /// Records what a response says of its server's limit. `sentAt` is when the
+  /// request was sent.
+  void recordLimit(uint32_t server, const std::string &id,
+                   std::optional<double> perSecond, MonoTime sentAt,
+                   MonoTime now);
+  /// Returns whether this process may send a request to the server now.
+  bool maySend(uint32_t server, MonoTime now);
+  /// Counts a request to the server.
+  void recordRequest(uint32_t server, MonoTime now);
+  bool hasLimits() const { return !Limits.empty(); }
+  /// Returns the number of servers that name a limit.
+  size_t limitedServers() const;
+
   /// Sends the news of this turn and drops what is no longer needed. Called
   /// several times a second.
   void endTurn(MonoTime now);
 
-  /// Equal for processes that reject requests for the same prompt parts; 0 for
-  /// none.
+  /// Equal for processes that reject requests for the same prompt parts and
+  /// know the same limits; 0 for none.
   uint32_t digest() const { return Digest; }
   /// Sends the evidence against these parts to a peer that differs. If it is
   /// refuted there, the peer tells all.
@@ -72,14 +86,23 @@
   void logVerdict(uint64_t part, const fleet::PartEvidence &e, bool wasBlocking,
                   std::string_view source);
   void updateDigest();
-  fleet::TrialRank rankOf(uint64_t part) const;
+  fleet::TrialRank rankOf(const std::string &name) const;
+  /// Returns false if the limit has changed.
+  bool applyLimit(uint32_t server, const ServerLimit &limit,
+                  std::string_view source, MonoTime now);
+  void sendLimits(const std::set<uint32_t> &servers, MonoTime now);
+  /// Returns the tokens of this process at a server with a limit, or nullptr.
+  fleet::RequestTokens *tokensOf(uint32_t server, MonoTime now);
 
   metrics::Metrics &Metrics;
   uint64_t AddressHash;
   Send SendTo;
   SendToAll SendAll;
   std::vector<RunningProcess> Processes;
+  /// Hashes of the addresses of these and of those that were among them until a
+  /// short while ago: a process that is cut off must not take all of a limit.
   std::vector<uint64_t> ProcessHashes;
+  std::map<uint64_t, MonoTime> LeftAt;
   fleet::EvidenceByPart Parts;
   /// Begin of the last sound answer with each part, here.
   std::map<uint64_t, MonoTime> SoundParts;
@@ -89,6 +112,16 @@
   /// Parts of which this process knows more than a peer.
   std::set<uint64_t> ToSend;
   std::map<http::Endpoint, MonoTime> SentAllAt;
+  LimitByServer Limits;
+  std::set<uint32_t> LimitsToSend;
+  struct LocalShare {
+    double PerSecond = 0;
+    fleet::RequestTokens Tokens;
+  };
+  /// This process's shares of the limits. Computed again when the processes or
+  /// the limit change.
+  std::map<uint32_t, LocalShare> Shares;
+  std::set<uint32_t> StaleShares;
   uint32_t Digest = 0;
 };
 
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -275,7 +275,7 @@
     interval = sendInterval(to);
     Tracking.setProcesses(Peers.activeProcesses());
     Origins.setProcesses(Peers.activeProcesses());
-    Known.setProcesses(Peers.activeProcesses());
+    Known.setProcesses(Peers.activeProcesses(), now);
     Known.endTurn(now);
     updatePosition();
     LastRecipients = to;
