Soak requests that crash engines and an engine that names a limit

Beside the other faults, a request every 300 ms crashes the engine that begins to answer it, and one engine names 3 requests a second. From a stability window after the last fault at most three such requests may reach engines, and the limit holds.

--- a/StandIns/Programs/sardineford-soak.cpp
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -13,6 +13,10 @@
 DEFINE_bool(planned_only, false,
             "inject only short silences of backend servers and changes of the "
             "configuration, under which every response must be complete");
+DEFINE_bool(
+    hazards, true,
+    "send requests that crash engines, and let one engine name a limit; "
+    "not with planned_only");
 DEFINE_string(programs, "build/release", "folder with the built programs");
 DEFINE_string(folder, "out/soak", "folder for logs and histories");
 
@@ -30,6 +34,7 @@
     o.Length = std::chrono::seconds(FLAGS_seconds);
     o.Faults = FLAGS_faults;
     o.PlannedOnly = FLAGS_planned_only;
+    o.Hazards = FLAGS_hazards && !FLAGS_planned_only;
     o.Daemons = FLAGS_daemons;
     o.Programs = FLAGS_programs;
     o.Folder = FLAGS_folder + "/" + std::to_string(o.Seed);
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -10,7 +10,9 @@
 #include <array>
 #include <csignal>
 #include <functional>
+#include <map>
 #include <random>
+#include <set>
 
 namespace sardineford::standins {
 
@@ -29,6 +31,24 @@
 /// process.
 constexpr int StopTimeoutMs = 7'500;
 
+/// Hazards: the prompt that crashes engines, how often it comes and when an
+/// engine is back, and the limit of one engine.
+constexpr const char *CrashingPart = "c0ffee";
+constexpr const char *CrashingPrompt = "91bd:300,c0ffee:300";
+constexpr Milliseconds CrashingPause{300};
+constexpr Milliseconds RestartDelay{1'000};
+constexpr NamedLimit EngineLimit{3, Milliseconds(2'000), Milliseconds(600'000)};
+/// Bounds of the platform for both.
+constexpr Milliseconds StabilityWindow{3'000};
+constexpr size_t AllowedCrashingRequests = 3;
+constexpr double AllowedLimitRatio = 1.5;
+constexpr double AllowedLimitExtra = 5;
+
+Milliseconds wallTime() {
+  return std::chrono::duration_cast<Milliseconds>(
+      WallClock::now().time_since_epoch());
+}
+
 const std::array<const char *, 4> Routes = {OnceRoute, RepeatableRoute,
                                             ResumableRoute, StreamRoute};
 
@@ -52,14 +72,19 @@
                  .DecodeEngines = 4,
                  .DecodeVersions = {SoftwareVersions[0], SoftwareVersions[1]},
                  // Streams last long enough to be hit by faults.
-                 .StepTime = Milliseconds(20)}) {}
+                 .StepTime = Milliseconds(20),
+                 .CrashingPart = o.Hazards ? CrashingPart : "",
+                 .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {}
 
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
     Io.run();
-    for (const std::string &it :
-         checkInvariants(Calls, Deployment.historyFile()))
-      Report.Violations.push_back(it);
+    for (const std::vector<CallResult> *calls : {&Calls, &CrashingCalls})
+      for (const std::string &it :
+           checkInvariants(*calls, Deployment.historyFile()))
+        Report.Violations.push_back(it);
+    if (Options.Hazards)
+      checkHazards();
     if (Options.PlannedOnly)
       for (const std::string &it : checkCompleteness(Calls))
         Report.Violations.push_back(it);
@@ -79,6 +104,10 @@
     }
     for (unsigned i = 0; i < Options.Callers; ++i)
       spawn(Io, "caller", [this, i] { return callLoop(i); });
+    if (Options.Hazards) {
+      spawn(Io, "crashing-requests", [this] { return crashEngines(); });
+      spawn(Io, "restart", [this] { return restartEngines(); });
+    }
     MonoTime end = MonoClock::now() + Options.Length;
     while (Options.Faults && MonoClock::now() < end) {
       Fault f = pickFault();
@@ -101,7 +130,12 @@
     MonoTime end = MonoClock::now() + Milliseconds(StopTimeoutMs);
     while (ActiveFaults > 0 && MonoClock::now() < end)
       co_await sleepFor(Milliseconds(50));
-    co_await sleepFor(RecoveryTime);
+    co_await sleepFor(StabilityWindow);
+    CheckedFrom = wallTime();
+    LimitedEngine = Deployment.Workers.back().Id;
+    co_await sleepFor(RecoveryTime - StabilityWindow);
+    CheckedUntil = wallTime();
+    SendsCrashingRequests = false;
     size_t from = Calls.size();
     co_await sleepFor(ObservationTime);
     std::map<std::string, std::pair<int, int>> served;
@@ -120,6 +154,64 @@
     Io.stop();
   }
 
+  /// Sends a request at a time that crashes the engine that answers it.
+  Awaitable<void> crashEngines() {
+    http::Client client(Io);
+    while (SendsCrashingRequests) {
+      http::Endpoint daemon =
+          Deployment.Daemons[CrashingCalls.size() % Deployment.Daemons.size()]
+              .HttpListen;
+      CrashingCalls.push_back(co_await callDaemon(
+          client, daemon, ResumableRoute, CallDeadline, CrashingPrompt));
+      co_await sleepFor(CrashingPause);
+    }
+  }
+
+  /// Starts engines again that have crashed. Engines that a fault has stopped
+  /// are mostly started by it.
+  Awaitable<void> restartEngines() {
+    std::map<DeployedWorker *, MonoTime> stopped;
+    for (;;) {
+      for (DeployedWorker &it : Deployment.Workers) {
+        if (it.ChildProcess->running()) {
+          stopped.erase(&it);
+          continue;
+        }
+        auto [since, isFirst] = stopped.try_emplace(&it, MonoClock::now());
+        if (isFirst || MonoClock::now() - since->second < RestartDelay)
+          continue;
+        Deployment.startWorker(it, false);
+        stopped.erase(since);
+      }
+      co_await sleepFor(Milliseconds(50));
+    }
+  }
+
+  /// Checks what the hazards may still do when all processes have been
+  /// undisturbed for a stability window.
+  void checkHazards() {
+    std::set<std::string> crashing;
+    for (const CallResult &it : CrashingCalls)
+      crashing.insert(it.Id);
+    std::string history = Deployment.historyFile();
+    size_t n = countArrivals(history, "", CheckedFrom, &crashing);
+    if (n > AllowedCrashingRequests)
+      Report.Violations.push_back(std::to_string(n) +
+                                  " requests that crash engines reached them");
+    if (Deployment.Workers.back().Id != LimitedEngine)
+      return;
+    size_t limited =
+        countArrivals(history, LimitedEngine, CheckedFrom, nullptr);
+    Milliseconds time = CheckedUntil - CheckedFrom + ObservationTime;
+    double allowed =
+        AllowedLimitRatio * EngineLimit.PerSecond * toSeconds(time) +
+        AllowedLimitExtra;
+    if (static_cast<double>(limited) > allowed)
+      Report.Violations.push_back(std::to_string(limited) +
+                                  " requests at an engine whose limit allows " +
+                                  std::to_string(allowed));
+  }
+
   Awaitable<void> callLoop(unsigned n) {
     http::Client client(Io);
     std::string route = Routes[n % Routes.size()];
@@ -323,6 +415,12 @@
   std::mt19937_64 Random;
   PlatformDeployment Deployment;
   std::vector<CallResult> Calls;
+  std::vector<CallResult> CrashingCalls;
+  bool SendsCrashingRequests = true;
+  /// Wall-clock times between which and the end the hazards are checked.
+  Milliseconds CheckedFrom{0};
+  Milliseconds CheckedUntil{0};
+  std::string LimitedEngine;
   SoakReport Report;
   int ActiveFaults = 0;
 };
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -19,6 +19,9 @@
   /// servers that are silent for a short time, changes of the configuration and
   /// of the settings.
   bool PlannedOnly = false;
+  /// Sends requests beside these faults that crash each engine that begins to
+  /// answer them, and lets one engine name a limit of its requests.
+  bool Hazards = false;
   unsigned Callers = 12;
   /// More than 12 form a large fleet, in which trackers know the loads and a
   /// few daemons watch the store.
--- a/StandIns/Soak/SoakChecks.cpp
+++ b/StandIns/Soak/SoakChecks.cpp
@@ -60,4 +60,15 @@
   return out;
 }
 
+size_t countArrivals(const std::string &historyFile, const std::string &server,
+                     Milliseconds from, const std::set<std::string> *requests) {
+  size_t n = 0;
+  for (const WorkerEvent &it : readHistory(historyFile))
+    if (it.Action == "arrival" && it.Time >= from &&
+        (server.empty() || it.Server == server) &&
+        (!requests || requests->contains(it.Request)))
+      ++n;
+  return n;
+}
+
 } // namespace sardineford::standins
--- a/StandIns/Soak/SoakChecks.h
+++ b/StandIns/Soak/SoakChecks.h
@@ -2,6 +2,7 @@
 
 #include "StandIns/Platform/PlatformCaller.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,4 +18,9 @@
 std::vector<std::string>
 checkCompleteness(const std::vector<CallResult> &calls);
 
+/// Returns the arrivals at a backend server, or at all if `server` is empty,
+/// from a time on. With `requests`, counts only these.
+size_t countArrivals(const std::string &historyFile, const std::string &server,
+                     Milliseconds from, const std::set<std::string> *requests);
+
 } // namespace sardineford::standins
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -71,6 +71,16 @@
   }
 }
 
+TEST_CASE("the daemon's invariants hold beside requests that crash engines and "
+          "an engine that names a limit",
+          "[process]") {
+  SoakOptions o = optionsFor(1);
+  o.Hazards = true;
+  o.Length = std::chrono::seconds(6);
+  INFO("folder " << o.Folder);
+  check(runSoak(o));
+}
+
 TEST_CASE("the daemon's invariants hold under faults in a large fleet",
           "[process]") {
   SoakOptions o = optionsFor(1);
