--- a/StandIns/Programs/sardineford-demo.cpp
+++ b/StandIns/Programs/sardineford-demo.cpp
@@ -2,6 +2,7 @@
 #include "StandIns/Deployment/Deployment.h"
 #include "StandIns/Engine/Text.h"
 #include "StandIns/Service/Service.h"
+#include "StandIns/Soak/Soak.h"
 
 #include <boost/json.hpp>
 #include <gflags/gflags.h>
@@ -159,6 +160,26 @@
   return failed;
 }
 
+/// Runs daemons of the platform while some requests crash each engine that
+/// begins to answer them and one engine names a limit. Returns whether the
+/// others were served once the daemons had learned of it.
+bool runPlatform() {
+  standins::SoakOptions o;
+  o.Faults = false;
+  o.Hazards = true;
+  o.Length = std::chrono::seconds(6);
+  o.Programs = FLAGS_programs;
+  o.Folder = FLAGS_folder + "/platform";
+  standins::SoakReport r = standins::runSoak(o);
+  std::cout << "platform, with requests that crash engines and a limit:";
+  for (const auto &[outcome, n] : r.Outcomes)
+    std::cout << " " << n << " " << outcome;
+  std::cout << "\n";
+  for (const std::string &it : r.Violations)
+    std::cout << "  WRONG " << it << "\n";
+  return r.Violations.empty();
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -176,14 +197,16 @@
        {"catania", "palermo", "siracusa"}}};
   int total = 0;
   int failed = 0;
+  bool isPlatformSound = false;
   try {
     for (const DemoDeployment &it : deployments)
       failed += runDeployment(it, total);
+    isPlatformSound = runPlatform();
   } catch (const std::exception &e) {
     std::cerr << e.what() << "\n";
     return 1;
   }
   std::cout << "demo: " << total - failed << " of " << total
             << " responses are complete and correct\n";
-  return failed == 0 ? 0 : 1;
+  return failed == 0 && isPlatformSound ? 0 : 1;
 }
