--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -129,8 +129,8 @@
                          std::span<const uint64_t> parts) {
   size_t n = countUnrefuted(e);
   return std::any_of(evidence.begin(), evidence.end(), [&](const auto &it) {
-    const auto &[part, other] = it;
-    if (std::find(parts.begin(), parts.end(), part) != parts.end() ||
+    const PartEvidence &other = it.second;
+    if (std::find(parts.begin(), parts.end(), it.first) != parts.end() ||
         !isBlocking(other) || countUnrefuted(other) <= n)
       return false;
     return std::all_of(e.Crashes.begin(), e.Crashes.end(),
--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -24,7 +24,6 @@
 constexpr size_t MaxSoundParts = 4'096;
 /// Answers with a sound part go on well somewhere within this time.
 constexpr std::chrono::seconds ConfirmTime{1};
-
 /// Time for which a process that is no longer heard of keeps its share of a
 /// limit: it may only be cut off from this one.
 constexpr std::chrono::seconds LeftMemory{30};
@@ -117,14 +116,16 @@
 }
 
 void Findings::endTurn(MonoTime now) {
-  for (auto &[part, crashes] : Unconfirmed)
-    std::erase_if(crashes, [&](const fleet::CrashSighting &it) {
+  for (auto &unconfirmed : Unconfirmed) {
+    uint64_t part = unconfirmed.first;
+    std::erase_if(unconfirmed.second, [&](const fleet::CrashSighting &it) {
       if (now - it.At < ConfirmTime)
         return false;
       merge(part, {{it}, true, now, 0, {}}, "local");
       ToSend.insert(part);
       return true;
     });
+  }
   std::erase_if(Unconfirmed, [](const auto &it) { return it.second.empty(); });
   updateDigest();
   std::set<uint64_t> news = std::exchange(ToSend, {});
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -69,8 +69,8 @@
   /// Equal for processes that reject requests for the same prompt parts and
   /// know the same limits; 0 for none.
   uint32_t digest() const { return Digest; }
-  /// Sends the evidence against these parts to a peer that differs. If it is
-  /// refuted there, the peer tells all.
+  /// Sends the evidence against these parts, and the limits, to a peer that
+  /// differs. What is refuted or newer there, the peer tells all.
   void checkPeer(uint32_t digest, const http::Endpoint &peer, MonoTime now);
   /// Handles a datagram. Returns false if it is none of this class.
   bool handle(const messages::LoadShare &in, MonoTime now);
--- a/StandIns/Placement/CrashSimulation.cpp
+++ b/StandIns/Placement/CrashSimulation.cpp
@@ -166,11 +166,12 @@
         toRepeat.push_back(it.Of);
     }
     auto server = static_cast<uint32_t>(engine * 1'000 + e.Incarnation);
-    for (auto &[process, parts] : suspects)
-      Net.at(CheckTime, [this, process, server, crashedAt = Net.now(),
-                         list = std::vector<uint64_t>(parts.begin(),
-                                                      parts.end())] {
-        Net.findings(process).recordCrash(server, crashedAt, list, Net.now());
+    for (const auto &it : suspects)
+      Net.at(CheckTime, [this, server, crashedAt = Net.now(),
+                         process = it.first,
+                         parts = std::vector<uint64_t>(it.second.begin(),
+                                                       it.second.end())] {
+        Net.findings(process).recordCrash(server, crashedAt, parts, Net.now());
       });
     for (Request &it : toRepeat)
       Net.at(Milliseconds(1), [this, it] { begin(it); });
--- a/StandIns/Placement/LimitSimulation.cpp
+++ b/StandIns/Placement/LimitSimulation.cpp
@@ -60,8 +60,8 @@
   /// has the least load, so that it is chosen whenever it may be.
   void serve(size_t process) {
     peers::Findings &findings = Net.findings(process);
-    bool isChosen = findings.limitedServers() > 0 ||
-                    Net.random()() % Options.Servers == 0;
+    bool isChosen =
+        findings.limitedServers() > 0 || Net.random()() % Options.Servers == 0;
     if (!isChosen || !findings.maySend(LimitedServer, Net.now()))
       return;
     findings.recordRequest(LimitedServer, Net.now());
--- a/Tests/Process/CrashingPartTest.cpp
+++ b/Tests/Process/CrashingPartTest.cpp
@@ -143,8 +143,8 @@
   return out;
 }
 
-unsigned countCorrect(const std::vector<CallResult> &calls) {
-  return static_cast<unsigned>(
+size_t countCorrect(const std::vector<CallResult> &calls) {
+  return static_cast<size_t>(
       std::count_if(calls.begin(), calls.end(), [](const CallResult &it) {
         return it.Outcome == DaemonCallOutcome::Correct;
       }));
