--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -16,8 +16,9 @@
 
 using log::Category;
 
-/// A peer is sent everything at most at this interval, the one of its reports.
-constexpr Milliseconds SendAllInterval{500};
+/// A peer that differs is sent what binds at most at this interval, that of its
+/// reports.
+constexpr Milliseconds RepairInterval{500};
 /// A part whose last sound answer is older may have been sound with another
 /// software version.
 constexpr std::chrono::seconds SoundMemory{60};
@@ -163,8 +164,8 @@
     SoundParts.erase(std::min_element(
         SoundParts.begin(), SoundParts.end(),
         [](const auto &a, const auto &b) { return a.second < b.second; }));
-  std::erase_if(SentAllAt, [&](const auto &it) {
-    return now - it.second > SendAllInterval;
+  std::erase_if(RepairedAt, [&](const auto &it) {
+    return now - it.second > RepairInterval;
   });
   size_t n = Parts.size();
   fleet::dropOldEvidence(Parts, now);
@@ -231,8 +232,8 @@
                          MonoTime now) {
   if (digest == Digest || Digest == 0)
     return;
-  auto [it, isFirst] = SentAllAt.try_emplace(peer, now);
-  if (!isFirst && now - it->second < SendAllInterval)
+  auto [it, isFirst] = RepairedAt.try_emplace(peer, now);
+  if (!isFirst && now - it->second < RepairInterval)
     return;
   it->second = now;
   Metrics.count("sardineford_findings_repaired_total", {});
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -111,8 +111,9 @@
   std::map<uint64_t, std::vector<fleet::CrashSighting>> Unconfirmed;
   /// Parts of which this process knows more than a peer.
   std::set<uint64_t> ToSend;
-  std::map<http::Endpoint, MonoTime> SentAllAt;
+  std::map<http::Endpoint, MonoTime> RepairedAt;
   LimitByServer Limits;
+  /// Servers whose limits are news to some peer.
   std::set<uint32_t> LimitsToSend;
   struct LocalShare {
     double PerSecond = 0;
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -73,7 +73,7 @@
                      const http::Endpoint &to) {
                 send("origins", datagram.SerializeAsString(), {to});
               }),
-      Known(
+      LearnedFindings(
           metrics, Local.Address,
           [this](const messages::LoadShare &datagram,
                  const http::Endpoint &to) {
@@ -204,7 +204,7 @@
   if (LocalView)
     view = LocalView();
   encodeDigests(view, out);
-  out.set_findings_digest(Known.digest());
+  out.set_findings_digest(LearnedFindings.digest());
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
   // All processes of a large fleet learn of a change from the watchers at about
@@ -245,7 +245,7 @@
 void LoadExchange::sendRelay(const std::vector<http::Endpoint> &to) {
   messages::LoadShare datagram;
   datagram.set_node(Node);
-  datagram.set_findings_digest(Known.digest());
+  datagram.set_findings_digest(LearnedFindings.digest());
   messages::GroupRelay &out = *datagram.mutable_relay();
   std::vector<RunningProcess> running = {Local};
   for (const auto &[process, time] : GroupReports)
@@ -275,8 +275,8 @@
     interval = sendInterval(to);
     Tracking.setProcesses(Peers.activeProcesses());
     Origins.setProcesses(Peers.activeProcesses());
-    Known.setProcesses(Peers.activeProcesses(), now);
-    Known.endTurn(now);
+    LearnedFindings.setProcesses(Peers.activeProcesses(), now);
+    LearnedFindings.endTurn(now);
     updatePosition();
     LastRecipients = to;
     if (now - SharesRepeatedAt >= RepeatInterval) {
@@ -311,7 +311,7 @@
   if (Origins.handle(in, from) || Tracking.handle(in, from))
     return;
   MonoTime now = MonoClock::now();
-  if (Known.handle(in, now)) {
+  if (LearnedFindings.handle(in, now)) {
     relayFindings(in, from);
     return;
   }
@@ -319,7 +319,7 @@
     applyChanges(in, from);
     return;
   }
-  Known.checkPeer(in.findings_digest(), from, now);
+  LearnedFindings.checkPeer(in.findings_digest(), from, now);
   if (in.has_relay()) {
     applyRelay(in);
     return;
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -50,7 +50,7 @@
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
   LoadTracking &tracking() { return Tracking; }
   StreamOrigins &origins() { return Origins; }
-  Findings &findings() { return Known; }
+  Findings &findings() { return LearnedFindings; }
   /// Returns the position of this process among the running ones; empty until
   /// the list of the processes is read.
   std::optional<fleet::FleetPosition> position() const {
@@ -123,7 +123,7 @@
   PeerSet Peers;
   LoadTracking Tracking;
   StreamOrigins Origins;
-  Findings Known;
+  Findings LearnedFindings;
   MonoTime SharesRepeatedAt{};
   /// Recipients of the last reports.
   PeerSet::Recipients LastRecipients;
