Add a failing test: answers that end before their engine crashes

Ruled out: load.

Conclusion: the part is cleared again and again by answers that were complete before the crash.

--- a/Tests/Process/CrashingPartTest.cpp
+++ b/Tests/Process/CrashingPartTest.cpp
@@ -39,8 +39,8 @@
 
 class CrashingPartCase {
 public:
-  explicit CrashingPartCase(unsigned daemons)
-      : Deployment(Io, options(daemons)), Client(Io) {}
+  explicit CrashingPartCase(Milliseconds stepTime)
+      : Deployment(Io, options(stepTime)), Client(Io) {}
 
   CrashRun run(Milliseconds length) {
     spawn(Io, "case", [this, length] { return play(length); });
@@ -51,13 +51,13 @@
   }
 
 private:
-  static PlatformDeploymentOptions options(unsigned daemons) {
+  static PlatformDeploymentOptions options(Milliseconds stepTime) {
     PlatformDeploymentOptions o;
     o.Programs = SARDINEFORD_PROGRAMS;
     o.Folder = makeTemporaryFolder();
-    o.Daemons = daemons;
+    o.Daemons = 3;
     o.DecodeEngines = 6;
-    o.StepTime = Milliseconds(40);
+    o.StepTime = stepTime;
     o.RetrySlack = 200;
     o.CrashingPart = CrashingPart;
     return o;
@@ -150,12 +150,8 @@
       }));
 }
 
-} // namespace
-
-TEST_CASE("requests that crash one engine after another are stopped by all "
-          "daemons",
-          "[process]") {
-  CrashRun run = CrashingPartCase(3).run(Milliseconds(12'000));
+void checkThatPartIsStopped(Milliseconds stepTime) {
+  CrashRun run = CrashingPartCase(stepTime).run(Milliseconds(12'000));
   auto crashes =
       std::count_if(run.History.begin(), run.History.end(),
                     [](const auto &it) { return it.Action == "crash"; });
@@ -170,3 +166,16 @@
   CHECK(countCorrect(run.LateSound) * 2 >= run.LateSound.size());
   CHECK(countCorrect(run.Sound) * 2 >= run.Sound.size());
 }
+
+} // namespace
+
+TEST_CASE("requests that crash one engine after another are stopped by all "
+          "daemons",
+          "[process]") {
+  checkThatPartIsStopped(Milliseconds(40));
+}
+
+TEST_CASE("answers that end before their engine crashes do not count as sound",
+          "[process]") {
+  checkThatPartIsStopped(Milliseconds(2));
+}
