Judge short answers when a crash of their engine would be known

Cause: an answer of less than 400 ms with a framed end counted as sound as soon as it was complete. The crash of its engine 60 ms after the begin came later and could not undo it, so each such answer cleared the crashing part.

Change: every short answer is judged 400 ms after its end. If the server is known to have crashed, the parts are suspects. Otherwise one health check of the server decides, but only if a sound answer with one of the parts would be news: unrefuted crashes, or no sound answer for 30 s.

Ruled out: taking the silence of 400 ms as proof. If no other answer ran at the server, nothing shows that it has ended.

--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -68,6 +68,8 @@
   return n;
 }
 
+bool hasUnrefutedCrash(const PartEvidence &e) { return countUnrefuted(e) > 0; }
+
 bool isBlocking(const PartEvidence &e) {
   return countCrashMoments(e) >=
          (e.WasSound ? MomentsToBlockSound : MomentsToBlock);
--- a/Source/Gateway/CrashCheck.cpp
+++ b/Source/Gateway/CrashCheck.cpp
@@ -35,7 +35,9 @@
   shared.Findings.recordCrash(incarnation, broken.At, parts, MonoClock::now());
 }
 
-Awaitable<void> checkServer(SharedState &shared, fleet::ServerPtr server) {
+/// Finds out whether a server has crashed, and tells all processes if so.
+/// Returns whether it runs.
+Awaitable<bool> checkServer(SharedState &shared, fleet::ServerPtr server) {
   uint32_t incarnation = incarnationOf(*server);
   HealthCheckResult result = HealthCheckResult::Unknown;
   for (int i = 0; i < MaxChecks; ++i) {
@@ -56,12 +58,13 @@
               {"outcome", crashed ? "crashed" : "runs"}});
   if (!crashed) {
     shared.BrokenServers.erase(incarnation);
-    co_return;
+    co_return result != HealthCheckResult::Unknown;
   }
   shared.Metrics.count("sardineford_server_crashes_total",
                        {{"service", server->Entry.Service}});
   broken.Crashed = true;
   publishCrash(shared, incarnation);
+  co_return false;
 }
 
 void removeOld(SharedState &shared) {
@@ -71,6 +74,26 @@
   });
 }
 
+Awaitable<void> judgeShortAnswer(SharedState &shared, fleet::ServerPtr server,
+                                 std::vector<uint64_t> parts, MonoTime begin) {
+  co_await sleepFor(fleet::CrashAnswerTime);
+  removeOld(shared);
+  uint32_t incarnation = incarnationOf(*server);
+  auto broken = shared.BrokenServers.find(incarnation);
+  if (broken != shared.BrokenServers.end()) {
+    broken->second.Parts.insert(parts.begin(), parts.end());
+    if (broken->second.Crashed)
+      publishCrash(shared, incarnation);
+    co_return;
+  }
+  if (!shared.Findings.needsSoundAnswer(parts, MonoClock::now()))
+    co_return;
+  shared.BrokenServers[incarnation] = {
+      MonoClock::now(), {parts.begin(), parts.end()}, false};
+  if (co_await checkServer(shared, std::move(server)))
+    shared.Findings.recordSound(parts, begin, MonoClock::now());
+}
+
 } // namespace
 
 void recordBrokenAnswer(SharedState &shared, const RequestContext &context,
@@ -84,8 +107,9 @@
   it->second.Parts.insert(parts.begin(), parts.end());
   if (isFirst) {
     it->second.At = MonoClock::now();
-    spawn(shared.Io, "check-crash",
-          [&shared, server] { return checkServer(shared, server); });
+    spawn(shared.Io, "check-crash", [&shared, server]() -> Awaitable<void> {
+      co_await checkServer(shared, server);
+    });
   } else if (it->second.Crashed) {
     publishCrash(shared, incarnation);
   }
@@ -105,21 +129,14 @@
   shared.Findings.recordSound(sharedPartIds(context), begin, MonoClock::now());
 }
 
-void recordUnframedAnswer(SharedState &shared, const RequestContext &context,
-                          const fleet::ServerPtr &server, MonoTime begin) {
-  spawn(shared.Io, "unframed-answer",
-        [&shared, server, parts = sharedPartIds(context),
-         begin]() -> Awaitable<void> {
-          co_await sleepFor(fleet::CrashAnswerTime);
-          uint32_t incarnation = incarnationOf(*server);
-          auto it = shared.BrokenServers.find(incarnation);
-          if (it == shared.BrokenServers.end()) {
-            shared.Findings.recordSound(parts, begin, MonoClock::now());
-          } else {
-            it->second.Parts.insert(parts.begin(), parts.end());
-            if (it->second.Crashed)
-              publishCrash(shared, incarnation);
-          }
+void recordShortAnswer(SharedState &shared, const RequestContext &context,
+                       const fleet::ServerPtr &server, MonoTime begin) {
+  std::vector<uint64_t> parts = sharedPartIds(context);
+  if (parts.empty())
+    return;
+  spawn(shared.Io, "short-answer",
+        [&shared, server, parts = std::move(parts), begin] {
+          return judgeShortAnswer(shared, server, parts, begin);
         });
 }
 
--- a/Source/Gateway/CrashCheck.h
+++ b/Source/Gateway/CrashCheck.h
@@ -18,10 +18,12 @@
 void recordSoundAnswer(SharedState &shared, const RequestContext &context,
                        MonoTime begin);
 
-/// Records a short answer that ended with its connection, as it also does when
-/// the server crashes. What it shows is decided when a crash would be known.
-void recordUnframedAnswer(SharedState &shared, const RequestContext &context,
-                          const fleet::ServerPtr &server, MonoTime begin);
+/// Records a complete answer that was too short to show that its prompt is
+/// sound: its server may crash after the end. Decides when a crash would be
+/// known, with a health check if other requests with these parts need the
+/// result.
+void recordShortAnswer(SharedState &shared, const RequestContext &context,
+                       const fleet::ServerPtr &server, MonoTime begin);
 
 /// Returns a description for the caller if the request may not be sent to an
 /// engine because a prompt part has crashed several, or an empty string.
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -45,21 +45,6 @@
   recordSoundAnswer(shared, context, attempt.RespondedAt);
 }
 
-/// Records what the end of a complete answer shows of its prompt.
-void recordCompleteAnswer(SharedState &shared, const RequestContext &context,
-                          const OpenStreamAttempt &attempt) {
-  if (attempt.IsSound)
-    return;
-  const http::Headers &fields = attempt.Response->head().Fields;
-  bool isFramed =
-      fields.find("Content-Length") || fields.find("Transfer-Encoding");
-  if (isFramed)
-    recordSoundAnswer(shared, context, attempt.RespondedAt);
-  else
-    recordUnframedAnswer(shared, context, attempt.Plan.Server,
-                         attempt.RespondedAt);
-}
-
 /// Forwards the events that have arrived.
 Awaitable<StreamAttemptResult> forwardEvents(SharedState &shared,
                                              RequestContext &context,
@@ -306,8 +291,9 @@
                  Seconds(MonoClock::now() - attempt.StartedAt) -
                      attempt.TimeToFirstEvent);
     server.Health.recordSuccess(MonoClock::now());
-    if (attempt.Forwards)
-      recordCompleteAnswer(shared, context, attempt);
+    if (attempt.Forwards && !attempt.IsSound)
+      recordShortAnswer(shared, context, attempt.Plan.Server,
+                        attempt.RespondedAt);
   }
   co_return result;
 }
--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -22,6 +22,8 @@
 /// A part whose last sound answer is older may have been sound with another
 /// software version.
 constexpr std::chrono::seconds SoundMemory{60};
+/// A part whose last sound answer is older needs another one.
+constexpr std::chrono::seconds SoundRenewal{30};
 constexpr size_t MaxSoundParts = 4'096;
 /// Answers with a sound part go on well somewhere within this time.
 constexpr std::chrono::seconds ConfirmTime{1};
@@ -116,6 +118,18 @@
     removeOld(now);
 }
 
+bool Findings::needsSoundAnswer(std::span<const uint64_t> parts,
+                                MonoTime now) const {
+  return std::any_of(parts.begin(), parts.end(), [&](uint64_t part) {
+    auto sound = SoundParts.find(part);
+    if (sound == SoundParts.end() || now - sound->second > SoundRenewal ||
+        Unconfirmed.contains(part))
+      return true;
+    auto known = Parts.find(part);
+    return known != Parts.end() && fleet::hasUnrefutedCrash(known->second);
+  });
+}
+
 void Findings::endTurn(MonoTime now) {
   for (auto &unconfirmed : Unconfirmed) {
     uint64_t part = unconfirmed.first;
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -43,6 +43,9 @@
   /// Records an answer with these prompt parts that went on well.
   void recordSound(std::span<const uint64_t> parts, MonoTime begin,
                    MonoTime now);
+  /// Returns whether it would be news that an answer with these prompt parts
+  /// went on well.
+  bool needsSoundAnswer(std::span<const uint64_t> parts, MonoTime now) const;
   /// Decides whether a request with these prompt parts may be sent to an
   /// engine.
   fleet::PartsDecision decide(std::span<const uint64_t> parts, MonoTime now);
--- a/include/Sardineford/Fleet/CrashEvidence.h
+++ b/include/Sardineford/Fleet/CrashEvidence.h
@@ -47,6 +47,9 @@
 /// crash can take others along.
 unsigned countCrashMoments(const PartEvidence &e);
 
+/// Returns whether some crash is not refuted by a sound answer.
+bool hasUnrefutedCrash(const PartEvidence &e);
+
 /// Returns whether requests with the part are to be rejected unless another
 /// part explains the crashes.
 bool isBlocking(const PartEvidence &e);
