Separate what a feed knows from the calls to the store

Change: struct Feed with free functions (viewOf, applyPublished, compareWithPeer) in Fleet/Feed; FleetWatch keeps the calls. No change of behavior.

--- /dev/null
+++ b/Source/Fleet/Feed.cpp
@@ -0,0 +1,46 @@
+#include "Fleet/Feed.h"
+
+namespace sardineford::fleet {
+
+namespace {
+
+/// A watcher sends a change to the others within this time after another
+/// watcher has reported it: they collect changes at different times.
+constexpr Milliseconds PublishedNewerDelay{600};
+
+} // namespace
+
+FeedView viewOf(const Feed &feed, MonoTime now) {
+  FeedView out = feed.Objects.view();
+  bool isConfirmed =
+      !feed.Lost && feed.ConfirmedAt != MonoTime{} && feed.Duty.mustWatch(now);
+  if (isConfirmed)
+    out.AnswerAge = toMilliseconds(now - feed.ConfirmedAt);
+  return out;
+}
+
+bool learnsFromPeers(const Feed &feed, MonoTime now) {
+  bool watches = feed.Duty.mustWatch(now) && !feed.Lost;
+  bool isLoaded = feed.ConfirmedAt != MonoTime{};
+  return isLoaded && !watches;
+}
+
+std::vector<store::Object> applyPublished(Feed &feed,
+                                          const PublishedChanges &published) {
+  std::vector<store::Object> news = feed.Objects.applyNews(published.Changes);
+  feed.Comparison.reset();
+  return news;
+}
+
+PeerComparison::Difference compareWithPeer(Feed &feed, const FeedView &peer,
+                                           MonoTime now) {
+  // A feed without a watch call in progress reads from the store soon anyway.
+  if (feed.Lost || !feed.IsWatching)
+    return PeerComparison::Difference::None;
+  return feed.Comparison.compare(feed.Objects.view(), peer, now,
+                                 feed.Duty.mustWatch(now)
+                                     ? PeerComparison::NewerDelay
+                                     : PublishedNewerDelay);
+}
+
+} // namespace sardineford::fleet
--- /dev/null
+++ b/Source/Fleet/Feed.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Fleet/KnownObjects.h"
+#include "Fleet/PeerComparison.h"
+#include "Fleet/WatchDuty.h"
+#include "Sardineford/Fleet/StoreView.h"
+
+#include <string>
+#include <vector>
+
+namespace sardineford::fleet {
+
+/// What a process knows of the objects of one kind, and how it learns more.
+struct Feed {
+  std::string Kind;
+  KnownObjects Objects;
+  PeerComparison Comparison;
+  WatchDuty Duty;
+  /// Waiting for changes, from the store or from peers.
+  bool IsWatching = false;
+  uint64_t Revision = 0;
+  /// Time of the last answer of the store.
+  MonoTime ConfirmedAt{};
+  /// The last call to the store failed.
+  bool Lost = false;
+  /// The last watch call returned no changes.
+  bool LastWatchEmpty = false;
+};
+
+/// Returns what the process reports to its peers.
+FeedView viewOf(const Feed &feed, MonoTime now);
+
+/// Returns whether the process learns changes from its peers at this time.
+bool learnsFromPeers(const Feed &feed, MonoTime now);
+
+/// Records changes that a watcher has published and returns the news.
+std::vector<store::Object> applyPublished(Feed &feed,
+                                          const PublishedChanges &published);
+
+/// Compares what the process knows with what a peer reports. All objects are to
+/// be read again if a difference is returned.
+PeerComparison::Difference compareWithPeer(Feed &feed, const FeedView &peer,
+                                           MonoTime now);
+
+} // namespace sardineford::fleet
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -43,9 +43,6 @@
 /// shorter than the time for which stopped servers without an entry serve on.
 constexpr Milliseconds MassExpiryGracePeriod{1'700};
 constexpr Milliseconds RemoveMissingInterval{100};
-/// A watcher sends a change to the others within this time after another
-/// watcher has reported it: they collect changes at different times.
-constexpr Milliseconds PublishedNewerDelay{600};
 /// The list of the processes is read within this time of the start, unless the
 /// store fails.
 constexpr Milliseconds MaxPositionWait{800};
@@ -100,7 +97,7 @@
   ServerFeed.Duty.setPosition(position);
   if (!std::exchange(AwaitsPosition, false))
     return;
-  for (Feed *it : {&ConfigurationFeed, &ServerFeed})
+  for (WatchedFeed *it : {&ConfigurationFeed, &ServerFeed})
     it->Duty.expectWatchers(MonoClock::now(), randomShare());
 }
 
@@ -114,7 +111,7 @@
   return std::max(Milliseconds(0), toMilliseconds(GraceEnd - MonoClock::now()));
 }
 
-void FleetWatch::recordFailure(Feed &feed, const std::string &error) {
+void FleetWatch::recordFailure(WatchedFeed &feed, const std::string &error) {
   GraceEnd = MonoClock::now() + MissingGracePeriod;
   Metrics.count("sardineford_store_failures_total", {{"feed", feed.Kind}});
   if (!feed.Lost)
@@ -126,7 +123,7 @@
   feed.Lost = true;
 }
 
-void FleetWatch::recordAnswer(Feed &feed) {
+void FleetWatch::recordAnswer(WatchedFeed &feed) {
   feed.ConfirmedAt = MonoClock::now();
   if (!feed.Lost)
     return;
@@ -146,7 +143,8 @@
 
 /// Returns errors as values: when one of two operations that are awaited
 /// together throws, the other one keeps waiting.
-Awaitable<FleetWatch::WatchResult> FleetWatch::watchWithoutThrow(Feed &feed) {
+Awaitable<FleetWatch::WatchResult>
+FleetWatch::watchWithoutThrow(WatchedFeed &feed) {
   WatchResult out;
   try {
     out.Changes =
@@ -159,7 +157,7 @@
 
 /// Interrupts the watch call in progress; all objects are read again
 /// afterwards.
-void FleetWatch::restartWatch(Feed &feed, std::string_view reason) {
+void FleetWatch::restartWatch(WatchedFeed &feed, std::string_view reason) {
   log::event(Category::Store, log::Level::Info, "watch_renewed",
              {{"feed", feed.Kind},
               {"revision", feed.Revision},
@@ -169,7 +167,8 @@
 }
 
 /// Waits for changes. Returns nullopt if the watch is interrupted.
-Awaitable<std::optional<store::Changes>> FleetWatch::watchOnce(Feed &feed) {
+Awaitable<std::optional<store::Changes>>
+FleetWatch::watchOnce(WatchedFeed &feed) {
   using namespace asio::experimental::awaitable_operators;
   feed.Interrupt.expires_at(MonoTime::max());
   feed.Comparison.reset();
@@ -188,7 +187,7 @@
 
 /// Waits until peers know something that this process does not, or until this
 /// process has to watch the store.
-Awaitable<void> FleetWatch::waitForPeers(Feed &feed) {
+Awaitable<void> FleetWatch::waitForPeers(WatchedFeed &feed) {
   feed.Comparison.reset();
   feed.Interrupt.expires_at(MonoTime::max());
   feed.IsWatching = true;
@@ -198,20 +197,13 @@
   feed.IsWatching = false;
 }
 
-FeedView FleetWatch::feedView(const Feed &feed) {
-  FeedView out = feed.Objects.view();
-  bool isConfirmed = !feed.Lost && feed.ConfirmedAt != MonoTime{} &&
-                     feed.Duty.mustWatch(MonoClock::now());
-  if (isConfirmed)
-    out.AnswerAge = timeSince(feed.ConfirmedAt);
-  return out;
-}
-
 StoreView FleetWatch::view() const {
-  return {feedView(ConfigurationFeed), feedView(ServerFeed), Position.Rank};
+  MonoTime now = MonoClock::now();
+  return {viewOf(ConfigurationFeed, now), viewOf(ServerFeed, now),
+          Position.Rank};
 }
 
-void FleetWatch::recordPeerAnswer(Feed &feed, const FeedView &peer,
+void FleetWatch::recordPeerAnswer(WatchedFeed &feed, const FeedView &peer,
                                   unsigned rank) {
   if (!peer.AnswerAge)
     return;
@@ -232,7 +224,7 @@
 }
 
 /// Sends changes to the peers.
-void FleetWatch::publish(const Feed &feed, uint64_t revision,
+void FleetWatch::publish(const WatchedFeed &feed, uint64_t revision,
                          std::vector<store::Object> objects) {
   if (Publish && !objects.empty() && feed.Duty.mustPublish(MonoClock::now()))
     Publish({&feed == &ConfigurationFeed,
@@ -241,23 +233,21 @@
 }
 
 void FleetWatch::applyChanges(const PublishedChanges &published) {
-  Feed &feed = published.IsConfiguration ? ConfigurationFeed : ServerFeed;
+  WatchedFeed &feed =
+      published.IsConfiguration ? ConfigurationFeed : ServerFeed;
   MonoTime now = MonoClock::now();
-  bool watches = feed.Duty.mustWatch(now) && !feed.Lost;
-  bool isLoaded = feed.ConfirmedAt != MonoTime{};
-  if (watches || !isLoaded)
+  if (!learnsFromPeers(feed, now))
     return;
   // A watcher that alone has lost the store for a time keeps entries that the
   // others know to be gone.
   if (feed.Duty.isStoreSilent(now))
     GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
-  applyNews(feed, published.Changes);
-  feed.Comparison.reset();
+  applyNews(feed, applyPublished(feed, published));
 }
 
-/// Applies the changes that are news to this process.
-void FleetWatch::applyNews(Feed &feed, const store::Changes &changes) {
-  std::vector<store::Object> news = feed.Objects.applyNews(changes);
+/// Applies changes that are news to this process.
+void FleetWatch::applyNews(const WatchedFeed &feed,
+                           const std::vector<store::Object> &news) {
   if (&feed == &ServerFeed)
     recordMissing(news);
   for (const store::Object &it : news) {
@@ -286,16 +276,9 @@
   ManyMissing = true;
 }
 
-void FleetWatch::comparePeer(Feed &feed, const FeedView &peer) {
-  // A feed without a watch call in progress reads from the store soon anyway.
-  if (feed.Lost || !feed.IsWatching)
-    return;
+void FleetWatch::comparePeer(WatchedFeed &feed, const FeedView &peer) {
   using Difference = PeerComparison::Difference;
-  MonoTime now = MonoClock::now();
-  Difference found = feed.Comparison.compare(feed.Objects.view(), peer, now,
-                                             feed.Duty.mustWatch(now)
-                                                 ? PeerComparison::NewerDelay
-                                                 : PublishedNewerDelay);
+  Difference found = compareWithPeer(feed, peer, MonoClock::now());
   if (found != Difference::None)
     restartWatch(feed, found == Difference::Newer
                            ? "peer has newer objects"
@@ -314,7 +297,8 @@
 /// Reads all objects again after a watch that failed or was interrupted, since
 /// changes may have been missed.
 Awaitable<void>
-FleetWatch::follow(Feed &feed, std::function<Awaitable<uint64_t>()> readAll) {
+FleetWatch::follow(WatchedFeed &feed,
+                   std::function<Awaitable<uint64_t>()> readAll) {
   store::Backoff backoff(InitialRetryDelay, MaxRetryDelay);
   store::Backoff batch(BatchDelay, MaxBatchDelay);
   bool isCurrent = false;
@@ -350,7 +334,7 @@
                      "watch missed changes");
       feed.Revision = std::max(feed.Revision, changes->Revision);
       // Peers may have sent newer objects in the meantime.
-      applyNews(feed, *changes);
+      applyNews(feed, feed.Objects.applyNews(*changes));
       publish(feed, changes->Revision, changes->Objects);
       backoff.reset();
       // The few watchers of a large fleet do not have to save calls.
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include "Fleet/KnownObjects.h"
+#include "Fleet/Feed.h"
 #include "Fleet/MassExpiry.h"
-#include "Fleet/PeerComparison.h"
-#include "Fleet/WatchDuty.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/FleetCodec.h"
 #include "Sardineford/Fleet/StoreView.h"
@@ -64,30 +62,17 @@
   Milliseconds serversAge() const;
 
 private:
-  /// State of the watch of one kind of objects.
-  struct Feed {
-    explicit Feed(IoContext &io) : Interrupt(io, MonoTime::max()) {}
+  struct WatchedFeed : Feed {
+    explicit WatchedFeed(IoContext &io) : Interrupt(io, MonoTime::max()) {}
 
-    std::string Kind;
-    KnownObjects Objects;
-    PeerComparison Comparison;
-    WatchDuty Duty;
-    /// Waiting for changes, from the store or from peers.
-    bool IsWatching = false;
     /// Expires to interrupt the waiting.
     boost::asio::steady_timer Interrupt;
-    uint64_t Revision = 0;
-    /// Time of the last answer of the store.
-    MonoTime ConfirmedAt{};
-    /// The last call to the store failed.
-    bool Lost = false;
-    /// The last watch call returned no changes.
-    bool LastWatchEmpty = false;
   };
 
-  Awaitable<void> follow(Feed &feed,
+  Awaitable<void> follow(WatchedFeed &feed,
                          std::function<Awaitable<uint64_t>()> readAll);
-  void applyNews(Feed &feed, const store::Changes &changes);
+  void applyNews(const WatchedFeed &feed,
+                 const std::vector<store::Object> &news);
   void recordMissing(const std::vector<store::Object> &changes);
   Awaitable<uint64_t> readConfiguration();
   Awaitable<uint64_t> readServers();
@@ -100,21 +85,20 @@
     std::optional<store::StoreError> Error;
   };
 
-  Awaitable<WatchResult> watchWithoutThrow(Feed &feed);
-  Awaitable<std::optional<store::Changes>> watchOnce(Feed &feed);
-  Awaitable<void> waitForPeers(Feed &feed);
+  Awaitable<WatchResult> watchWithoutThrow(WatchedFeed &feed);
+  Awaitable<std::optional<store::Changes>> watchOnce(WatchedFeed &feed);
+  Awaitable<void> waitForPeers(WatchedFeed &feed);
   Awaitable<void> waitForPosition() const;
   Milliseconds remainingGrace() const;
   void extendGraceAfterOutage();
-  void publish(const Feed &feed, uint64_t revision,
+  void publish(const WatchedFeed &feed, uint64_t revision,
                std::vector<store::Object> objects);
   Milliseconds watchTimeout() const;
-  static void restartWatch(Feed &feed, std::string_view reason);
-  static void comparePeer(Feed &feed, const FeedView &peer);
-  static FeedView feedView(const Feed &feed);
-  void recordPeerAnswer(Feed &feed, const FeedView &peer, unsigned rank);
-  void recordFailure(Feed &feed, const std::string &error);
-  void recordAnswer(Feed &feed);
+  static void restartWatch(WatchedFeed &feed, std::string_view reason);
+  static void comparePeer(WatchedFeed &feed, const FeedView &peer);
+  void recordPeerAnswer(WatchedFeed &feed, const FeedView &peer, unsigned rank);
+  void recordFailure(WatchedFeed &feed, const std::string &error);
+  void recordAnswer(WatchedFeed &feed);
 
   IoContext &Io;
   store::ObjectStore &Store;
@@ -123,8 +107,8 @@
   metrics::Metrics &Metrics;
   std::function<void()> OnConfiguration;
   std::shared_ptr<const RouteTable> Routes;
-  Feed ConfigurationFeed;
-  Feed ServerFeed;
+  WatchedFeed ConfigurationFeed;
+  WatchedFeed ServerFeed;
   std::function<void(const PublishedChanges &)> Publish;
   FleetPosition Position;
   /// The position is expected and has not arrived yet.
