Move the simulated clock out of the network of findings

Cause: a second simulation needs the same queue of events.

Change: EventQueue, used by FindingNetwork.

--- a/StandIns/Placement/FindingNetwork.cpp
+++ b/StandIns/Placement/FindingNetwork.cpp
@@ -23,7 +23,7 @@
 
 FindingNetwork::FindingNetwork(size_t processes, double lossRatio,
                                uint64_t seed)
-    : Random(seed), LossRatio(lossRatio), Processes(processes) {
+    : EventQueue(seed), LossRatio(lossRatio), Processes(processes) {
   for (size_t i = 0; i < processes; ++i) {
     All.push_back({"domain", addressOf(i)});
     Processes[i].Plan = peers::planMesh(processes, i);
@@ -37,27 +37,6 @@
   }
 }
 
-void FindingNetwork::at(MonoClock::duration delay, std::function<void()> act) {
-  Events.push({Now + delay, NextOrder++, std::move(act)});
-}
-
-void FindingNetwork::runUntil(MonoTime end) {
-  while (!Events.empty() && Events.top().At < end) {
-    Event e = Events.top();
-    Events.pop();
-    Now = e.At;
-    e.Act();
-  }
-}
-
-Milliseconds FindingNetwork::randomTime(Milliseconds most) {
-  return Milliseconds(Random() % static_cast<uint64_t>(most.count() + 1));
-}
-
-bool FindingNetwork::happens(double probability) {
-  return std::uniform_real_distribution<>()(Random) < probability;
-}
-
 void FindingNetwork::restart(size_t i) {
   Processes[i].Findings = std::make_unique<peers::Findings>(
       Processes[i].Metrics, addressOf(i),
@@ -72,13 +51,13 @@
         for (size_t j : Processes[i].Plan.OtherGroups)
           send(i, j, datagram);
       });
-  Processes[i].Findings->setProcesses(All, Now);
+  Processes[i].Findings->setProcesses(All, now());
 }
 
 void FindingNetwork::send(size_t from, size_t to,
                           const messages::LoadShare &datagram) {
-  auto second =
-      std::chrono::duration_cast<std::chrono::seconds>(Now.time_since_epoch());
+  auto second = std::chrono::duration_cast<std::chrono::seconds>(
+      now().time_since_epoch());
   Processes[from].BytesBySecond[second.count()] +=
       static_cast<double>(datagram.ByteSizeLong() + DatagramHeaderBytes);
   if (Processes[from].IsCutOff || happens(LossRatio))
@@ -86,7 +65,7 @@
   at(Milliseconds(1) + randomTime(Milliseconds(3)), [this, from, to, datagram] {
     if (Processes[to].IsCutOff)
       return;
-    Processes[to].Findings->handle(datagram, Now);
+    Processes[to].Findings->handle(datagram, now());
     const std::vector<size_t> &group = Processes[to].Plan.SameGroup;
     bool isInGroup = std::find(group.begin(), group.end(), from) != group.end();
     if (datagram.findings().relayed() || !isInGroup)
@@ -105,7 +84,7 @@
       return;
     at(Milliseconds(2), [this, i, to, digest] {
       if (!Processes[to].IsCutOff)
-        Processes[to].Findings->checkPeer(digest, addressOf(i), Now);
+        Processes[to].Findings->checkPeer(digest, addressOf(i), now());
     });
   };
   const peers::MeshPlan &plan = Processes[i].Plan;
@@ -115,7 +94,7 @@
 }
 
 void FindingNetwork::endTurn(size_t i) {
-  Processes[i].Findings->endTurn(Now);
+  Processes[i].Findings->endTurn(now());
   at(peers::isGrouped(Processes.size()) ? LargeFleetTurn : SmallFleetTurn,
      [this, i] { endTurn(i); });
 }
@@ -126,14 +105,14 @@
     if (happens(cutOffRatio))
       at(randomTime(until), [this, i, stabilityWindow] {
         Processes[i].IsCutOff = true;
-        Processes[i].DisturbedUntil = Now + CutTime + stabilityWindow;
+        Processes[i].DisturbedUntil = now() + CutTime + stabilityWindow;
         at(CutTime, [this, i] { Processes[i].IsCutOff = false; });
       });
     if (happens(restartRatio))
       at(randomTime(until), [this, i, stabilityWindow] {
         restart(i);
         Processes[i].DisturbedUntil =
-            std::max(Processes[i].DisturbedUntil, Now + stabilityWindow);
+            std::max(Processes[i].DisturbedUntil, now() + stabilityWindow);
       });
   }
 }
@@ -143,7 +122,7 @@
   for (const SimulatedProcess &it : Processes)
     for (const auto &[second, n] : it.BytesBySecond)
       bytes += n;
-  return bytes / toSeconds(Now.time_since_epoch()) /
+  return bytes / toSeconds(now().time_since_epoch()) /
          static_cast<double>(Processes.size());
 }
 
--- a/StandIns/Placement/FindingNetwork.h
+++ b/StandIns/Placement/FindingNetwork.h
@@ -2,33 +2,21 @@
 
 #include "Peers/Findings.h"
 #include "Peers/Mesh.h"
-#include "Sardineford/Common/Time.h"
+#include "StandIns/Placement/EventQueue.h"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
-#include <queue>
-#include <random>
 #include <vector>
 
 namespace sardineford::standins {
 
-/// Simulated clock and network of processes that exchange their findings as the
-/// daemon does.
-class FindingNetwork {
+/// Simulated network of processes that exchange their findings as the daemon
+/// does.
+class FindingNetwork : public EventQueue {
 public:
   FindingNetwork(size_t processes, double lossRatio, uint64_t seed);
 
-  /// Calls the function after a time.
-  void at(MonoClock::duration delay, std::function<void()> act);
-  /// Plays all events until a time.
-  void runUntil(MonoTime end);
-  MonoTime now() const { return Now; }
-  Milliseconds randomTime(Milliseconds most);
-  bool happens(double probability);
-  std::mt19937_64 &random() { return Random; }
-
   size_t size() const { return Processes.size(); }
   peers::Findings &findings(size_t i) { return *Processes[i].Findings; }
   /// Cuts shares of the processes off for some seconds, and restarts others, at
@@ -36,22 +24,15 @@
   /// later.
   void disturb(double cutOffRatio, double restartRatio, Milliseconds until,
                Milliseconds stabilityWindow);
-  bool isDisturbed(size_t i) const { return Now < Processes[i].DisturbedUntil; }
+  bool isDisturbed(size_t i) const {
+    return now() < Processes[i].DisturbedUntil;
+  }
 
   double meanBytesPerSecond() const;
   /// Most bytes of one process in one second.
   double mostBytesPerSecond() const;
 
 private:
-  struct Event {
-    MonoTime At;
-    uint64_t Order = 0;
-    std::function<void()> Act;
-    bool operator<(const Event &o) const {
-      return At != o.At ? At > o.At : Order > o.Order;
-    }
-  };
-
   struct SimulatedProcess {
     metrics::Metrics Metrics;
     std::unique_ptr<peers::Findings> Findings;
@@ -68,11 +49,7 @@
   void report(size_t i);
   void endTurn(size_t i);
 
-  std::mt19937_64 Random;
   double LossRatio;
-  MonoTime Now{};
-  uint64_t NextOrder = 0;
-  std::priority_queue<Event> Events;
   std::vector<SimulatedProcess> Processes;
   std::vector<peers::RunningProcess> All;
 };
