--- /dev/null
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -0,0 +1,438 @@
+#include "StandIns/Placement/SpreadSimulation.h"
+
+#include "Fleet/Feed.h"
+#include "Peers/PeerSet.h"
+#include "Sardineford/Common/Random.h"
+#include "StandIns/Placement/EventQueue.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace sardineford::standins {
+
+namespace {
+
+using fleet::PeerComparison;
+
+constexpr Milliseconds StoreLatency{5};
+constexpr Milliseconds ReadTime{20};
+constexpr Milliseconds WatchTimeout{2'000};
+constexpr Milliseconds BatchDelay{250};
+constexpr Milliseconds DutyCheckInterval{250};
+constexpr Milliseconds MaxPositionWait{800};
+constexpr Milliseconds Turn{250};
+constexpr Milliseconds RepeatInterval{500};
+constexpr Milliseconds RelayedReportAge{700};
+
+struct Report {
+  size_t From = 0;
+  fleet::FeedView View;
+  unsigned Rank = 0;
+  bool WantsAnswer = false;
+};
+
+struct SimulatedProcess {
+  explicit SimulatedProcess(const peers::RunningProcess &local)
+      : Peers(local), Local(local) {}
+
+  fleet::Feed Feed;
+  peers::PeerSet Peers;
+  peers::RunningProcess Local;
+  peers::PeerSet::Recipients LastRecipients;
+  std::vector<http::Endpoint> Ranked;
+  std::optional<fleet::FleetPosition> Position;
+  std::map<size_t, MonoTime> GroupReports;
+  std::map<size_t, Report> ToRelay;
+  std::set<size_t> ReplyTo;
+  MonoTime ListedAt{};
+  MonoTime ReportedAt{};
+  MonoTime RelayedAt{};
+  fleet::FeedView LastSent;
+  /// A watch call that waits for changes, numbered.
+  unsigned WatchCall = 0;
+  bool IsCallOpen = false;
+  MonoTime StartedAt{};
+};
+
+using ProcessPtr = std::shared_ptr<SimulatedProcess>;
+
+class Simulation : EventQueue {
+public:
+  explicit Simulation(const SpreadSimulationOptions &o)
+      : EventQueue(o.Seed), Options(o), Processes(o.Processes) {}
+
+  SpreadOutcome run() {
+    for (size_t i = 0; i < Processes.size(); ++i)
+      at(randomTime(Milliseconds(300)), [this, i] { start(i); });
+    change();
+    at(Options.DeathsAt, [this] {
+      Out.Reads = Out.Watches = Out.ChangeDatagrams = 0;
+      dieSoonAfterChange();
+    });
+    at(Options.DeathsAt + Options.SecondDeathsAfter,
+       [this] { dieSoonAfterChange(); });
+    runUntil(MonoTime{} + Options.Length);
+    countDelays();
+    return std::move(Out);
+  }
+
+private:
+  static http::Endpoint addressOf(size_t i) {
+    return {"10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250),
+            7000};
+  }
+
+  size_t indexOf(const http::Endpoint &address) const {
+    return Indexes.at(address);
+  }
+
+  bool isCurrent(size_t i, const ProcessPtr &p) const {
+    return Processes[i] == p;
+  }
+
+  // Store.
+
+  void change() {
+    if (now() + Milliseconds(4'000) < MonoTime{} + Options.Length)
+      writeObject();
+    at(Milliseconds(1) + randomTime(Options.ChangeInterval * 2),
+       [this] { change(); });
+  }
+
+  void writeObject() {
+    ++Revision;
+    store::Object o{"", "server-" + std::to_string(Revision), Revision, ""};
+    Objects.push_back(o);
+    WrittenAt.push_back(now());
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (Processes[i] && Processes[i]->IsCallOpen)
+        answerWatch(i, Processes[i], Processes[i]->WatchCall);
+  }
+
+  void watch(size_t i, const ProcessPtr &p) {
+    ++Out.Watches;
+    p->Feed.IsWatching = true;
+    p->Feed.Comparison.reset();
+    p->IsCallOpen = true;
+    unsigned call = ++p->WatchCall;
+    if (p->Feed.Revision < Revision)
+      answerWatch(i, p, call);
+    else
+      at(WatchTimeout / 2 + randomTime(WatchTimeout / 2), [this, i, p, call] {
+        if (p->IsCallOpen && p->WatchCall == call)
+          answerWatch(i, p, call);
+      });
+  }
+
+  void answerWatch(size_t i, const ProcessPtr &p, unsigned call) {
+    p->IsCallOpen = false;
+    store::Changes changes{Revision, {}};
+    for (uint64_t r = p->Feed.Revision; r < Revision; ++r)
+      changes.Objects.push_back(Objects[r]);
+    at(StoreLatency, [this, i, p, call, changes] {
+      if (!isCurrent(i, p) || p->WatchCall != call)
+        return;
+      p->Feed.IsWatching = false;
+      p->Feed.ConfirmedAt = now();
+      p->Feed.Revision = std::max(p->Feed.Revision, changes.Revision);
+      learn(i, p->Feed.Objects.applyNews(changes));
+      publish(i, changes);
+      at(changes.Objects.empty() ? Milliseconds(0) : BatchDelay,
+         [this, i, p] { follow(i, p); });
+    });
+  }
+
+  void read(size_t i, const ProcessPtr &p) {
+    ++Out.Reads;
+    ++p->WatchCall;
+    p->IsCallOpen = false;
+    at(ReadTime / 2, [this, i, p] {
+      store::ObjectList list{Revision, Objects};
+      at(ReadTime / 2, [this, i, p, list] {
+        if (!isCurrent(i, p))
+          return;
+        bool wasLoaded = p->Feed.ConfirmedAt != MonoTime{};
+        std::vector<store::Object> news = p->Feed.Objects.changesTo(list);
+        p->Feed.Objects.replaceAll(list);
+        p->Feed.Revision = list.Revision;
+        p->Feed.ConfirmedAt = now();
+        learn(i, news);
+        if (wasLoaded)
+          publish(i, {list.Revision, news});
+        awaitPosition(i, p, now() + MaxPositionWait);
+      });
+    });
+  }
+
+  // Process, as FleetWatch::follow.
+
+  void awaitPosition(size_t i, const ProcessPtr &p, MonoTime end) {
+    if (!isCurrent(i, p))
+      return;
+    if (p->Position || now() >= end)
+      follow(i, p);
+    else
+      at(Milliseconds(50), [this, i, p, end] { awaitPosition(i, p, end); });
+  }
+
+  void follow(size_t i, const ProcessPtr &p) {
+    if (!isCurrent(i, p))
+      return;
+    if (p->Feed.Duty.mustWatch(now())) {
+      watch(i, p);
+      return;
+    }
+    at(BatchDelay, [this, i, p] {
+      p->Feed.Comparison.reset();
+      p->Feed.IsWatching = true;
+      waitForPeers(i, p);
+    });
+  }
+
+  void waitForPeers(size_t i, const ProcessPtr &p) {
+    // An interruption reads by itself.
+    if (!isCurrent(i, p) || !p->Feed.IsWatching)
+      return;
+    if (!p->Feed.Duty.mustWatch(now())) {
+      at(DutyCheckInterval, [this, i, p] { waitForPeers(i, p); });
+      return;
+    }
+    p->Feed.IsWatching = false;
+    read(i, p);
+  }
+
+  void start(size_t i) {
+    auto p = std::make_shared<SimulatedProcess>(
+        peers::RunningProcess{"domain", addressOf(i)});
+    Indexes[p->Local.Address] = i;
+    p->StartedAt = now();
+    Processes[i] = p;
+    at(randomTime(Milliseconds(200)), [this, i, p] {
+      if (!isCurrent(i, p))
+        return;
+      p->ListedAt = now();
+      for (size_t j = 0; j < Processes.size(); ++j)
+        p->Peers.addListed(addressOf(j), now());
+    });
+    at(Milliseconds(30), [this, i, p] { read(i, p); });
+    at(randomTime(Turn), [this, i, p] { turn(i, p); });
+  }
+
+  void publish(size_t i, const store::Changes &changes) {
+    SimulatedProcess &p = *Processes[i];
+    if (changes.Objects.empty() || !p.Feed.Duty.mustPublish(now()))
+      return;
+    sendChanges(i, {false, changes, Milliseconds(0)}, false,
+                p.LastRecipients.SameGroup);
+    sendChanges(i, {false, changes, Milliseconds(0)}, false,
+                p.LastRecipients.OtherGroups);
+  }
+
+  // Exchange, as LoadExchange.
+
+  template <class Function> void send(size_t to, Function receive) {
+    if (happens(Options.LossRatio))
+      return;
+    at(Milliseconds(1) + randomTime(Milliseconds(4)), [this, to, receive] {
+      if (Processes[to])
+        receive(*Processes[to]);
+    });
+  }
+
+  void sendChanges(size_t from, const fleet::PublishedChanges &changes,
+                   bool isRelayed, const std::vector<http::Endpoint> &to) {
+    for (const http::Endpoint &it : to) {
+      ++Out.ChangeDatagrams;
+      size_t j = indexOf(it);
+      send(j, [this, from, j, changes, isRelayed](SimulatedProcess &p) {
+        if (!isRelayed && p.Peers.isInGroup(addressOf(from)))
+          sendChanges(j, changes, true, p.LastRecipients.OtherGroups);
+        if (learnsFromPeers(p.Feed, now()))
+          learn(j, applyPublished(p.Feed, changes));
+      });
+    }
+  }
+
+  void turn(size_t i, const ProcessPtr &p) {
+    if (!isCurrent(i, p))
+      return;
+    at(Turn, [this, i, p] { turn(i, p); });
+    p->LastRecipients = p->Peers.selectRecipients(now());
+    updatePosition(*p);
+    Report r{i, viewOf(p->Feed, now()),
+             p->Position.value_or(fleet::FleetPosition{}).Rank, false};
+    bool isNews = r.View.AnswerAge && r.View.Digest != p->LastSent.Digest;
+    if (isNews || now() - p->ReportedAt >= RepeatInterval) {
+      p->ReportedAt = now();
+      p->LastSent = r.View;
+      sendReport(r, p->LastRecipients.SameGroup);
+    }
+    for (size_t it : std::exchange(p->ReplyTo, {}))
+      sendReport(r, {addressOf(it)});
+    Report probe = r;
+    probe.WantsAnswer = true;
+    sendReport(probe, p->LastRecipients.Silent);
+    if (now() - p->RelayedAt < RepeatInterval)
+      return;
+    p->RelayedAt = now();
+    sendRelay(r, *p);
+  }
+
+  void sendReport(const Report &r, const std::vector<http::Endpoint> &to) {
+    for (const http::Endpoint &it : to)
+      send(indexOf(it), [this, r](SimulatedProcess &p) {
+        receiveReport(p, r);
+        if (r.WantsAnswer)
+          p.ReplyTo.insert(r.From);
+        if (!p.Peers.isInGroup(addressOf(r.From)))
+          return;
+        p.GroupReports[r.From] = now();
+        if (r.View.AnswerAge)
+          p.ToRelay[r.From] = r;
+      });
+  }
+
+  void sendRelay(const Report &local, SimulatedProcess &p) {
+    std::erase_if(p.GroupReports, [&](const auto &it) {
+      return now() - it.second > RelayedReportAge;
+    });
+    std::vector<size_t> running = {local.From};
+    for (const auto &[from, time] : p.GroupReports)
+      running.push_back(from);
+    std::vector<Report> reports;
+    if (local.View.AnswerAge)
+      reports.push_back(local);
+    for (const auto &[from, report] : std::exchange(p.ToRelay, {}))
+      reports.push_back(report);
+    for (const http::Endpoint &it : p.LastRecipients.OtherGroups)
+      send(indexOf(it), [this, running, reports](SimulatedProcess &to) {
+        for (size_t j : running)
+          to.Peers.recordReport({"domain", addressOf(j)}, now());
+        for (const Report &r : reports)
+          receiveReport(to, r);
+      });
+  }
+
+  void receiveReport(SimulatedProcess &p, const Report &r) {
+    if (addressOf(r.From) == p.Local.Address)
+      return;
+    p.Peers.recordReport({"domain", addressOf(r.From)}, now());
+    if (r.View.AnswerAge)
+      p.Feed.Duty.recordPeerAnswer(r.Rank, now() - *r.View.AnswerAge, now(),
+                                   randomShare());
+    if (compareWithPeer(p.Feed, r.View, now()) ==
+        PeerComparison::Difference::None)
+      return;
+    p.Feed.IsWatching = false;
+    size_t i = indexOf(p.Local.Address);
+    read(i, Processes[i]);
+  }
+
+  double randomShare() { return std::uniform_real_distribution<>()(random()); }
+
+  void updatePosition(SimulatedProcess &p) {
+    if (p.ListedAt == MonoTime{})
+      return;
+    std::vector<http::Endpoint> running = p.Peers.expectedProcesses(now());
+    if (running == p.Ranked)
+      return;
+    p.Ranked = std::move(running);
+    uint64_t local = hash64(http::toString(p.Local.Address));
+    auto before = std::count_if(p.Ranked.begin(), p.Ranked.end(),
+                                [&](const http::Endpoint &it) {
+                                  return hash64(http::toString(it)) < local;
+                                });
+    bool isFirst = !p.Position;
+    p.Position = {static_cast<unsigned>(p.Ranked.size()),
+                  static_cast<unsigned>(before)};
+    p.Feed.Duty.setPosition(*p.Position);
+    if (isFirst)
+      p.Feed.Duty.expectWatchers(now(), randomShare());
+  }
+
+  // Deaths.
+
+  /// Lets processes die while the watchers pass on a change that was just made.
+  void dieSoonAfterChange() {
+    if (Options.DeathRatio <= 0)
+      return;
+    writeObject();
+    at(randomTime(StoreLatency * 2), [this] { die(); });
+  }
+
+  void die() {
+    std::vector<size_t> victims;
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (Processes[i])
+        victims.push_back(i);
+    auto count = static_cast<size_t>(static_cast<double>(victims.size()) *
+                                     Options.DeathRatio);
+    std::shuffle(victims.begin(), victims.end(), random());
+    auto rankOf = [&](size_t i) {
+      const SimulatedProcess &p = *Processes[i];
+      bool watches = p.Position && p.Feed.Duty.mustWatch(now());
+      return watches ? 0 : 1;
+    };
+    std::stable_sort(victims.begin(), victims.end(),
+                     [&](size_t a, size_t b) { return rankOf(a) < rankOf(b); });
+    victims.resize(count);
+    for (size_t it : victims) {
+      Processes[it] = nullptr;
+      at(Options.RestartTime + randomTime(Milliseconds(500)),
+         [this, it] { start(it); });
+    }
+  }
+
+  // Results.
+
+  void learn(size_t i, const std::vector<store::Object> &news) {
+    for (const store::Object &it : news)
+      LearnedAt[it.Version].emplace(Processes[i].get(), now());
+  }
+
+  void countDelays() {
+    for (uint64_t version = 1; version <= Revision; ++version) {
+      MonoTime written = WrittenAt[version - 1];
+      if (written < MonoTime{} + Options.DeathsAt)
+        continue;
+      for (const ProcessPtr &it : Processes) {
+        if (!it || it->StartedAt + Milliseconds(60) > written)
+          continue;
+        auto learned = LearnedAt[version].find(it.get());
+        MonoTime end = learned == LearnedAt[version].end()
+                           ? MonoTime{} + Options.Length
+                           : learned->second;
+        Out.Delays.push_back(toMilliseconds(end - written));
+      }
+    }
+    std::sort(Out.Delays.begin(), Out.Delays.end());
+  }
+
+  SpreadSimulationOptions Options;
+  std::vector<ProcessPtr> Processes;
+  std::map<http::Endpoint, size_t> Indexes;
+  uint64_t Revision = 0;
+  std::vector<store::Object> Objects;
+  std::vector<MonoTime> WrittenAt;
+  std::map<uint64_t, std::map<const SimulatedProcess *, MonoTime>> LearnedAt;
+  SpreadOutcome Out;
+};
+
+} // namespace
+
+Milliseconds SpreadOutcome::percentile(double share) const {
+  if (Delays.empty())
+    return Milliseconds(0);
+  auto i = static_cast<size_t>(share * static_cast<double>(Delays.size()));
+  return Delays[std::min(i, Delays.size() - 1)];
+}
+
+SpreadOutcome simulateSpread(const SpreadSimulationOptions &o) {
+  return Simulation(o).run();
+}
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/StandIns/Placement/SpreadSimulation.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Sardineford/Common/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace sardineford::standins {
+
+struct SpreadSimulationOptions {
+  size_t Processes = 195;
+  Milliseconds Length{14'000};
+  /// Time of the first deaths. The second ones come `SecondDeathsAfter` later.
+  Milliseconds DeathsAt{6'000};
+  Milliseconds SecondDeathsAfter{2'000};
+  /// Share of the running processes that dies each time; the watchers of the
+  /// store and their groups first.
+  double DeathRatio = 0;
+  /// Processes that have died start again after this time.
+  Milliseconds RestartTime{2'500};
+  /// Mean time between two changes in the store.
+  Milliseconds ChangeInterval{150};
+  double LossRatio = 0.01;
+  uint64_t Seed = 1;
+};
+
+struct SpreadOutcome {
+  /// Delays from a change in the store to each process that ran from before the
+  /// change until it was told, or until the end; sorted.
+  std::vector<Milliseconds> Delays;
+  /// Calls to the store from the first deaths until the end, with those of
+  /// processes that start.
+  unsigned Reads = 0;
+  unsigned Watches = 0;
+  /// Datagrams with changes.
+  unsigned ChangeDatagrams = 0;
+
+  Milliseconds percentile(double share) const;
+};
+
+/// Plays how changes of the store reach the processes of a fleet, with the
+/// decisions of the daemon, without network or clock.
+SpreadOutcome simulateSpread(const SpreadSimulationOptions &o);
+
+} // namespace sardineford::standins
--- /dev/null
+++ b/Tests/Load/SpreadScaleTest.cpp
@@ -0,0 +1,56 @@
+#include "StandIns/Placement/SpreadSimulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+using namespace sardineford;
+using namespace sardineford::standins;
+
+namespace {
+
+/// A server that leaves accepts no requests after this time.
+constexpr Milliseconds DrainTime{4'000};
+
+void checkSpread(const char *name, const SpreadSimulationOptions &o) {
+  SpreadOutcome out = simulateSpread(o);
+  std::printf(
+      "spread: %3zu processes, %-24s p50 %lld ms, p99 %lld, p99.9 %lld, "
+      "most %lld, %u reads, %u watches, %u datagrams\n",
+      o.Processes, name, static_cast<long long>(out.percentile(0.5).count()),
+      static_cast<long long>(out.percentile(0.99).count()),
+      static_cast<long long>(out.percentile(0.999).count()),
+      static_cast<long long>(out.percentile(1).count()), out.Reads, out.Watches,
+      out.ChangeDatagrams);
+  INFO(o.Processes << " processes, " << name << ", seed " << o.Seed);
+  CHECK(out.percentile(0.999) < DrainTime / 2);
+  CHECK(out.percentile(1) < DrainTime);
+}
+
+uint64_t seedsOf(size_t processes) { return processes > 200 ? 2 : 4; }
+
+} // namespace
+
+TEST_CASE("a change of the store reaches all processes") {
+  for (size_t processes : {6, 58, 195, 350})
+    for (uint64_t seed = 1; seed <= 2; ++seed) {
+      SpreadSimulationOptions o;
+      o.Processes = processes;
+      o.Seed = seed;
+      checkSpread("calm", o);
+    }
+}
+
+TEST_CASE("a change reaches the others while watchers and relays die") {
+  for (size_t processes : {6, 58, 195, 350})
+    for (int interval : {150, 1'000})
+      for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+        SpreadSimulationOptions o;
+        o.Processes = processes;
+        o.DeathRatio = 0.4;
+        o.ChangeInterval = Milliseconds(interval);
+        o.Seed = seed;
+        checkSpread(
+            interval < 500 ? "deaths, many changes" : "deaths, few changes", o);
+      }
+}
