Settle differences from peers only by equal digests

Cause: a process that is no watcher forgot its differences from its peers with each change that it applied. While changes came more often than every 600 ms, a missed one was not found before they paused. The process told its group a digest of its own meanwhile, and so made its peers read the store.

Change: published changes carry the digest of what the watcher then knows. Only if the process knows the same are the differences settled. A datagram without a digest, of an earlier build, settles them as before.

Ruled out: a shorter delay before a difference counts. It is forgotten just the same.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -28,7 +28,9 @@
 std::vector<store::Object> applyPublished(Feed &feed,
                                           const PublishedChanges &published) {
   std::vector<store::Object> news = feed.Objects.applyNews(published.Changes);
-  feed.Comparison.reset();
+  bool isTold = published.Publisher.Digest != 0;
+  if (!isTold || published.Publisher.Digest == feed.Objects.view().Digest)
+    feed.Comparison.reset();
   return news;
 }
 
--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -33,7 +33,9 @@
 /// Returns whether the process learns changes from its peers at this time.
 bool learnsFromPeers(const Feed &feed, MonoTime now);
 
-/// Records changes that a watcher has published and returns the news.
+/// Records changes that a watcher has published and returns the news. Earlier
+/// differences from peers are settled only if the process then knows the same
+/// as the watcher: it may have missed an earlier change.
 std::vector<store::Object> applyPublished(Feed &feed,
                                           const PublishedChanges &published);
 
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -229,7 +229,8 @@
   if (Publish && !objects.empty() && feed.Duty.mustPublish(MonoClock::now()))
     Publish({&feed == &ConfigurationFeed,
              {revision, std::move(objects)},
-             remainingGrace()});
+             remainingGrace(),
+             feed.Objects.view()});
 }
 
 void FleetWatch::applyChanges(const PublishedChanges &published) {
@@ -357,10 +358,11 @@
 
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
-  if (ConfigurationFeed.ConfirmedAt != MonoTime{})
-    publish(ConfigurationFeed, list.Revision,
-            ConfigurationFeed.Objects.changesTo(list));
+  std::vector<store::Object> changes =
+      ConfigurationFeed.Objects.changesTo(list);
   ConfigurationFeed.Objects.replaceAll(list);
+  if (ConfigurationFeed.ConfirmedAt != MonoTime{})
+    publish(ConfigurationFeed, list.Revision, std::move(changes));
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
   co_return list.Revision;
@@ -368,12 +370,12 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
+  std::vector<store::Object> changes = ServerFeed.Objects.changesTo(list);
+  ServerFeed.Objects.replaceAll(list);
   if (Servers.isLoaded()) {
-    std::vector<store::Object> changes = ServerFeed.Objects.changesTo(list);
     recordMissing(changes);
     publish(ServerFeed, list.Revision, std::move(changes));
   }
-  ServerFeed.Objects.replaceAll(list);
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
     std::optional<ServerEntry> e = Codec.decodeServer(it);
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -399,8 +399,11 @@
     object->set_version(it.Version);
     object->set_value(it.Value);
   }
-  if (out.objects_size() > 0)
-    flush();
+  if (out.objects_size() == 0)
+    return;
+  out.set_digest(changes.Publisher.Digest);
+  out.set_newest_version(changes.Publisher.NewestVersion);
+  flush();
 }
 
 void LoadExchange::applyChanges(const messages::LoadShare &in,
--- a/Source/Peers/ReportCodec.cpp
+++ b/Source/Peers/ReportCodec.cpp
@@ -42,9 +42,11 @@
 }
 
 fleet::PublishedChanges decodeChanges(const messages::LoadShare &in) {
-  fleet::PublishedChanges out{in.changes().is_configuration(),
-                              {in.changes().revision(), {}},
-                              Milliseconds(in.changes().grace_ms())};
+  fleet::PublishedChanges out{
+      in.changes().is_configuration(),
+      {in.changes().revision(), {}},
+      Milliseconds(in.changes().grace_ms()),
+      {in.changes().digest(), in.changes().newest_version(), std::nullopt}};
   for (const messages::StoredObject &it : in.changes().objects())
     out.Changes.Objects.push_back({"", it.name(), it.version(), it.value()});
   return out;
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -226,10 +226,10 @@
     SimulatedProcess &p = *Processes[i];
     if (changes.Objects.empty() || !p.Feed.Duty.mustPublish(now()))
       return;
-    sendChanges(i, {false, changes, Milliseconds(0)}, false,
-                p.LastRecipients.SameGroup);
-    sendChanges(i, {false, changes, Milliseconds(0)}, false,
-                p.LastRecipients.OtherGroups);
+    fleet::PublishedChanges out{false, changes, Milliseconds(0),
+                                p.Feed.Objects.view()};
+    sendChanges(i, out, false, p.LastRecipients.SameGroup);
+    sendChanges(i, out, false, p.LastRecipients.OtherGroups);
   }
 
   // Exchange, as LoadExchange.
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -26,6 +26,8 @@
   /// Entries that went missing may have expired in an outage of the store and
   /// are kept for this time.
   Milliseconds MissingGrace{0};
+  /// What the watcher knows after these changes; a digest of 0 if not told.
+  FeedView Publisher = {};
 };
 
 /// State of the store as known to one process; exchanged between processes.
