Let the other watchers publish changes that nobody has sent

Change: each watcher sends a change after 400 ms, later by its rank, unless a peer has published it. What peers have published is kept beside what is known.

Ruled out as enough alone: where all watchers die, nobody is left to publish.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -34,6 +34,17 @@
   return news;
 }
 
+store::Changes applyList(Feed &feed, const store::ObjectList &list) {
+  store::Changes out{list.Revision, {}};
+  bool isFirst = feed.ConfirmedAt == MonoTime{};
+  if (isFirst)
+    feed.Published.replaceAll(list);
+  else
+    out.Objects = feed.Objects.changesTo(list);
+  feed.Objects.replaceAll(list);
+  return out;
+}
+
 PeerComparison::Difference compareWithPeer(Feed &feed, const FeedView &peer,
                                            MonoTime now) {
   // A feed without a watch call in progress reads from the store soon anyway.
--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -14,6 +14,8 @@
 struct Feed {
   std::string Kind;
   KnownObjects Objects;
+  /// What the first read found and what peers have published since.
+  KnownObjects Published;
   PeerComparison Comparison;
   WatchDuty Duty;
   /// Waiting for changes, from the store or from peers.
@@ -39,6 +41,9 @@
 std::vector<store::Object> applyPublished(Feed &feed,
                                           const PublishedChanges &published);
 
+/// Records the result of a read and returns the changes, none for the first.
+store::Changes applyList(Feed &feed, const store::ObjectList &list);
+
 /// Compares what the process knows with what a peer reports. All objects are to
 /// be read again if a difference is returned.
 PeerComparison::Difference compareWithPeer(Feed &feed, const FeedView &peer,
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -223,20 +223,40 @@
   Servers.keepMissing(GraceEnd);
 }
 
-/// Sends changes to the peers.
-void FleetWatch::publish(const WatchedFeed &feed, uint64_t revision,
-                         std::vector<store::Object> objects) {
-  if (Publish && !objects.empty() && feed.Duty.mustPublish(MonoClock::now()))
-    Publish({&feed == &ConfigurationFeed,
-             {revision, std::move(objects)},
-             remainingGrace(),
-             feed.Objects.view()});
+/// Sends changes to the peers, later if other watchers are to send them first.
+void FleetWatch::publish(WatchedFeed &feed, store::Changes changes) {
+  if (!Publish || changes.Objects.empty())
+    return;
+  PublishedChanges out{&feed == &ConfigurationFeed, std::move(changes),
+                       remainingGrace(), feed.Objects.view()};
+  MonoTime now = MonoClock::now();
+  if (feed.Duty.mustPublish(now))
+    Publish(out);
+  else if (feed.Duty.watchesForOthers(now))
+    spawn(Io, "publish-late",
+          [this, &feed, out] { return publishUnlessPublished(feed, out); });
+}
+
+Awaitable<void> FleetWatch::publishUnlessPublished(WatchedFeed &feed,
+                                                   PublishedChanges changes) {
+  co_await sleepFor(feed.Duty.publishPatience());
+  if (!feed.Published.hasNews(changes.Changes))
+    co_return;
+  Metrics.count("sardineford_changes_published_late_total",
+                {{"feed", feed.Kind}});
+  log::event(Category::Store, log::Level::Info, "changes_published_late",
+             {{"feed", feed.Kind},
+              {"revision", changes.Changes.Revision},
+              {"objects", changes.Changes.Objects.size()},
+              {"rank", Position.Rank}});
+  Publish(changes);
 }
 
 void FleetWatch::applyChanges(const PublishedChanges &published) {
   WatchedFeed &feed =
       published.IsConfiguration ? ConfigurationFeed : ServerFeed;
   MonoTime now = MonoClock::now();
+  feed.Published.applyNews(published.Changes);
   if (!learnsFromPeers(feed, now))
     return;
   // A watcher that alone has lost the store for a time keeps entries that the
@@ -336,7 +356,7 @@
       feed.Revision = std::max(feed.Revision, changes->Revision);
       // Peers may have sent newer objects in the meantime.
       applyNews(feed, feed.Objects.applyNews(*changes));
-      publish(feed, changes->Revision, changes->Objects);
+      publish(feed, *changes);
       backoff.reset();
       // The few watchers of a large fleet do not have to save calls.
       if (MonoClock::now() - startedAt > MaxBatchDelay ||
@@ -358,11 +378,7 @@
 
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
-  std::vector<store::Object> changes =
-      ConfigurationFeed.Objects.changesTo(list);
-  ConfigurationFeed.Objects.replaceAll(list);
-  if (ConfigurationFeed.ConfirmedAt != MonoTime{})
-    publish(ConfigurationFeed, list.Revision, std::move(changes));
+  publish(ConfigurationFeed, applyList(ConfigurationFeed, list));
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
   co_return list.Revision;
@@ -370,12 +386,9 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
-  std::vector<store::Object> changes = ServerFeed.Objects.changesTo(list);
-  ServerFeed.Objects.replaceAll(list);
-  if (Servers.isLoaded()) {
-    recordMissing(changes);
-    publish(ServerFeed, list.Revision, std::move(changes));
-  }
+  store::Changes changes = applyList(ServerFeed, list);
+  recordMissing(changes.Objects);
+  publish(ServerFeed, std::move(changes));
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
     std::optional<ServerEntry> e = Codec.decodeServer(it);
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -91,8 +91,9 @@
   Awaitable<void> waitForPosition() const;
   Milliseconds remainingGrace() const;
   void extendGraceAfterOutage();
-  void publish(const WatchedFeed &feed, uint64_t revision,
-               std::vector<store::Object> objects);
+  void publish(WatchedFeed &feed, store::Changes changes);
+  Awaitable<void> publishUnlessPublished(WatchedFeed &feed,
+                                         PublishedChanges changes);
   Milliseconds watchTimeout() const;
   static void restartWatch(WatchedFeed &feed, std::string_view reason);
   static void comparePeer(WatchedFeed &feed, const FeedView &peer);
--- a/Source/Fleet/KnownObjects.cpp
+++ b/Source/Fleet/KnownObjects.cpp
@@ -20,24 +20,32 @@
   Digest ^= hash64(o.Name, o.Version);
 }
 
+bool KnownObjects::isNews(const store::Object &o, uint64_t revision) const {
+  auto known = Versions.find(o.Name);
+  uint64_t knownVersion = known == Versions.end() ? 0 : known->second;
+  if (o.Version == 0)
+    return knownVersion != 0 && knownVersion <= revision;
+  auto removal = Removals.find(o.Name);
+  return o.Version > knownVersion &&
+         (removal == Removals.end() || o.Version > removal->second);
+}
+
+bool KnownObjects::hasNews(const store::Changes &changes) const {
+  return std::any_of(
+      changes.Objects.begin(), changes.Objects.end(),
+      [&](const store::Object &it) { return isNews(it, changes.Revision); });
+}
+
 std::vector<store::Object>
 KnownObjects::applyNews(const store::Changes &changes) {
   std::vector<store::Object> out;
   std::set<std::string> removed;
   for (const store::Object &it : changes.Objects) {
-    auto known = Versions.find(it.Name);
-    uint64_t knownVersion = known == Versions.end() ? 0 : known->second;
-    bool isNews = false;
-    if (it.Version == 0) {
-      isNews = knownVersion != 0 && knownVersion <= changes.Revision;
+    if (it.Version == 0)
       removed.insert(it.Name);
-    } else {
-      auto removal = Removals.find(it.Name);
-      isNews = it.Version > knownVersion &&
-               (removal == Removals.end() || it.Version > removal->second);
+    else
       removed.erase(it.Name);
-    }
-    if (!isNews)
+    if (!isNews(it, changes.Revision))
       continue;
     update(it);
     out.push_back(it);
--- a/Source/Fleet/KnownObjects.h
+++ b/Source/Fleet/KnownObjects.h
@@ -19,12 +19,16 @@
   /// those that are news. Others may already be known from a watch of this
   /// process or of a peer.
   std::vector<store::Object> applyNews(const store::Changes &changes);
+  /// Returns whether any of these changes would be news.
+  bool hasNews(const store::Changes &changes) const;
   /// Returns the changes that lead to the list.
   std::vector<store::Object> changesTo(const store::ObjectList &list) const;
   void replaceAll(const store::ObjectList &list);
   FeedView view() const;
 
 private:
+  bool isNews(const store::Object &o, uint64_t revision) const;
+
   std::map<std::string, uint64_t> Versions;
   /// The same versions, sorted; the store assigns each version only once.
   std::set<uint64_t> SortedVersions;
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -18,6 +18,10 @@
 constexpr Milliseconds MaxAnswerInterval{1'500};
 /// Several reports of several watchers are missing after this time.
 constexpr Milliseconds SubstituteDelay{2'000};
+/// The publishers collect changes for less than this time.
+constexpr Milliseconds PublishPatience{400};
+/// A watcher lets the one before it send first.
+constexpr Milliseconds PublishPatienceStep{60};
 /// Mean interval between the attempts of all substitutes of a fleet.
 constexpr Milliseconds SubstituteInterval{100};
 
@@ -39,16 +43,23 @@
   PeerAnsweredAt = std::max(PeerAnsweredAt, answeredAt);
   if (rank >= Position.Rank)
     return;
-  SubstituteAt = std::max(SubstituteAt, answeredAt + substituteDelay(share));
+  Milliseconds spread = substituteSpread(share);
+  SubstituteAt = std::max(SubstituteAt, answeredAt + SubstituteDelay + spread);
 }
 
 void WatchDuty::expectWatchers(MonoTime now, double share) {
-  SubstituteAt = std::max(SubstituteAt, now + substituteDelay(share));
+  SubstituteAt =
+      std::max(SubstituteAt, now + SubstituteDelay + substituteSpread(share));
 }
 
-Milliseconds WatchDuty::substituteDelay(double share) const {
-  Seconds spread = Seconds(SubstituteInterval) * Position.Processes * share;
-  return SubstituteDelay + toMilliseconds(spread);
+Milliseconds WatchDuty::substituteSpread(double share) const {
+  return toMilliseconds(Seconds(SubstituteInterval) * Position.Processes *
+                        share);
+}
+
+Milliseconds WatchDuty::publishPatience() const {
+  return PublishPatience +
+         PublishPatienceStep * std::min(Position.Rank, NumWatchers);
 }
 
 bool WatchDuty::isStoreSilent(MonoTime now) const {
@@ -61,7 +72,7 @@
 }
 
 bool WatchDuty::mustPublish(MonoTime now) const {
-  if (!isLarge() || !mustWatch(now))
+  if (!watchesForOthers(now))
     return false;
   auto watchersBefore = std::count_if(
       WatcherReports.begin(), WatcherReports.end(), [&](const auto &it) {
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -34,10 +34,17 @@
                         double share);
 
   bool mustWatch(MonoTime now) const;
+  /// Returns whether others learn changes from this process.
+  bool watchesForOthers(MonoTime now) const {
+    return isLarge() && mustWatch(now);
+  }
   /// Returns whether this process sends the changes that it receives to the
   /// others: the first watchers that have not lost the store. More than one
   /// does, because datagrams may be lost.
   bool mustPublish(MonoTime now) const;
+  /// Time after which this process sends a change that it received from the
+  /// store and that no other watcher has sent: those before it may be dead.
+  Milliseconds publishPatience() const;
   /// Returns the number of processes that watch at the same time.
   unsigned watchers() const;
   /// Time of the newest answer that a peer had.
@@ -52,7 +59,8 @@
 private:
   bool isLarge() const;
   bool isSubstitute(MonoTime now) const;
-  Milliseconds substituteDelay(double share) const;
+  /// Spreads the substitutes of a fleet over time.
+  Milliseconds substituteSpread(double share) const;
 
   FleetPosition Position;
   MonoTime PeerAnsweredAt{};
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -155,14 +155,11 @@
       at(ReadTime / 2, [this, i, p, list] {
         if (!isCurrent(i, p))
           return;
-        bool wasLoaded = p->Feed.ConfirmedAt != MonoTime{};
-        std::vector<store::Object> news = p->Feed.Objects.changesTo(list);
-        p->Feed.Objects.replaceAll(list);
+        store::Changes changes = applyList(p->Feed, list);
         p->Feed.Revision = list.Revision;
         p->Feed.ConfirmedAt = now();
-        learn(i, news);
-        if (wasLoaded)
-          publish(i, {list.Revision, news});
+        learn(i, changes.Objects);
+        publish(i, changes);
         awaitPosition(i, p, now() + MaxPositionWait);
       });
     });
@@ -223,13 +220,24 @@
   }
 
   void publish(size_t i, const store::Changes &changes) {
-    SimulatedProcess &p = *Processes[i];
-    if (changes.Objects.empty() || !p.Feed.Duty.mustPublish(now()))
+    ProcessPtr p = Processes[i];
+    if (changes.Objects.empty())
       return;
     fleet::PublishedChanges out{false, changes, Milliseconds(0),
-                                p.Feed.Objects.view()};
-    sendChanges(i, out, false, p.LastRecipients.SameGroup);
-    sendChanges(i, out, false, p.LastRecipients.OtherGroups);
+                                p->Feed.Objects.view()};
+    if (p->Feed.Duty.mustPublish(now()))
+      sendToAll(i, out);
+    else if (p->Feed.Duty.watchesForOthers(now()))
+      at(p->Feed.Duty.publishPatience(), [this, i, p, out] {
+        if (isCurrent(i, p) && p->Feed.Published.hasNews(out.Changes))
+          sendToAll(i, out);
+      });
+  }
+
+  void sendToAll(size_t i, const fleet::PublishedChanges &changes) {
+    const peers::PeerSet::Recipients &to = Processes[i]->LastRecipients;
+    sendChanges(i, changes, false, to.SameGroup);
+    sendChanges(i, changes, false, to.OtherGroups);
   }
 
   // Exchange, as LoadExchange.
@@ -249,10 +257,11 @@
       ++Out.ChangeDatagrams;
       size_t j = indexOf(it);
       send(j, [this, from, j, changes, isRelayed](SimulatedProcess &p) {
-        if (!isRelayed && p.Peers.isInGroup(addressOf(from)))
-          sendChanges(j, changes, true, p.LastRecipients.OtherGroups);
+        p.Feed.Published.applyNews(changes.Changes);
         if (learnsFromPeers(p.Feed, now()))
           learn(j, applyPublished(p.Feed, changes));
+        if (!isRelayed && p.Peers.isInGroup(addressOf(from)))
+          sendChanges(j, changes, true, p.LastRecipients.OtherGroups);
       });
     }
   }
