Become a substitute soon after the last watcher has reported

Also, a substitute did not publish at once, since the dead watchers counted for 1,200 ms.

Change: a process that has had no report of any watcher for 800 ms, spread over the fleet as before, becomes a substitute and publishes. The duty is checked every 100 ms.

Ruled out: a shorter delay for answers of the store. While the store is quiet, watchers have answers only at the end of their watch calls.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -49,7 +49,7 @@
 constexpr Milliseconds PositionCheckInterval{50};
 /// Interval at which a process that learns changes from its peers checks
 /// whether it has to watch the store.
-constexpr Milliseconds DutyCheckInterval{250};
+constexpr Milliseconds DutyCheckInterval{100};
 
 Milliseconds timeSince(MonoTime t) {
   return t == MonoTime{} ? Milliseconds(-1)
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds MaxAnswerInterval{1'500};
 /// Several reports of several watchers are missing after this time.
 constexpr Milliseconds SubstituteDelay{2'000};
+/// All watchers report at least once in this time, each on a path of its own.
+constexpr Milliseconds SilenceDelay{800};
 /// The publishers collect changes for less than this time.
 constexpr Milliseconds PublishPatience{400};
 /// A watcher lets the one before it send first.
@@ -30,7 +32,8 @@
 bool WatchDuty::isLarge() const { return Position.Processes > MaxSmallFleet; }
 
 bool WatchDuty::isSubstitute(MonoTime now) const {
-  return Position.Rank >= NumWatchers && now >= SubstituteAt;
+  return Position.Rank >= NumWatchers &&
+         (now >= SubstituteAt || areWatchersSilent(now));
 }
 
 void WatchDuty::recordPeerAnswer(unsigned rank, MonoTime answeredAt,
@@ -45,6 +48,7 @@
     return;
   Milliseconds spread = substituteSpread(share);
   SubstituteAt = std::max(SubstituteAt, answeredAt + SubstituteDelay + spread);
+  SubstituteIfSilentAt = now + SilenceDelay + spread;
 }
 
 void WatchDuty::expectWatchers(MonoTime now, double share) {
@@ -74,6 +78,8 @@
 bool WatchDuty::mustPublish(MonoTime now) const {
   if (!watchesForOthers(now))
     return false;
+  if (areWatchersSilent(now))
+    return true;
   auto watchersBefore = std::count_if(
       WatcherReports.begin(), WatcherReports.end(), [&](const auto &it) {
         return it.first < Position.Rank && now - it.second <= MaxReportAge;
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -17,10 +17,10 @@
 /// does. In a large one, the first few do and the others learn the changes from
 /// them, so that calls to the store do not grow with the fleet.
 ///
-/// A process that hears of no watcher with an answer of the store becomes a
-/// substitute. The delays are spread so that a whole fleet makes few attempts a
-/// second while the store is down. A substitute stops when a process before it
-/// has an answer.
+/// A process that hears of no watcher with an answer of the store, or of no
+/// watcher at all, becomes a substitute. The delays are spread so that a whole
+/// fleet makes few attempts a second while the store is down. A substitute
+/// stops when a process before it has an answer.
 class WatchDuty {
 public:
   void setPosition(FleetPosition position) { Position = position; }
@@ -59,6 +59,10 @@
 private:
   bool isLarge() const;
   bool isSubstitute(MonoTime now) const;
+  /// Returns whether the watchers before this process have stopped reporting.
+  bool areWatchersSilent(MonoTime now) const {
+    return now >= SubstituteIfSilentAt;
+  }
   /// Spreads the substitutes of a fleet over time.
   Milliseconds substituteSpread(double share) const;
 
@@ -68,6 +72,8 @@
   /// This process becomes a substitute at this time; from the beginning until
   /// it hears of a watcher.
   MonoTime SubstituteAt{};
+  /// The same if no watcher reports until then.
+  MonoTime SubstituteIfSilentAt = MonoTime::max();
   /// Last reports of peers that watch, by rank.
   std::map<unsigned, MonoTime> WatcherReports;
 };
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -22,7 +22,7 @@
 constexpr Milliseconds ReadTime{20};
 constexpr Milliseconds WatchTimeout{2'000};
 constexpr Milliseconds BatchDelay{250};
-constexpr Milliseconds DutyCheckInterval{250};
+constexpr Milliseconds DutyCheckInterval{100};
 constexpr Milliseconds MaxPositionWait{800};
 constexpr Milliseconds Turn{250};
 constexpr Milliseconds RepeatInterval{500};
