Tell watchers that have lost the store from dead ones

Cause: the silence of the watchers was taken from reports with an answer of the store, which also stop while the store is down. Two older tests failed on it (FleetWatchTest, entries after an outage; WatchDutyTest, substitutes before 2 s), rightly: a fleet would have called a store that is down 1.2 s sooner.

Change: reports and relays say whether their process watches; only the absence of these counts as silence. Earlier builds do not say it, and the older delay of 2 s holds beside them.

Measured: both tests pass unchanged.

Ruled out: the times at which processes were last seen. A relay still counts a dead process as running for 700 ms.

Conclusion: two bytes or four more in each report.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -12,8 +12,9 @@
 
 FeedView viewOf(const Feed &feed, MonoTime now) {
   FeedView out = feed.Objects.view();
+  out.Watches = feed.Duty.mustWatch(now);
   bool isConfirmed =
-      !feed.Lost && feed.ConfirmedAt != MonoTime{} && feed.Duty.mustWatch(now);
+      !feed.Lost && feed.ConfirmedAt != MonoTime{} && out.Watches;
   if (isConfirmed)
     out.AnswerAge = toMilliseconds(now - feed.ConfirmedAt);
   return out;
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -205,9 +205,11 @@
 
 void FleetWatch::recordPeerAnswer(WatchedFeed &feed, const FeedView &peer,
                                   unsigned rank) {
+  MonoTime now = MonoClock::now();
+  if (peer.Watches)
+    feed.Duty.recordWatcher(rank, now, randomShare());
   if (!peer.AnswerAge)
     return;
-  MonoTime now = MonoClock::now();
   feed.Duty.recordPeerAnswer(rank, now - *peer.AnswerAge, now, randomShare());
 }
 
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -46,9 +46,13 @@
   PeerAnsweredAt = std::max(PeerAnsweredAt, answeredAt);
   if (rank >= Position.Rank)
     return;
-  Milliseconds spread = substituteSpread(share);
-  SubstituteAt = std::max(SubstituteAt, answeredAt + SubstituteDelay + spread);
-  SubstituteIfSilentAt = now + SilenceDelay + spread;
+  SubstituteAt = std::max(SubstituteAt, answeredAt + SubstituteDelay +
+                                            substituteSpread(share));
+}
+
+void WatchDuty::recordWatcher(unsigned rank, MonoTime now, double share) {
+  if (rank < Position.Rank)
+    SubstituteIfSilentAt = now + SilenceDelay + substituteSpread(share);
 }
 
 void WatchDuty::expectWatchers(MonoTime now, double share) {
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -33,6 +33,10 @@
   void recordPeerAnswer(unsigned rank, MonoTime answeredAt, MonoTime now,
                         double share);
 
+  /// Records the report of a peer of this rank that watches, whether it had an
+  /// answer or not.
+  void recordWatcher(unsigned rank, MonoTime now, double share);
+
   bool mustWatch(MonoTime now) const;
   /// Returns whether others learn changes from this process.
   bool watchesForOthers(MonoTime now) const {
@@ -72,7 +76,7 @@
   /// This process becomes a substitute at this time; from the beginning until
   /// it hears of a watcher.
   MonoTime SubstituteAt{};
-  /// The same if no watcher reports until then.
+  /// The same if no watcher reports until then, with an answer or without.
   MonoTime SubstituteIfSilentAt = MonoTime::max();
   /// Last reports of peers that watch, by rank.
   std::map<unsigned, MonoTime> WatcherReports;
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -251,7 +251,7 @@
   for (const auto &[process, time] : GroupReports)
     running.push_back(process);
   encodeProcesses(running, out);
-  bool isWatcher = LocalReport->has_servers_age_ms();
+  bool isWatcher = LocalReport->watches_servers();
   if (isWatcher || !isCompact(Local.Address)) {
     *out.add_reports() = *LocalReport;
     out.mutable_reports(0)->set_address(http::toString(Local.Address));
@@ -437,7 +437,7 @@
                                  const http::Endpoint &from) {
   if (isCompact(from))
     GroupReports[{in.failure_domain(), from}] = MonoClock::now();
-  if (!in.has_servers_age_ms() && isCompact(from))
+  if (!in.watches_servers() && !in.has_servers_age_ms() && isCompact(from))
     return;
   auto copy = std::make_unique<messages::LoadShare>(in);
   copy->set_address(http::toString(from));
--- a/Source/Peers/ReportCodec.cpp
+++ b/Source/Peers/ReportCodec.cpp
@@ -13,6 +13,8 @@
 
 void encodeAnswerAges(const fleet::StoreView &view, messages::LoadShare &out) {
   out.set_watch_rank(view.Rank);
+  out.set_watches_configuration(view.Configuration.Watches);
+  out.set_watches_servers(view.Servers.Watches);
   auto age = [](Milliseconds t) { return static_cast<uint32_t>(t.count()); };
   if (view.Configuration.AnswerAge)
     out.set_configuration_age_ms(age(*view.Configuration.AnswerAge));
@@ -29,6 +31,8 @@
     out.Configuration.AnswerAge = Milliseconds(in.configuration_age_ms());
   if (in.has_servers_age_ms())
     out.Servers.AnswerAge = Milliseconds(in.servers_age_ms());
+  out.Configuration.Watches = in.watches_configuration();
+  out.Servers.Watches = in.watches_servers();
   out.Rank = in.watch_rank();
   return out;
 }
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -300,7 +300,7 @@
         if (!p.Peers.isInGroup(addressOf(r.From)))
           return;
         p.GroupReports[r.From] = now();
-        if (r.View.AnswerAge)
+        if (r.View.Watches)
           p.ToRelay[r.From] = r;
       });
   }
@@ -313,7 +313,7 @@
     for (const auto &[from, time] : p.GroupReports)
       running.push_back(from);
     std::vector<Report> reports;
-    if (local.View.AnswerAge)
+    if (local.View.Watches)
       reports.push_back(local);
     for (const auto &[from, report] : std::exchange(p.ToRelay, {}))
       reports.push_back(report);
@@ -330,6 +330,8 @@
     if (addressOf(r.From) == p.Local.Address)
       return;
     p.Peers.recordReport({"domain", addressOf(r.From)}, now());
+    if (r.View.Watches)
+      p.Feed.Duty.recordWatcher(r.Rank, now(), randomShare());
     if (r.View.AnswerAge)
       p.Feed.Duty.recordPeerAnswer(r.Rank, now() - *r.View.AnswerAge, now(),
                                    randomShare());
--- a/Tests/Fleet/WatchDutyTest.cpp
+++ b/Tests/Fleet/WatchDutyTest.cpp
@@ -94,3 +94,22 @@
 TEST_CASE("a process that knows no watcher watches the store") {
   CHECK(duty(195, 100).mustWatch(Start));
 }
+
+TEST_CASE("a substitute watches and publishes when all watchers are dead") {
+  WatchDuty d = duty(195, 100);
+  for (unsigned rank = 0; rank < 6; ++rank) {
+    d.recordWatcher(rank, Start, 0);
+    d.recordPeerAnswer(rank, Start, Start, 0);
+  }
+  CHECK_FALSE(d.mustWatch(Start + Milliseconds(700)));
+  CHECK(d.mustWatch(Start + Milliseconds(900)));
+  CHECK(d.mustPublish(Start + Milliseconds(900)));
+}
+
+TEST_CASE("watchers that have lost the store are not taken for dead") {
+  WatchDuty d = duty(195, 100);
+  d.recordPeerAnswer(0, Start, Start, 0);
+  for (int i = 0; i < 4; ++i)
+    d.recordWatcher(0, Start + Milliseconds(500) * i, 0);
+  CHECK_FALSE(d.mustWatch(Start + Milliseconds(1'900)));
+}
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -17,6 +17,8 @@
   /// Time since the store's last answer; empty if the process does not watch
   /// the store or has lost it.
   std::optional<Milliseconds> AnswerAge;
+  /// The process watches the store, also while that does not answer.
+  bool Watches = false;
 };
 
 /// Changes of one feed that a watcher received and sends to the others.
