--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -62,6 +62,7 @@
   Milliseconds serversAge() const;
 
 private:
+  /// A feed whose waiting for changes can be interrupted.
   struct WatchedFeed : Feed {
     explicit WatchedFeed(IoContext &io) : Interrupt(io, MonoTime::max()) {}
 
