--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -14,12 +14,11 @@
 constexpr unsigned MomentsToBlock = 3;
 /// The same for a part that was sound before.
 constexpr unsigned MomentsToBlockSound = 5;
-/// Time after the last crash or trial until the next trial, by the number of
-/// trials so far.
+/// Delay of the next trial, by the number of trials made.
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
     std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
-/// Time in which the number of processes that may make the trial doubles.
+/// The number of processes that may make a trial doubles at this interval.
 constexpr std::chrono::seconds TrialSpread{10};
 constexpr int64_t MaxTrialDoublings = 16;
 /// A request that crashes its engine has done so within this time.
--- a/include/Sardineford/Fleet/CrashEvidence.h
+++ b/include/Sardineford/Fleet/CrashEvidence.h
@@ -89,9 +89,7 @@
 /// one is due, the more processes may make it.
 bool mayTry(const PartEvidence &e, TrialRank rank, MonoTime now);
 
-/// Returns whether a request with some blocked part was sent so recently that
-/// it may still crash its engine, and with it the requests of other trials
-/// there.
+/// Returns whether a trial of some part may still crash its engine.
 bool isTrialRunning(const EvidenceByPart &evidence, MonoTime now);
 
 /// Decides whether a request with these shared prompt parts may be sent to an
