--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -128,23 +128,27 @@
   NamedLimit limit;
   if (&w == &Workers.back())
     limit = Options.Limit;
+  std::vector<std::string> flags = {
+      "--id=" + w.Id,
+      "--service=" + w.Service,
+      "--stage=" + w.Stage,
+      "--software_version=" + w.Version,
+      "--listen=" + http::toString(w.Listen),
+      "--advertise=" + http::toString(w.Advertise),
+      "--store=" + http::toString(Store),
+      "--slots=64",
+      "--work_ms=" + std::to_string(Options.WorkTime.count()),
+      "--step_ms=" + std::to_string(Options.StepTime.count()),
+      "--drain_ms=" + std::to_string(Options.DrainTime.count()),
+      "--crashing_part=" + Options.CrashingPart,
+      "--limit=" + std::to_string(limit.PerSecond),
+      "--limit_from_ms=" + std::to_string(limit.From.count()),
+      "--limit_ms=" + std::to_string(limit.Length.count()),
+      "--history=" + historyFile()};
+  flags.insert(flags.end(), w.Flags.begin(), w.Flags.end());
   w.ChildProcess = std::make_unique<Process>(
-      ProcessSpec{w.Id,
-                  Options.Programs + "/standin-platform-worker",
-                  {"--id=" + w.Id, "--service=" + w.Service,
-                   "--stage=" + w.Stage, "--software_version=" + w.Version,
-                   "--listen=" + http::toString(w.Listen),
-                   "--advertise=" + http::toString(w.Advertise),
-                   "--store=" + http::toString(Store), "--slots=64",
-                   "--work_ms=" + std::to_string(Options.WorkTime.count()),
-                   "--step_ms=" + std::to_string(Options.StepTime.count()),
-                   "--drain_ms=" + std::to_string(Options.DrainTime.count()),
-                   "--crashing_part=" + Options.CrashingPart,
-                   "--limit=" + std::to_string(limit.PerSecond),
-                   "--limit_from_ms=" + std::to_string(limit.From.count()),
-                   "--limit_ms=" + std::to_string(limit.Length.count()),
-                   "--history=" + historyFile()},
-                  Options.Folder + "/" + w.Id + ".log"});
+      ProcessSpec{w.Id, Options.Programs + "/standin-platform-worker",
+                  std::move(flags), Options.Folder + "/" + w.Id + ".log"});
   w.ChildProcess->start();
 }
 
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -68,6 +68,8 @@
   std::string Version;
   http::Endpoint Listen;
   http::Endpoint Advertise;
+  /// Further flags of the process, from its next start.
+  std::vector<std::string> Flags;
 };
 
 /// Starts the daemons and the stand-ins for the platform's store and backend
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -161,16 +161,31 @@
   r.Status = status;
   r.Fields.add(std::string(names::RequestId), id);
   r.Fields.add(std::string(names::ServerSeal), "stand-in");
-  MonoTime from = StartedAt + Options.Limit.From;
-  MonoTime now = MonoClock::now();
-  if (Options.Limit.PerSecond >= 0 && now >= from &&
-      now < from + Options.Limit.Length)
+  if (Options.Limit.PerSecond >= 0 &&
+      isWithin(Options.Limit.From, Options.Limit.Length))
     r.Fields.add(std::string(names::ServerLimit),
                  std::to_string(Options.Limit.PerSecond));
+  bool leaves = Options.LeavesAfter >= Milliseconds(0) &&
+                MonoClock::now() >= StartedAt + Options.LeavesAfter;
+  if (leaves)
+    r.Fields.add(std::string(names::ServerLeaving), "1");
   r.Body = std::move(body);
   return r;
 }
 
+http::Response PlatformWorker::makeRejection(const std::string &id) const {
+  http::Response r = makeResponse(503, id, "");
+  r.Fields.add(std::string(names::NotExecuted), "1");
+  if (isWithin(Options.Rejects.From, Options.Rejects.Length))
+    r.Fields.add("Retry-After", Options.Rejects.RetryAfter);
+  return r;
+}
+
+bool PlatformWorker::isWithin(Milliseconds from, Milliseconds length) const {
+  Milliseconds age = toMilliseconds(MonoClock::now() - StartedAt);
+  return age >= from && age < from + length;
+}
+
 Awaitable<void> PlatformWorker::handle(http::Request &request,
                                        http::ResponseWriter &out) {
   std::string id = request.Fields.find(names::RequestId).value_or("");
@@ -192,9 +207,10 @@
     co_return;
   }
   recordEvent(id, "arrival");
-  if (Listener.openRequests() > Options.Slots) {
-    http::Response r = makeResponse(503, id, "");
-    r.Fields.add(std::string(names::NotExecuted), "1");
+  bool isPushedBack = !Options.Rejects.RetryAfter.empty() &&
+                      isWithin(Options.Rejects.From, Options.Rejects.Length);
+  if (isPushedBack || Listener.openRequests() > Options.Slots) {
+    http::Response r = makeRejection(id);
     co_await out.send(std::move(r));
     co_return;
   }
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -29,6 +29,15 @@
   Milliseconds Length{0};
 };
 
+/// Rejections with a time for which the server wants no further request.
+struct PushBack {
+  /// Value of Retry-After; empty to reject nothing.
+  std::string RetryAfter;
+  /// Time from the start of the server, and how long.
+  Milliseconds From{0};
+  Milliseconds Length{0};
+};
+
 struct PlatformWorkerOptions {
   std::string Id;
   std::string Service;
@@ -52,6 +61,10 @@
   /// soon after it has begun to answer; empty for none.
   std::string CrashingPart;
   NamedLimit Limit;
+  /// Time from the start of the server after which its responses, and not its
+  /// entry in the store, say that it leaves; negative for never.
+  Milliseconds LeavesAfter{-1};
+  PushBack Rejects;
   /// File to which a line is appended for each event.
   std::string History;
 };
@@ -94,6 +107,8 @@
                            const std::string &streamId) const;
   http::Response makeResponse(unsigned status, const std::string &id,
                               std::string body) const;
+  http::Response makeRejection(const std::string &id) const;
+  bool isWithin(Milliseconds from, Milliseconds length) const;
   void recordEvent(const std::string &id, const char *action);
 
   IoContext &Io;
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -26,6 +26,13 @@
               "limit of requests a second to name; negative for none");
 DEFINE_int32(limit_from_ms, 0, "time from the start until the limit, ms");
 DEFINE_int32(limit_ms, 0, "time for which the limit is named, ms");
+DEFINE_int32(leaves_after_ms, -1,
+             "time from the start after which responses say that the server "
+             "leaves, ms; negative for never");
+DEFINE_string(retry_after, "",
+              "Retry-After of the rejections of all requests; empty for none");
+DEFINE_int32(reject_from_ms, 0, "time from the start until these, ms");
+DEFINE_int32(reject_ms, 0, "time for which all requests are rejected, ms");
 DEFINE_string(history, "", "file to append the history to");
 
 using namespace sardineford;
@@ -52,6 +59,9 @@
   o.CrashingPart = FLAGS_crashing_part;
   o.Limit = {FLAGS_limit, Milliseconds(FLAGS_limit_from_ms),
              Milliseconds(FLAGS_limit_ms)};
+  o.LeavesAfter = Milliseconds(FLAGS_leaves_after_ms);
+  o.Rejects = {FLAGS_retry_after, Milliseconds(FLAGS_reject_from_ms),
+               Milliseconds(FLAGS_reject_ms)};
   o.History = FLAGS_history;
   standins::PlatformWorker worker(io, o);
   worker.start();
