Send nothing to a server that says that it leaves

Cause: the header was not decoded, so that only the entry in the store told a process of a leaving server, whatever the server itself said. Class: a statement of a server that reaches the process is not read.

Every response is read in one place (recordServerNotices: callers' requests, health checks, prefills), and one decision, judgeServer, says whether a server may be used and why not, for choice, log and gauge. The mark holds until another start of the server, not until its entry is renewed. An engine that was chosen before, for instance before a prefill, is judged again before the request is sent. For a second after its statement a server is the last resort, so that the only server left is not given up at once. Streams that run there go on. Responses of another server at the address do not count.

Not done: peers are not told; each process learns it from its first response.

--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -126,12 +126,13 @@
 }
 
 void Directory::markLeaving(const std::string &id, int64_t startedMs,
-                            std::string_view reason) {
+                            std::string_view reason, MonoTime now) {
   auto it = ById.find(id);
   if (it == ById.end() || it->second->Entry.StartedMs != startedMs ||
       it->second->Leaving)
     return;
   it->second->Leaving = true;
+  it->second->LeavingSaidAt = now;
   Departures[id] = {startedMs, false};
   rebuildIndex();
   OnChange(*it->second, reason);
@@ -151,6 +152,14 @@
   return it == ByService.end() ? none : it->second;
 }
 
+std::vector<ServerPtr> Directory::leavingOf(const std::string &service) const {
+  std::vector<ServerPtr> out;
+  for (const auto &[id, server] : ById)
+    if (server->Leaving && server->Entry.Service == service)
+      out.push_back(server);
+  return out;
+}
+
 void Directory::recordDeparture(const ServerEntry &entry) {
   DepartedVersions[entry.Service][entry.SoftwareVersion] = MonoClock::now();
 }
--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/EngineView.h"
 
-#include "Gateway/LimitCheck.h"
+#include "Gateway/ServerChoice.h"
 
 #include "Sardineford/Common/Random.h"
 #include "Sardineford/Routing/EngineProbes.h"
@@ -126,9 +126,11 @@
   MonoTime now = MonoClock::now();
   Seconds meanStreamDuration =
       shared.service(context.Service).MeanStreamDuration;
-  for (const fleet::ServerPtr &it : shared.Servers.ofService(context.Service)) {
-    if (!isAllowed(filter, it->Entry) || !isWithinLimit(shared, *it))
-      continue;
+  AvailableServers available = findAvailableServers(
+      shared, context.Service,
+      [&](const fleet::ServerEntry &it) { return isAllowed(filter, it); });
+  view.PassedOver = std::move(available.PassedOver);
+  for (const fleet::ServerPtr &it : available.Servers) {
     auto answer = probed.CachedTokens.find(it->Entry.Id);
     bool isProbed = answer != probed.CachedTokens.end();
     if (!probed.CachedTokens.empty() && !isProbed)
--- a/Source/Gateway/EngineView.h
+++ b/Source/Gateway/EngineView.h
@@ -16,6 +16,8 @@
 struct EngineView {
   std::vector<fleet::ServerPtr> Servers;
   std::vector<routing::EngineCandidate> Candidates;
+  /// As in AvailableServers.
+  std::string PassedOver;
 };
 
 /// Engines whose load was just asked for. The others are not considered,
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -355,6 +355,7 @@
               {"sends", attempts},
               {"most_attempts", context.Route->MaxAttempts},
               {"not_repeated", context.NoRetryReason},
+              {"passed_over", context.PassedOver},
               {"budget_left",
                Shared.service(context.Service).RetryBudget.remaining(now)},
               {"configuration_version", context.Routes->config().Version},
--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/HealthCheck.h"
 
-#include "Gateway/LimitCheck.h"
+#include "Gateway/ServerChoice.h"
 
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Http/Status.h"
@@ -41,7 +41,7 @@
     http::Response r =
         co_await shared.Client.call(entry.Address, std::move(request), options);
     ResponseHead head = shared.Protocol.decodeHead(r);
-    recordResponseLimit(shared, entry, head, start);
+    recordServerNotices(shared, entry, head, start);
     if (head.RespondingServer && *head.RespondingServer != entry.Id)
       co_return HealthCheckResult::Refused;
     co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/LimitCheck.h"
+#include "Gateway/ServerChoice.h"
 #include "Gateway/State.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Http/Status.h"
@@ -47,23 +47,26 @@
   std::string Detail = "no backend server is available";
 };
 
-ServerPtr chooseServer(SharedState &shared, const RequestContext &context,
-                       const std::set<std::string> &triedServers) {
+AvailableServers findUntriedServers(SharedState &shared,
+                                    const RequestContext &context,
+                                    const PlainProgress &progress) {
+  return findAvailableServers(shared, context.Service,
+                              [&](const fleet::ServerEntry &it) {
+                                return !progress.TriedServers.contains(it.Id);
+                              });
+}
+
+ServerPtr chooseServer(SharedState &shared, const AvailableServers &available) {
   std::vector<routing::ServiceCandidate> candidates;
-  std::vector<ServerPtr> servers;
   MonoTime now = MonoClock::now();
-  for (const ServerPtr &it : shared.Servers.ofService(context.Service)) {
-    if (triedServers.contains(it->Entry.Id) || !isWithinLimit(shared, *it))
-      continue;
+  for (const ServerPtr &it : available.Servers)
     candidates.push_back({it->Entry.FailureDomain == shared.FailureDomain,
                           it->requests(), it->Entry.Slots,
                           it->Health.failureRatio(),
                           it->Health.isEjected(now)});
-    servers.push_back(it);
-  }
   std::optional<size_t> i =
       routing::chooseServiceInstance(candidates, shared.Random);
-  return i ? servers[*i] : nullptr;
+  return i ? available.Servers[*i] : nullptr;
 }
 
 /// Returns the silence of a server from which a repeatable request is attempted
@@ -143,7 +146,7 @@
         attempt.Received = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
         attempt.RequestLimit = attempt.Head.RequestLimit;
-        recordResponseLimit(shared, attempt.Server->Entry, attempt.Head,
+        recordServerNotices(shared, attempt.Server->Entry, attempt.Head,
                             attempt.StartedAt);
         done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
@@ -216,8 +219,9 @@
   state.RemainingTime = context.remainingTime();
   bool isImpatient =
       context.Route->mayRepeat() && state.Silence >= state.Patience;
-  state.MayRetry = isImpatient && findRetryObstacle(shared, context).empty() &&
-                   chooseServer(shared, context, progress.TriedServers);
+  state.MayRetry =
+      isImpatient && findRetryObstacle(shared, context).empty() &&
+      !findUntriedServers(shared, context, progress).Servers.empty();
   if (isImpatient && !std::exchange(newest.WasSilent, true))
     recordSilence(shared, *newest.Server);
   return retry::decideOnSilence(state);
@@ -226,7 +230,9 @@
 /// Makes the next attempt. Returns false if none is possible.
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
                                  PlainProgress &progress) {
-  ServerPtr server = chooseServer(shared, context, progress.TriedServers);
+  AvailableServers available = findUntriedServers(shared, context, progress);
+  context.PassedOver = available.PassedOver;
+  ServerPtr server = chooseServer(shared, available);
   if (!server) {
     context.NoRetryReason = "no other server is available";
     co_return false;
--- /dev/null
+++ b/Source/Gateway/ServerChoice.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Gateway/State.h"
+
+#include <functional>
+
+namespace sardineford::gateway {
+
+/// Servers of a service that may get a request now.
+struct AvailableServers {
+  std::vector<fleet::ServerPtr> Servers;
+  /// Servers that were passed over and why, for the log.
+  std::string PassedOver;
+};
+
+/// Returns the servers of a service that `isAllowed` allows and that may get a
+/// request now. Servers that have just said that they leave are among them only
+/// if there are no others.
+AvailableServers findAvailableServers(
+    SharedState &shared, const std::string &service,
+    const std::function<bool(const fleet::ServerEntry &)> &isAllowed);
+
+/// Decides whether a server may get a request now.
+fleet::ServerUse judgeServer(SharedState &shared, const fleet::Server &server);
+
+/// Records what a response says of its server: its limit, and that it leaves.
+/// `sentAt` is when the request was sent.
+void recordServerNotices(SharedState &shared, const fleet::ServerEntry &server,
+                         const ResponseHead &head, MonoTime sentAt);
+
+/// Counts a request to a server against its limit.
+void recordLimitedRequest(SharedState &shared, const fleet::Server &server);
+
+} // namespace sardineford::gateway
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -220,6 +220,7 @@
        {"silent_ms", entry.Silence.count()},
        {"response_age_ms", entry.ResponseAge.count()},
        {"request_limit", entry.RequestLimit.value_or(-1)},
+       {"server_leaving", server.Leaving},
        {"left_ms", context.remainingTime().count()},
        {"outcome", toString(entry.Outcome)},
        {"detail", entry.Detail}});
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -6,6 +6,7 @@
 #include "Peers/StreamOrigins.h"
 #include "Sardineford/Admission/SizeFairness.h"
 #include "Sardineford/Fleet/Directory.h"
+#include "Sardineford/Fleet/ServerUse.h"
 #include "Sardineford/Gateway/AttemptRecord.h"
 #include "Sardineford/Gateway/BackendProtocol.h"
 #include "Sardineford/Http/Client.h"
@@ -105,6 +106,8 @@
   std::string Outcome;
   /// Reason that no retry was made, for the log.
   std::string_view NoRetryReason;
+  /// Servers that were passed over at the last choice and why, for the log.
+  std::string PassedOver;
   /// -1 until the first byte.
   Milliseconds TimeToFirstByte{-1};
   uint64_t EventCount = 0;
--- a/Source/Gateway/StateGauges.cpp
+++ b/Source/Gateway/StateGauges.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/StateGauges.h"
 
+#include "Gateway/ServerChoice.h"
 #include "Sardineford/Common/Log.h"
 
 #include <functional>
@@ -15,17 +16,11 @@
 
 using Family = metrics::Metrics::Family;
 
-std::string_view serverState(const fleet::Server &server, MonoTime now) {
-  if (server.Leaving)
-    return "leaving";
-  return server.Health.isEjected(now) ? "held_off" : "ready";
-}
-
 Family countServers(SharedState &shared) {
   std::map<std::pair<std::string, std::string>, double> counts;
-  MonoTime now = MonoClock::now();
   shared.Servers.forEach([&](const fleet::Server &it) {
-    ++counts[{it.Entry.Service, std::string(serverState(it, now))}];
+    ++counts[{it.Entry.Service,
+              std::string(toString(judgeServer(shared, it)))}];
   });
   Family out;
   for (const auto &[key, n] : counts)
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/CrashCheck.h"
+#include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Retry/Silence.h"
@@ -124,6 +125,13 @@
   return true;
 }
 
+/// Returns whether a server that was chosen some time ago may still get the
+/// request.
+bool mayStart(SharedState &shared, const fleet::Server &server) {
+  fleet::ServerUse use = judgeServer(shared, server);
+  return use != fleet::ServerUse::Leaving;
+}
+
 /// Makes the next attempt. Returns false if none is possible now, or if an open
 /// attempt responds in the meantime.
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
@@ -140,6 +148,11 @@
   std::optional<AttemptPlan> next =
       co_await planAttempt(shared, context, progress);
   // The part may have been blocked while the prompt was prefilled.
+  if (next && !mayStart(shared, *next->Server)) {
+    if (next->Handle)
+      freeHandle(shared, *next->Handle);
+    co_return true;
+  }
   bool mustStop = context.CallerGone || checkTimedOut(context, progress) ||
                   progress.hasOpenResponse() ||
                   checkBlocked(shared, context, progress);
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -1,5 +1,5 @@
 #include "Gateway/EngineView.h"
-#include "Gateway/LimitCheck.h"
+#include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Admission/StreamAdmission.h"
 #include "Sardineford/Common/Log.h"
@@ -67,7 +67,7 @@
     http::Response r =
         co_await readWhole(*response, ready ? timeout : http::ReadyTimeout);
     ResponseHead head = shared.Protocol.decodeHead(r);
-    recordResponseLimit(shared, server->Entry, head, start);
+    recordServerNotices(shared, server->Entry, head, start);
     if (head.NotExecuted) {
       outcome = AttemptOutcome::NotExecuted;
       detail = "rejected with status " + std::to_string(r.Status);
@@ -140,7 +140,7 @@
 /// Decides whether, with which priority and where the request is served.
 /// Returns nothing if it is rejected.
 std::optional<EnginePlacement> admit(SharedState &shared,
-                                     const RequestContext &context,
+                                     RequestContext &context,
                                      StreamProgress &progress,
                                      const ProbedEngines &probed) {
   std::array<EnginePlacement, fleet::NumWorkPriorities> placements;
@@ -157,6 +157,7 @@
   outlook.UrgentEstimate = firstEvent(fleet::WorkPriority::Urgent);
   outlook.BackgroundEstimate = firstEvent(fleet::WorkPriority::Background);
   const EnginePlacement &last = placements.back();
+  context.PassedOver = last.Engines.PassedOver;
   if (last.Choice)
     outlook.PromptPrefillTime = last.Choice->PromptPrefillTime;
   outlook.Elapsed = context.elapsed();
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/CrashCheck.h"
 #include "Gateway/EngineView.h"
-#include "Gateway/LimitCheck.h"
+#include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Http/Status.h"
 
@@ -184,7 +184,7 @@
   co_await attempt.Response->receiveHead(http::ReadyTimeout);
   ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
   attempt.RequestLimit = head.RequestLimit;
-  recordResponseLimit(shared, server->Entry, head, attempt.StartedAt);
+  recordServerNotices(shared, server->Entry, head, attempt.StartedAt);
   std::string error =
       validateResponse(head, attempt.Response->head(), context.Request.Id);
   if (!error.empty()) {
--- a/Tests/Fleet/DirectoryTest.cpp
+++ b/Tests/Fleet/DirectoryTest.cpp
@@ -168,3 +168,26 @@
   CHECK(before->Entry.SoftwareVersion == "v1");
   CHECK(d.ofService("model").size() == 1);
 }
+
+TEST_CASE("a server that says it leaves is not used until it starts again") {
+  Directory d = makeDirectory();
+  d.put(entry("a"));
+  d.markLeaving("a", 2, "another incarnation", Start);
+  CHECK(d.ofService("model").size() == 1);
+  d.markLeaving("a", 1, "said that it leaves", Start);
+  CHECK(d.ofService("model").empty());
+  REQUIRE(d.leavingOf("model").size() == 1);
+  CHECK(d.leavingOf("model")[0]->LeavingSaidAt == Start);
+  // A renewed entry, also one that the store has lost meanwhile.
+  ServerEntry changed = entry("a");
+  changed.Slots = 5;
+  d.put(changed);
+  d.replaceAll({changed}, NoGracePeriod, Start);
+  CHECK(d.ofService("model").empty());
+  d.remove("a", NoGracePeriod, Start);
+  d.put(changed);
+  CHECK(d.ofService("model").empty());
+  d.put(entry("a", 2));
+  CHECK(d.ofService("model").size() == 1);
+  CHECK(d.leavingOf("model").empty());
+}
--- /dev/null
+++ b/Tests/Fleet/ServerUseTest.cpp
@@ -0,0 +1,39 @@
+#include "Sardineford/Fleet/ServerUse.h"
+
+#include "Sardineford/Fleet/Directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sardineford;
+using namespace sardineford::fleet;
+
+namespace {
+
+constexpr MonoTime Start{std::chrono::seconds(100)};
+
+ServerUse judge(const Server &server, Milliseconds later = Milliseconds(0)) {
+  return judgeServer(server, true, Start + later);
+}
+
+} // namespace
+
+TEST_CASE("a server that has just said that it leaves is the last resort") {
+  Server s;
+  CHECK(judge(s) == ServerUse::Usable);
+  s.Leaving = true;
+  CHECK(judge(s) == ServerUse::Leaving);
+  s.LeavingSaidAt = Start;
+  CHECK(judge(s) == ServerUse::LastResort);
+  CHECK(judge(s, Milliseconds(999)) == ServerUse::LastResort);
+  CHECK(judge(s, Milliseconds(1'000)) == ServerUse::Leaving);
+  CHECK_FALSE(isUsable(ServerUse::LastResort));
+}
+
+TEST_CASE("a server over its limit or with failures is not leaving") {
+  Server s;
+  CHECK(judgeServer(s, false, Start) == ServerUse::OverLimit);
+  for (int i = 0; i < 10; ++i)
+    s.Health.recordFailure(FailureKind::Broken, Start);
+  CHECK(judge(s) == ServerUse::Ejected);
+  CHECK(isUsable(ServerUse::Ejected));
+}
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -143,3 +143,17 @@
     CHECK_FALSE(limitOf(it));
   CHECK_FALSE(a.decodeHead(http::Response{}).RequestLimit);
 }
+
+TEST_CASE("a leaving server is recognized by its responses") {
+  TrafficAdapter a;
+  auto saysLeaving = [&](const char *text) {
+    http::Response r;
+    r.Fields.add("Server-Leaving", text);
+    CHECK_FALSE(a.makeCallerResponse(r).Fields.find("Server-Leaving"));
+    return a.decodeHead(r).Leaving;
+  };
+  CHECK(saysLeaving("1"));
+  for (const char *it : {"", "0", "no", "2", "1x"})
+    CHECK_FALSE(saysLeaving(it));
+  CHECK_FALSE(a.decodeHead(http::Response{}).Leaving);
+}
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -55,6 +55,9 @@
   MonoTime SilentAt{};
   /// Draining, leaving or removed; receives no new requests.
   bool Leaving = false;
+  /// Time at which the server itself said that it leaves; the epoch if only the
+  /// store or nobody says so.
+  MonoTime LeavingSaidAt{};
   /// Prompt parts that the engine is estimated to have cached.
   PartCache CachedParts;
 
@@ -104,15 +107,18 @@
   void removeMissing(MonoTime now);
   /// Extends the grace periods of the missing servers.
   void keepMissing(MonoTime graceEnd);
-  /// Marks an incarnation as leaving, as reported by the server or by another
-  /// process.
+  /// Marks an incarnation as leaving, as the server itself has said. The store
+  /// may not know yet, or never.
   void markLeaving(const std::string &id, int64_t startedMs,
-                   std::string_view reason);
+                   std::string_view reason, MonoTime now);
   /// Removes a server when another server answers at its address. The
   /// incarnation is never readmitted.
   void removePermanently(const ServerPtr &server, std::string_view reason);
 
+  /// Servers of a service that do not leave.
   const std::vector<ServerPtr> &ofService(const std::string &service) const;
+  /// Servers of a service that leave and whose entries are still known.
+  std::vector<ServerPtr> leavingOf(const std::string &service) const;
   /// Returns the software versions of a service's servers, with those of
   /// servers that departed so recently that callers may take up their streams.
   std::set<std::string> softwareVersions(const std::string &service,
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -49,6 +49,8 @@
   /// Requests a second that the server takes from all processes together; empty
   /// if it names no limit.
   std::optional<double> RequestLimit;
+  /// The server leaves and wants no further requests.
+  bool Leaving = false;
 };
 
 /// Translates between the gateway and the protocols of callers and backend
