Leave a server alone for the time that its rejection asks for

Cause: Retry-After of a server's 503 was not decoded, and the rejection counted as a failure.

A closed server gets no requests, health checks or releases of KV handles from this process. A later rejection can only extend the time, at most by an hour; a value that is no time of at least a millisecond changes nothing. If all servers that could run a request are closed, it is rejected at once, with a Retry-After from when the first opens. The time binds the process that was asked and is not told to others, which may be asked for less. The log says which servers were passed over and why, sardineford_servers has the state "closed", and sardineford-explain shows the closing.

--- a/Source/Explain/RequestTrace.cpp
+++ b/Source/Explain/RequestTrace.cpp
@@ -30,7 +30,7 @@
       "stopping",        "stopped",
       "reload",          "watch_renewed",
       "lines_dropped",   "server_return",
-      "object_skipped"};
+      "server_closed",   "object_skipped"};
   return events.contains(line.Event);
 }
 
--- a/Source/Fleet/ServerUse.cpp
+++ b/Source/Fleet/ServerUse.cpp
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Fleet/Directory.h"
 
+#include <algorithm>
 #include <array>
 
 namespace sardineford::fleet {
@@ -10,16 +11,20 @@
 
 /// A server serves for longer than this after it has said that it leaves.
 constexpr Milliseconds LastResortTime{1'000};
+/// Bounds absurd times. The server can ask again with its next rejection.
+constexpr std::chrono::hours MaxClosedTime{1};
 
 } // namespace
 
 std::string_view toString(ServerUse use) {
-  constexpr std::array<std::string_view, 5> Names = {
-      "ready", "held_off", "last_resort", "leaving", "over_limit"};
+  constexpr std::array<std::string_view, 6> Names = {
+      "ready", "held_off", "last_resort", "leaving", "closed", "over_limit"};
   return Names[static_cast<size_t>(use)];
 }
 
 ServerUse judgeServer(const Server &server, bool isWithinLimit, MonoTime now) {
+  if (now < server.ClosedUntil)
+    return ServerUse::Closed;
   if (!isWithinLimit)
     return ServerUse::OverLimit;
   if (server.Leaving) {
@@ -30,4 +35,13 @@
   return server.Health.isEjected(now) ? ServerUse::Ejected : ServerUse::Usable;
 }
 
+MonoTime closeAfterRejection(MonoTime closedUntil,
+                             std::optional<Milliseconds> retryAfter,
+                             MonoTime now) {
+  if (!retryAfter)
+    return closedUntil;
+  return std::max(closedUntil,
+                  now + std::min<Milliseconds>(*retryAfter, MaxClosedTime));
+}
+
 } // namespace sardineford::fleet
--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -129,6 +129,7 @@
   AvailableServers available = findAvailableServers(
       shared, context.Service,
       [&](const fleet::ServerEntry &it) { return isAllowed(filter, it); });
+  view.OpensIn = available.OpensIn;
   view.PassedOver = std::move(available.PassedOver);
   for (const fleet::ServerPtr &it : available.Servers) {
     auto answer = probed.CachedTokens.find(it->Entry.Id);
--- a/Source/Gateway/EngineView.h
+++ b/Source/Gateway/EngineView.h
@@ -17,6 +17,7 @@
   std::vector<fleet::ServerPtr> Servers;
   std::vector<routing::EngineCandidate> Candidates;
   /// As in AvailableServers.
+  std::optional<Milliseconds> OpensIn;
   std::string PassedOver;
 };
 
--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -25,7 +25,7 @@
 
 Awaitable<HealthCheckResult> checkHealth(SharedState &shared,
                                          fleet::ServerEntry entry) {
-  if (!shared.Watch.routes())
+  if (!shared.Watch.routes() || isClosed(shared, entry))
     co_return HealthCheckResult::Unknown;
   const auto &services = shared.Watch.routes()->config().Services;
   auto spec = services.find(entry.Service);
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -232,9 +232,12 @@
                                  PlainProgress &progress) {
   AvailableServers available = findUntriedServers(shared, context, progress);
   context.PassedOver = available.PassedOver;
+  context.OpensIn = available.OpensIn;
   ServerPtr server = chooseServer(shared, available);
   if (!server) {
     context.NoRetryReason = "no other server is available";
+    if (available.OpensIn)
+      progress.Detail = "all backend servers have asked for time";
     co_return false;
   }
   if (!progress.TriedServers.empty() && !acquireRetry(shared, context))
--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -1,5 +1,9 @@
 #include "Gateway/ServerChoice.h"
 
+#include "Sardineford/Common/Log.h"
+
+#include <algorithm>
+
 namespace sardineford::gateway {
 
 namespace {
@@ -23,6 +27,26 @@
   out.PassedOver += server.Entry.Id + ":" + std::string(toString(use));
 }
 
+/// Stops sending requests to a server for the time that it asked for.
+void closeServer(SharedState &shared, fleet::Server &server,
+                 const ResponseHead &head) {
+  MonoTime now = MonoClock::now();
+  MonoTime until =
+      fleet::closeAfterRejection(server.ClosedUntil, head.RetryAfter, now);
+  if (until == server.ClosedUntil)
+    return;
+  bool wasClosed = now < server.ClosedUntil;
+  server.ClosedUntil = until;
+  shared.Metrics.count("sardineford_servers_closed_total",
+                       {{"service", server.Entry.Service}});
+  log::event(log::Category::Gateway, log::Level::Info, "server_closed",
+             {{"server", server.Entry.Id},
+              {"service", server.Entry.Service},
+              {"retry_after_ms", head.RetryAfter->count()},
+              {"closed_ms", toMilliseconds(until - now).count()},
+              {"outcome", wasClosed ? "extended" : "closed"}});
+}
+
 } // namespace
 
 fleet::ServerUse judgeServer(SharedState &shared, const fleet::Server &server) {
@@ -37,6 +61,7 @@
     SharedState &shared, const std::string &service,
     const std::function<bool(const fleet::ServerEntry &)> &isAllowed) {
   AvailableServers out;
+  MonoTime now = MonoClock::now();
   size_t named = 0;
   for (const ServerPtr &it : shared.Servers.ofService(service)) {
     if (!isAllowed(it->Entry))
@@ -47,9 +72,15 @@
       continue;
     }
     addPassedOver(out, named, *it, use);
+    if (use == ServerUse::Closed) {
+      Milliseconds opensIn = toMilliseconds(it->ClosedUntil - now);
+      out.OpensIn = std::min(out.OpensIn.value_or(opensIn), opensIn);
+    }
   }
-  if (!out.Servers.empty())
+  if (!out.Servers.empty()) {
+    out.OpensIn.reset();
     return out;
+  }
   for (const ServerPtr &it : shared.Servers.leavingOf(service)) {
     if (!isAllowed(it->Entry))
       continue;
@@ -75,6 +106,24 @@
   if (head.Leaving)
     shared.Servers.markLeaving(server.Id, server.StartedMs,
                                "said that it leaves", now);
+  ServerPtr known = shared.Servers.find(server.Id);
+  if (known && known->Entry.StartedMs == server.StartedMs)
+    closeServer(shared, *known, head);
+}
+
+bool isClosed(SharedState &shared, const fleet::ServerEntry &server) {
+  ServerPtr known = shared.Servers.find(server.Id);
+  return known && known->Entry.StartedMs == server.StartedMs &&
+         MonoClock::now() < known->ClosedUntil;
+}
+
+bool isClosed(SharedState &shared, const http::Endpoint &address) {
+  bool out = false;
+  MonoTime now = MonoClock::now();
+  shared.Servers.forEach([&](const fleet::Server &it) {
+    out = out || (it.Entry.Address == address && now < it.ClosedUntil);
+  });
+  return out;
 }
 
 void recordLimitedRequest(SharedState &shared, const fleet::Server &server) {
--- a/Source/Gateway/ServerChoice.h
+++ b/Source/Gateway/ServerChoice.h
@@ -9,6 +9,8 @@
 /// Servers of a service that may get a request now.
 struct AvailableServers {
   std::vector<fleet::ServerPtr> Servers;
+  /// If there are none: time until the first that asked for time opens again.
+  std::optional<Milliseconds> OpensIn;
   /// Servers that were passed over and why, for the log.
   std::string PassedOver;
 };
@@ -23,11 +25,17 @@
 /// Decides whether a server may get a request now.
 fleet::ServerUse judgeServer(SharedState &shared, const fleet::Server &server);
 
-/// Records what a response says of its server: its limit, and that it leaves.
-/// `sentAt` is when the request was sent.
+/// Records what a response says of its server: its limit, that it leaves, or
+/// that it wants no requests for some time. `sentAt` is when the request was
+/// sent.
 void recordServerNotices(SharedState &shared, const fleet::ServerEntry &server,
                          const ResponseHead &head, MonoTime sentAt);
 
+/// Returns whether a server has asked this process for time that has not passed
+/// yet.
+bool isClosed(SharedState &shared, const fleet::ServerEntry &server);
+bool isClosed(SharedState &shared, const http::Endpoint &address);
+
 /// Counts a request to a server against its limit.
 void recordLimitedRequest(SharedState &shared, const fleet::Server &server);
 
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -142,7 +142,7 @@
   if (isOtherServer)
     shared.Servers.removePermanently(server,
                                      "another server responds at its address");
-  else
+  else if (!head.RetryAfter)
     server->Health.recordFailure(fleet::FailureKind::Rejected,
                                  MonoClock::now());
 }
@@ -192,6 +192,9 @@
   if (context.Attempts.noneExecuted())
     jitteredRetryAfter =
         jittered(retryAfter.value_or(defaultRetryAfter(cause)));
+  // Before that time no server accepts the request.
+  if (jitteredRetryAfter && context.OpensIn)
+    *jitteredRetryAfter += *context.OpensIn;
   http::Response response = shared.Protocol.makeErrorResponse(
       context.Status, context.Request, detail, jitteredRetryAfter);
   co_await context.Out.send(std::move(response));
@@ -221,6 +224,9 @@
        {"response_age_ms", entry.ResponseAge.count()},
        {"request_limit", entry.RequestLimit.value_or(-1)},
        {"server_leaving", server.Leaving},
+       {"server_closed_ms",
+        std::max<int64_t>(
+            0, toMilliseconds(server.ClosedUntil - MonoClock::now()).count())},
        {"left_ms", context.remainingTime().count()},
        {"outcome", toString(entry.Outcome)},
        {"detail", entry.Detail}});
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -108,6 +108,9 @@
   std::string_view NoRetryReason;
   /// Servers that were passed over at the last choice and why, for the log.
   std::string PassedOver;
+  /// Time until a server opens, if all that could run the request have asked
+  /// for time.
+  std::optional<Milliseconds> OpensIn;
   /// -1 until the first byte.
   Milliseconds TimeToFirstByte{-1};
   uint64_t EventCount = 0;
@@ -188,8 +191,9 @@
                              const http::Response &response,
                              const std::string &requestId);
 
-/// Records a rejection by a server. If another server responds at its address,
-/// removes the server instead.
+/// Records a rejection by a server. A rejection that asks for time says nothing
+/// of the server's health. If another server responds at its address, removes
+/// the server instead.
 void recordRejection(SharedState &shared, const fleet::ServerPtr &server,
                      const ResponseHead &head);
 
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -48,6 +48,9 @@
 }
 
 void freeHandle(SharedState &shared, const KvHandle &handle) {
+  // The engine frees the handle by itself after a timeout.
+  if (isClosed(shared, handle.Engine))
+    return;
   http::Request request = shared.Protocol.makeFreeHandleRequest(handle.Name);
   spawn(shared.Io, "free-handle",
         [&shared, engine = handle.Engine,
@@ -55,7 +58,6 @@
           try {
             co_await shared.Client.call(engine, request);
           } catch (const http::TransportError &e) {
-            // The engine frees the handle by itself after a timeout.
             log::debug(log::Category::Gateway, "freeing a KV handle failed: {}",
                        e.what());
           }
@@ -129,7 +131,7 @@
 /// request.
 bool mayStart(SharedState &shared, const fleet::Server &server) {
   fleet::ServerUse use = judgeServer(shared, server);
-  return use != fleet::ServerUse::Leaving;
+  return use != fleet::ServerUse::Leaving && use != fleet::ServerUse::Closed;
 }
 
 /// Makes the next attempt. Returns false if none is possible now, or if an open
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -158,6 +158,7 @@
   outlook.BackgroundEstimate = firstEvent(fleet::WorkPriority::Background);
   const EnginePlacement &last = placements.back();
   context.PassedOver = last.Engines.PassedOver;
+  context.OpensIn = last.Engines.OpensIn;
   if (last.Choice)
     outlook.PromptPrefillTime = last.Choice->PromptPrefillTime;
   outlook.Elapsed = context.elapsed();
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -157,3 +157,21 @@
     CHECK_FALSE(saysLeaving(it));
   CHECK_FALSE(a.decodeHead(http::Response{}).Leaving);
 }
+
+TEST_CASE("only a time of a rejection closes its server") {
+  TrafficAdapter a;
+  auto timeOf = [&](unsigned status, const char *text) {
+    http::Response r;
+    r.Status = status;
+    r.Fields.add("Retry-After", text);
+    return a.decodeHead(r).RetryAfter;
+  };
+  CHECK(timeOf(503, "2") == Milliseconds(2'000));
+  CHECK(timeOf(503, "0.25") == Milliseconds(250));
+  CHECK(timeOf(503, "1e300") == std::chrono::hours(24));
+  for (const char *it : {"", "x", "-1", "0", "nan", "inf", "1e999", "2,5",
+                         "Fri, 04 Dec 2026 16:00:00 GMT"})
+    CHECK_FALSE(timeOf(503, it));
+  for (unsigned status : {200, 429, 500})
+    CHECK_FALSE(timeOf(status, "2"));
+}
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -58,6 +58,8 @@
   /// Time at which the server itself said that it leaves; the epoch if only the
   /// store or nobody says so.
   MonoTime LeavingSaidAt{};
+  /// The server has asked this process to send nothing until this time.
+  MonoTime ClosedUntil{};
   /// Prompt parts that the engine is estimated to have cached.
   PartCache CachedParts;
 
--- a/include/Sardineford/Fleet/ServerUse.h
+++ b/include/Sardineford/Fleet/ServerUse.h
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Common/Time.h"
 
+#include <optional>
 #include <string_view>
 
 namespace sardineford::fleet {
@@ -17,6 +18,8 @@
   /// Has just said that it leaves; used only if no other server is available.
   LastResort,
   Leaving,
+  /// Has rejected a request and asked this process for time.
+  Closed,
   /// This process has used its share of the limit that the server names.
   OverLimit,
 };
@@ -31,4 +34,10 @@
   return use == ServerUse::Usable || use == ServerUse::Ejected;
 }
 
+/// Returns until when a server gets no requests after a rejection. A later
+/// rejection can only extend the time. Without a time, nothing changes.
+MonoTime closeAfterRejection(MonoTime closedUntil,
+                             std::optional<Milliseconds> retryAfter,
+                             MonoTime now);
+
 } // namespace sardineford::fleet
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -51,6 +51,9 @@
   std::optional<double> RequestLimit;
   /// The server leaves and wants no further requests.
   bool Leaving = false;
+  /// The server rejected the request and wants no further ones from this
+  /// process for this time.
+  std::optional<Milliseconds> RetryAfter;
 };
 
 /// Translates between the gateway and the protocols of callers and backend
