--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -39,6 +39,10 @@
 
 } // namespace
 
+std::string extraRoute(unsigned i) {
+  return "/extra" + std::to_string(i) + "/";
+}
+
 PlatformDeployment::PlatformDeployment(IoContext &io,
                                        PlatformDeploymentOptions options)
     : Io(io), Options(std::move(options)), Client(io), Store(freeEndpoint()) {
@@ -158,8 +162,7 @@
                         route(ResumableRoute, "streaming", "model", true),
                         route(StreamRoute, "streaming", "model", false)};
   for (unsigned i = 0; i < extraRoutes; ++i)
-    routes.push_back(
-        route("/extra" + std::to_string(i) + "/", "safe", "desk", true));
+    routes.push_back(route(extraRoute(i), "safe", "desk", true));
   json::object engine = {{"slots", 64},
                          {"kvCapacity", 500'000},
                          {"tokenKvBytes", 35'136},
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -49,6 +49,9 @@
 inline constexpr const char *StreamRoute = "/query/";
 inline constexpr const char *DeploymentHost = "users.example";
 
+/// Path prefix of an additional repeatable route.
+std::string extraRoute(unsigned i);
+
 /// One daemon and the relay between the daemon and the store.
 struct DeployedDaemon {
   std::unique_ptr<Process> ChildProcess;
--- a/StandIns/Platform/PlatformStore.cpp
+++ b/StandIns/Platform/PlatformStore.cpp
@@ -20,6 +20,8 @@
 constexpr size_t MaxHistoryEvents = 500;
 constexpr Milliseconds ExpiryInterval{100};
 constexpr std::chrono::hours UnresponsiveDelay{1};
+constexpr Milliseconds CopyInterval{200};
+constexpr size_t MaxCopies = 25;
 
 uint64_t queryNumber(const http::Request &r, const char *name) {
   std::optional<std::string> text = http::queryOf(r.Target, name);
@@ -43,6 +45,37 @@
 void PlatformStore::start() {
   Listener.start();
   spawn(Io, "entry-expiry", [this] { return expireServerEntries(); });
+  spawn(Io, "copies", [this] { return takeCopies(); });
+}
+
+Awaitable<void> PlatformStore::takeCopies() {
+  for (;;) {
+    Copies.push_back({MonoClock::now(), Kinds, Revision});
+    if (Copies.size() > MaxCopies)
+      Copies.pop_front();
+    co_await sleepFor(CopyInterval);
+  }
+}
+
+/// Goes back to the newest copy that is at least so old. Servers whose entries
+/// it holds have as long as others to write them again.
+void PlatformStore::restore(Milliseconds age) {
+  MonoTime now = MonoClock::now();
+  while (Copies.size() > 1 && Copies.back().TakenAt + age > now)
+    Copies.pop_back();
+  Kinds = Copies.back().Kinds;
+  Revision = Copies.back().Revision;
+  for (auto &[name, e] : Kinds[std::string(names::ServersKind)])
+    e.WrittenAt = now;
+  CompactedRevision = Revision;
+  History.clear();
+  ++Era;
+}
+
+Awaitable<void> PlatformStore::send(http::ResponseWriter &out,
+                                    http::Response r) const {
+  r.Fields.add(std::string(names::StoreEra), std::to_string(Era));
+  co_await out.send(std::move(r));
 }
 
 json::object PlatformStore::toJson(const std::string &name,
@@ -97,6 +130,8 @@
     CompactedRevision = Revision;
     History.clear();
   }
+  if (const json::value *v = body.if_contains("restore_ms"))
+    restore(Milliseconds(v->to_number<int64_t>()));
   Changed.expires_at(MonoTime::max());
   return makeResponse(200, json::object{});
 }
@@ -106,7 +141,7 @@
   std::string path(http::pathOf(request.Target));
   if (path == "/admin") {
     http::Response r = setMode(request);
-    co_await out.send(std::move(r));
+    co_await send(out, std::move(r));
     co_return;
   }
   if (Mode == StoreMode::Unresponsive)
@@ -118,7 +153,7 @@
   if (Mode == StoreMode::Busy || !path.starts_with(names::ObjectsPath)) {
     http::Response r =
         makeResponse(Mode == StoreMode::Busy ? 503 : 404, nullptr);
-    co_await out.send(std::move(r));
+    co_await send(out, std::move(r));
     co_return;
   }
   std::string kind = path.substr(names::ObjectsPath.size());
@@ -146,7 +181,7 @@
     out.abort();
     co_return;
   }
-  co_await out.send(std::move(r));
+  co_await send(out, std::move(r));
 }
 
 http::Response PlatformStore::list(const std::string &kind,
@@ -219,9 +254,9 @@
       out.abort();
       co_return;
     }
-    if (after < CompactedRevision) {
+    if (after < CompactedRevision || after > Revision) {
       http::Response expired = makeResponse(410, nullptr);
-      co_await out.send(std::move(expired));
+      co_await send(out, std::move(expired));
       co_return;
     }
     json::array events;
@@ -232,7 +267,7 @@
     if (!events.empty() || MonoClock::now() >= end) {
       http::Response r = makeResponse(
           200, json::object{{"events", events}, {"storeRevision", Revision}});
-      co_await out.send(std::move(r));
+      co_await send(out, std::move(r));
       co_return;
     }
     asio::steady_timer timeout(Io, end);
--- a/StandIns/Platform/PlatformStore.h
+++ b/StandIns/Platform/PlatformStore.h
@@ -26,7 +26,8 @@
 
 /// Stand-in for the platform's metadata store that implements its published
 /// protocol. POST /admin with a "compact" field deletes the history, so that
-/// watches from an older revision fail with 410.
+/// watches from an older revision fail with 410. With a field "restore_ms" it
+/// goes back to a copy that is so old, and begins a new era.
 class PlatformStore {
 public:
   PlatformStore(IoContext &io, http::Endpoint listen,
@@ -62,12 +63,26 @@
   void recordChange(const std::string &kind, const std::string &name,
                     const Entry &e, bool deleted);
   Awaitable<void> expireServerEntries();
+  Awaitable<void> takeCopies();
+  void restore(Milliseconds age);
+  Awaitable<void> send(http::ResponseWriter &out, http::Response r) const;
 
   IoContext &Io;
   http::Server Listener;
   Milliseconds ServerEntryLifetime;
   StoreMode Mode = StoreMode::Normal;
-  std::map<std::string, std::map<std::string, Entry>> Kinds;
+  using Objects = std::map<std::string, std::map<std::string, Entry>>;
+
+  /// All objects at some time.
+  struct Copy {
+    MonoTime TakenAt{};
+    Objects Kinds;
+    uint64_t Revision = 0;
+  };
+
+  Objects Kinds;
+  std::deque<Copy> Copies;
+  uint64_t Era = 1;
   std::deque<Event> History;
   uint64_t Revision = 1;
   /// Newest revision that is no longer in the history.
--- a/Tests/Platform/ObjectStoreClientTest.cpp
+++ b/Tests/Platform/ObjectStoreClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Http/Server.h"
 #include "StandIns/Deployment/Deployment.h"
+#include "StandIns/Platform/PlatformStore.h"
 
 #include <catch2/catch.hpp>
 
@@ -46,3 +47,49 @@
   CHECK(failed);
   CHECK(watches == 1);
 }
+
+// A restored store gives the revisions out again.
+TEST_CASE("versions and watches do not confuse a restored store with before") {
+  IoContext io(1);
+  http::Endpoint listen = standins::freeEndpoint();
+  standins::PlatformStore server(io, listen, Milliseconds(60'000));
+  server.start();
+  http::Client client(io);
+  platform::ObjectStoreClient store(client, listen);
+  auto restore = [&]() -> Awaitable<void> {
+    http::Request r;
+    r.Method = "POST";
+    r.Target = "/admin";
+    r.Body = R"({"restore_ms":10})";
+    co_await client.call(listen, std::move(r));
+  };
+  uint64_t before = 0;
+  uint64_t after = 0;
+  std::optional<store::Failure> watchFailure;
+  std::optional<store::Failure> putFailure;
+  spawn(io, "restore", [&]() -> Awaitable<void> {
+    uint64_t first = co_await store.put("config", "main", R"({"n":1})", 0);
+    co_await sleepFor(Milliseconds(300));
+    before = co_await store.put("config", "main", R"({"n":2})", first);
+    co_await restore();
+    try {
+      co_await store.watch("config", before, Milliseconds(200));
+    } catch (const store::StoreError &e) {
+      watchFailure = e.Reason;
+    }
+    try {
+      // The same revision stands for another content now.
+      co_await store.put("config", "main", R"({"n":4})", before);
+    } catch (const store::StoreError &e) {
+      putFailure = e.Reason;
+    }
+    store::ObjectList list = co_await store.list("config");
+    after = co_await store.put("config", "main", R"({"n":3})",
+                               list.Objects.at(0).Version);
+    io.stop();
+  });
+  io.run();
+  CHECK(after > before);
+  CHECK(watchFailure == store::Failure::HistoryExpired);
+  CHECK(putFailure == store::Failure::VersionConflict);
+}
