Order what is known of the store by its era and revision

Cause: a store that comes back from an older copy gives revisions out again. Versions were compared by revision alone, so that a process that learns changes from watchers ignored those with revisions that it had seen, and a watch could go on behind changes that it had not. Class: an order that holds only while its source does not go back.

Evidence: ObjectStoreClientTest gave two contents the version 3.

Versions of objects and revisions hold the era in their upper 16 bits, so that every comparison, digest and message between processes is ordered by the pair without a field more.

When a higher era is heard of, from the store or from a watcher, what the copy lacks is kept for the grace period of an outage, the configuration in force stays until a newer one comes, and each process registers itself again, spread by 10 ms a process. Watchers read all once and publish the difference; the others read only if their digests differ. What is of an ended era is ignored.

Ruled out: the late spread of before as the only cause, since the simulation of the spread without a restore is in time on this code. Cost: versions in messages take seven or eight bytes instead of three.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/Feed.h"
 
+#include "Sardineford/Store/Version.h"
+
 namespace sardineford::fleet {
 
 namespace {
@@ -10,6 +12,19 @@
 
 } // namespace
 
+bool noteEra(Feed &feed, uint64_t revision) {
+  uint64_t era = store::eraOf(revision);
+  bool isFirst = !feed.Era;
+  if (!isFirst && era <= *feed.Era)
+    return false;
+  feed.Era = era;
+  return !isFirst;
+}
+
+bool isOfEndedEra(const Feed &feed, uint64_t revision) {
+  return feed.Era && store::eraOf(revision) < *feed.Era;
+}
+
 FeedView viewOf(const Feed &feed, MonoTime now) {
   FeedView out = feed.Objects.view();
   out.Watches = feed.Duty.mustWatch(now);
--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -5,6 +5,7 @@
 #include "Fleet/WatchDuty.h"
 #include "Sardineford/Fleet/StoreView.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   /// Waiting for changes, from the store or from peers.
   bool IsWatching = false;
   uint64_t Revision = 0;
+  /// Last era of the store that this process or a watcher has heard of.
+  std::optional<uint64_t> Era;
   /// Time of the last answer of the store.
   MonoTime ConfirmedAt{};
   /// The last call to the store failed.
@@ -29,6 +32,14 @@
   bool LastWatchEmpty = false;
 };
 
+/// Notes the era of a revision that the store or a watcher has named. Returns
+/// whether the store was restored from an older copy since the last one.
+bool noteEra(Feed &feed, uint64_t revision);
+
+/// Returns whether a revision is of an era that has ended. What it stands for
+/// says nothing of the store any more.
+bool isOfEndedEra(const Feed &feed, uint64_t revision);
+
 /// Returns what the process reports to its peers.
 FeedView viewOf(const Feed &feed, MonoTime now);
 
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Store/Version.h"
 #include "Sardineford/Store/Write.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -133,6 +134,37 @@
              {{"feed", feed.Kind}, {"revision", feed.Revision}});
 }
 
+/// Keeps what the copy lacks for a time, since the servers write themselves
+/// again. The configuration in force stays until a newer one comes.
+void FleetWatch::recordEra(WatchedFeed &feed, uint64_t revision,
+                           std::string_view source) {
+  if (!noteEra(feed, revision))
+    return;
+  MonoTime now = MonoClock::now();
+  GraceEnd = std::max(GraceEnd, now + MissingGracePeriod);
+  Servers.keepMissing(GraceEnd);
+  Metrics.count("sardineford_store_restores_total", {{"feed", feed.Kind}});
+  log::event(Category::Store, log::Level::Warning, "store_restored",
+             {{"feed", feed.Kind},
+              {"era", *feed.Era},
+              {"revision", store::revisionOf(revision)},
+              {"revision_before", store::revisionOf(feed.Revision)},
+              {"source", source}});
+  if (*feed.Era <= std::exchange(RestoredEra, std::max(RestoredEra, *feed.Era)))
+    return;
+  if (OnRestore)
+    OnRestore();
+}
+
+/// Checks the result of a read before it is applied.
+void FleetWatch::recordListEra(WatchedFeed &feed,
+                               const store::ObjectList &list) {
+  if (isOfEndedEra(feed, list.Revision))
+    throw store::StoreError(store::Failure::Unavailable,
+                            "the store was restored after it was read");
+  recordEra(feed, list.Revision, "store");
+}
+
 Milliseconds FleetWatch::watchTimeout() const {
   Milliseconds wait =
       std::clamp(WatchTimeoutPerProcess * ConfigurationFeed.Duty.watchers(),
@@ -258,9 +290,12 @@
   WatchedFeed &feed =
       published.IsConfiguration ? ConfigurationFeed : ServerFeed;
   MonoTime now = MonoClock::now();
+  if (isOfEndedEra(feed, published.Changes.Revision))
+    return false;
   feed.Published.applyNews(published.Changes);
   if (!learnsFromPeers(feed, now))
     return false;
+  recordEra(feed, published.Changes.Revision, "peer");
   // A watcher that alone has lost the store for a time keeps entries that the
   // others know to be gone.
   if (feed.Duty.isStoreSilent(now))
@@ -382,6 +417,7 @@
 
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
+  recordListEra(ConfigurationFeed, list);
   publish(ConfigurationFeed, applyList(ConfigurationFeed, list));
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
@@ -390,6 +426,7 @@
 
 Awaitable<uint64_t> FleetWatch::readServers() {
   store::ObjectList list = co_await Store.list(Codec.serverKind());
+  recordListEra(ServerFeed, list);
   store::Changes changes = applyList(ServerFeed, list);
   recordMissing(changes.Objects);
   publish(ServerFeed, std::move(changes));
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -42,6 +42,9 @@
   void onChanges(std::function<void(const PublishedChanges &)> f) {
     Publish = std::move(f);
   }
+  /// Sets the function to call when the store was restored from an older copy:
+  /// what this system had written since is gone.
+  void onRestore(std::function<void()> f) { OnRestore = std::move(f); }
   /// Applies changes that a watcher received, unless this process watches the
   /// store itself. Returns whether any was news.
   bool applyChanges(const PublishedChanges &published);
@@ -101,6 +104,8 @@
   void recordPeerAnswer(WatchedFeed &feed, const FeedView &peer, unsigned rank);
   void recordFailure(WatchedFeed &feed, const std::string &error);
   void recordAnswer(WatchedFeed &feed);
+  void recordEra(WatchedFeed &feed, uint64_t revision, std::string_view source);
+  void recordListEra(WatchedFeed &feed, const store::ObjectList &list);
 
   IoContext &Io;
   store::ObjectStore &Store;
@@ -108,6 +113,9 @@
   Directory &Servers;
   metrics::Metrics &Metrics;
   std::function<void()> OnConfiguration;
+  std::function<void()> OnRestore;
+  /// Last era of which OnRestore was told.
+  uint64_t RestoredEra = 0;
   std::shared_ptr<const RouteTable> Routes;
   WatchedFeed ConfigurationFeed;
   WatchedFeed ServerFeed;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -91,6 +91,7 @@
   Peers.onChanges([this](const fleet::PublishedChanges &changes) {
     return Watch.applyChanges(changes);
   });
+  Watch.onRestore([this] { Peers.registerAgain(); });
   Peers.exchangeStoreViews(
       [this] { return Watch.view(); },
       [this](const fleet::StoreView &peer) { Watch.checkPeerView(peer); });
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -48,6 +48,8 @@
 constexpr size_t MaxDatagramBytes = size_t{60} * 1024;
 /// Approximate size of the datagrams into which changes are split.
 constexpr size_t ChangesDatagramBytes = size_t{8} * 1024;
+/// Mean interval between the processes that register again.
+constexpr Milliseconds RegisterAgainInterval{10};
 /// A process of the group is relayed as running for this time after its report:
 /// longer than the interval of the reports.
 constexpr Milliseconds RelayedReportAge{700};
@@ -124,6 +126,29 @@
   Registered = true;
 }
 
+void LoadExchange::registerAgain() {
+  spawn(Io, "register-again", [this] { return registerAgainSoon(); });
+}
+
+Awaitable<void> LoadExchange::registerAgainSoon() {
+  std::uniform_real_distribution<double> share(0, 1);
+  co_await sleepFor(toMilliseconds(Seconds(RegisterAgainInterval) *
+                                   processes() * share(randomGenerator())));
+  store::Backoff backoff(InitialRetryDelay, MaxRetryDelay);
+  Registered = false;
+  while (!Registered) {
+    try {
+      co_await registerProcess();
+      log::event(Category::Peers, log::Level::Info, "registered_again", {});
+      co_return;
+    } catch (const Error &e) {
+      log::event(Category::Peers, log::Level::Debug, "registration_failed",
+                 {{"error", std::string_view(e.what())}});
+    }
+    co_await sleepFor(backoff.next());
+  }
+}
+
 Awaitable<void> LoadExchange::readMembers() {
   store::ObjectList list = co_await Store.list(MemberKind);
   MonoTime now = MonoClock::now();
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -41,6 +41,9 @@
   ~LoadExchange();
 
   void start();
+  /// Registers this process again, after a restore of the store from a copy
+  /// that may lack it. The processes of a fleet do so one after another.
+  void registerAgain();
   /// Stops sending and receiving. The peers count this process as gone after
   /// some time.
   void stop();
@@ -82,6 +85,7 @@
 private:
   Awaitable<void> membershipLoop();
   Awaitable<void> registerProcess();
+  Awaitable<void> registerAgainSoon();
   Awaitable<void> readMembers();
   Milliseconds listInterval() const;
   Awaitable<void> sendLoop();
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -3,6 +3,7 @@
 #include "Fleet/Feed.h"
 #include "Peers/PeerSet.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Store/Version.h"
 #include "StandIns/Placement/EventQueue.h"
 
 #include <algorithm>
@@ -27,6 +28,9 @@
 constexpr Milliseconds Turn{250};
 constexpr Milliseconds RepeatInterval{500};
 constexpr Milliseconds RelayedReportAge{700};
+constexpr Milliseconds RetryDelay{100};
+/// Servers write lost entries again with their next heartbeats.
+constexpr Milliseconds RewriteTime{1'200};
 
 struct Report {
   size_t From = 0;
@@ -75,6 +79,8 @@
     });
     at(Options.DeathsAt + Options.SecondDeathsAfter,
        [this] { dieSoonAfterChange(); });
+    if (Options.RestoreAt > Milliseconds(0))
+      at(Options.RestoreAt, [this] { restore(); });
     runUntil(MonoTime{} + Options.Length);
     countDelays();
     return std::move(Out);
@@ -103,23 +109,79 @@
        [this] { change(); });
   }
 
-  void writeObject() {
+  bool isAway() const { return now() < AwayUntil; }
+
+  /// The version that a process gives to a revision.
+  uint64_t versionOf(uint64_t revision) const {
+    return Options.KnowsEras ? store::makeVersion(Era, revision) : revision;
+  }
+
+  /// Writes an object with a new name, or again one that the store has lost.
+  void writeObject(std::string name = "") {
+    if (isAway())
+      return;
     ++Revision;
-    store::Object o{"", "server-" + std::to_string(Revision), Revision, ""};
-    Objects.push_back(o);
+    if (name.empty())
+      name = "server-" + std::to_string(WrittenAt.size());
+    // The value tells writes apart whose versions are equal.
+    Objects.push_back({"", std::move(name), versionOf(Revision),
+                       std::to_string(WrittenAt.size())});
     WrittenAt.push_back(now());
     for (size_t i = 0; i < Processes.size(); ++i)
       if (Processes[i] && Processes[i]->IsCallOpen)
         answerWatch(i, Processes[i], Processes[i]->WatchCall);
   }
 
+  void restore() {
+    AwayUntil = now() + Options.AwayTime;
+    ++Era;
+    std::vector<std::string> lost;
+    while (!Objects.empty() && serialOf(Objects.back()) < WrittenAt.size() &&
+           WrittenAt[serialOf(Objects.back())] >= now() - Options.LostTime) {
+      lost.push_back(Objects.back().Name);
+      Lost.insert(serialOf(Objects.back()));
+      Objects.pop_back();
+      --Revision;
+    }
+    if (Options.KnowsEras)
+      for (size_t i = 0; i < Objects.size(); ++i)
+        Objects[i].Version = versionOf(i + 1);
+    for (const ProcessPtr &it : Processes)
+      if (it)
+        it->IsCallOpen = false;
+    at(Options.AwayTime, [this] {
+      for (size_t i = 0; i < Processes.size(); ++i)
+        if (Processes[i] && Processes[i]->Feed.IsWatching &&
+            Processes[i]->Feed.Duty.mustWatch(now()))
+          read(i, Processes[i]);
+    });
+    for (const std::string &it : lost)
+      at(Options.AwayTime + randomTime(RewriteTime),
+         [this, it] { writeObject(it); });
+  }
+
+  static uint64_t serialOf(const store::Object &o) {
+    return std::stoull(o.Value);
+  }
+
+  /// Returns whether a watch can go on at this point: not if the store has gone
+  /// back behind it, or is seen to be of another era.
+  bool isInHistory(uint64_t version) const {
+    return store::eraOf(version) == store::eraOf(versionOf(0)) &&
+           store::revisionOf(version) <= Revision;
+  }
+
   void watch(size_t i, const ProcessPtr &p) {
     ++Out.Watches;
+    if (isAway() || !isInHistory(p->Feed.Revision)) {
+      read(i, p);
+      return;
+    }
     p->Feed.IsWatching = true;
     p->Feed.Comparison.reset();
     p->IsCallOpen = true;
     unsigned call = ++p->WatchCall;
-    if (p->Feed.Revision < Revision)
+    if (p->Feed.Revision < versionOf(Revision))
       answerWatch(i, p, call);
     else
       at(WatchTimeout / 2 + randomTime(WatchTimeout / 2), [this, i, p, call] {
@@ -130,8 +192,8 @@
 
   void answerWatch(size_t i, const ProcessPtr &p, unsigned call) {
     p->IsCallOpen = false;
-    store::Changes changes{Revision, {}};
-    for (uint64_t r = p->Feed.Revision; r < Revision; ++r)
+    store::Changes changes{versionOf(Revision), {}};
+    for (uint64_t r = store::revisionOf(p->Feed.Revision); r < Revision; ++r)
       changes.Objects.push_back(Objects[r]);
     at(StoreLatency, [this, i, p, call, changes] {
       if (!isCurrent(i, p) || p->WatchCall != call)
@@ -151,10 +213,22 @@
     ++p->WatchCall;
     p->IsCallOpen = false;
     at(ReadTime / 2, [this, i, p] {
-      store::ObjectList list{Revision, Objects};
+      if (isAway()) {
+        at(RetryDelay, [this, i, p] {
+          if (isCurrent(i, p))
+            read(i, p);
+        });
+        return;
+      }
+      store::ObjectList list{versionOf(Revision), Objects};
       at(ReadTime / 2, [this, i, p, list] {
         if (!isCurrent(i, p))
           return;
+        if (isOfEndedEra(p->Feed, list.Revision)) {
+          read(i, p);
+          return;
+        }
+        noteEra(p->Feed, list.Revision);
         store::Changes changes = applyList(p->Feed, list);
         p->Feed.Revision = list.Revision;
         p->Feed.ConfirmedAt = now();
@@ -257,9 +331,12 @@
       ++Out.ChangeDatagrams;
       size_t j = indexOf(it);
       send(j, [this, from, j, changes, isRelayed](SimulatedProcess &p) {
+        if (isOfEndedEra(p.Feed, changes.Changes.Revision))
+          return;
         p.Feed.Published.applyNews(changes.Changes);
         bool isNews = false;
         if (learnsFromPeers(p.Feed, now())) {
+          noteEra(p.Feed, changes.Changes.Revision);
           std::vector<store::Object> news = applyPublished(p.Feed, changes);
           learn(j, news);
           isNews = !news.empty();
@@ -408,19 +485,23 @@
 
   void learn(size_t i, const std::vector<store::Object> &news) {
     for (const store::Object &it : news)
-      LearnedAt[it.Version].emplace(Processes[i].get(), now());
+      if (it.Version != 0)
+        LearnedAt[serialOf(it)].emplace(Processes[i].get(), now());
   }
 
   void countDelays() {
-    for (uint64_t version = 1; version <= Revision; ++version) {
-      MonoTime written = WrittenAt[version - 1];
-      if (written < MonoTime{} + Options.DeathsAt)
+    for (uint64_t serial = 0; serial < WrittenAt.size(); ++serial) {
+      MonoTime written = WrittenAt[serial];
+      bool isTooLate =
+          written + Milliseconds(4'000) > MonoTime{} + Options.Length;
+      if (written < MonoTime{} + Options.DeathsAt || isTooLate ||
+          Lost.contains(serial))
         continue;
       for (const ProcessPtr &it : Processes) {
         if (!it || it->StartedAt + Milliseconds(60) > written)
           continue;
-        auto learned = LearnedAt[version].find(it.get());
-        MonoTime end = learned == LearnedAt[version].end()
+        auto learned = LearnedAt[serial].find(it.get());
+        MonoTime end = learned == LearnedAt[serial].end()
                            ? MonoTime{} + Options.Length
                            : learned->second;
         Out.Delays.push_back(toMilliseconds(end - written));
@@ -433,8 +514,14 @@
   std::vector<ProcessPtr> Processes;
   std::map<http::Endpoint, size_t> Indexes;
   uint64_t Revision = 0;
+  uint64_t Era = 1;
+  MonoTime AwayUntil{};
+  /// The objects of the store in the order of their revisions.
   std::vector<store::Object> Objects;
+  /// Times of all writes, in their order.
   std::vector<MonoTime> WrittenAt;
+  /// Writes that the store has lost.
+  std::set<uint64_t> Lost;
   std::map<uint64_t, std::map<const SimulatedProcess *, MonoTime>> LearnedAt;
   SpreadOutcome Out;
 };
--- a/StandIns/Placement/SpreadSimulation.h
+++ b/StandIns/Placement/SpreadSimulation.h
@@ -21,6 +21,14 @@
   Milliseconds RestartTime{2'500};
   /// Mean time between two changes in the store.
   Milliseconds ChangeInterval{150};
+  /// Time at which the store comes back from a copy that lacks the changes of
+  /// `LostTime`; 0 for never. Watches end, and it is away for `AwayTime`. Their
+  /// writers write the lost objects again, one after the other.
+  Milliseconds RestoreAt{0};
+  Milliseconds LostTime{5'000};
+  Milliseconds AwayTime{400};
+  /// Processes order what they know by era and revision, or by revision alone.
+  bool KnowsEras = true;
   double LossRatio = 0.01;
   uint64_t Seed = 1;
 };
--- a/Tests/Load/SpreadScaleTest.cpp
+++ b/Tests/Load/SpreadScaleTest.cpp
@@ -54,3 +54,28 @@
             interval < 500 ? "deaths, many changes" : "deaths, few changes", o);
       }
 }
+
+TEST_CASE("changes after a restore of the store reach all processes") {
+  for (size_t processes : {6, 60, 350})
+    for (int interval : {150, 1'000})
+      for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+        SpreadSimulationOptions o;
+        o.Processes = processes;
+        o.RestoreAt = Milliseconds(7'000);
+        o.ChangeInterval = Milliseconds(interval);
+        o.Seed = seed;
+        checkSpread(interval < 500 ? "restored, many changes"
+                                   : "restored, few changes",
+                    o);
+      }
+}
+
+TEST_CASE("changes after a restore reach the others while watchers die") {
+  for (size_t processes : {6, 60, 350}) {
+    SpreadSimulationOptions o;
+    o.Processes = processes;
+    o.DeathRatio = 0.4;
+    o.RestoreAt = Milliseconds(7'000);
+    checkSpread("restored beside deaths", o);
+  }
+}
--- a/include/Sardineford/Store/ObjectStore.h
+++ b/include/Sardineford/Store/ObjectStore.h
@@ -12,7 +12,8 @@
 namespace sardineford::store {
 
 /// One object of the platform's object API. The version of an object only
-/// increases; version 0 denotes an object that does not exist.
+/// increases, also when the store comes back from an older copy (Version.h);
+/// version 0 denotes an object that does not exist.
 struct Object {
   std::string Kind;
   std::string Name;
