Test what a process keeps and ignores when the store is restored

An older configuration of the copy, changes with low revisions, changes of the ended era, servers that the copy lacks, and a read that was answered before the restore.

--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/FleetWatch.h"
 
+#include "Sardineford/Store/Version.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
@@ -468,3 +470,78 @@
   REQUIRE(sent.size() == 2);
   CHECK(sent[1].Changes.Objects.size() == 2);
 }
+
+namespace {
+
+/// The store of FollowerFixture after its restore.
+constexpr uint64_t inNextEra(uint64_t revision) {
+  return store::makeVersion(1, revision);
+}
+
+} // namespace
+
+TEST_CASE(
+    "changes of a restored store count although their revisions are low") {
+  FollowerFixture t;
+  int restores = 0;
+  t.Watch.onRestore([&] { ++restores; });
+  PublishedChanges configuration;
+  configuration.IsConfiguration = true;
+  // The copy holds an older configuration than the one in force.
+  configuration.Changes = {inNextEra(3), {config(3, inNextEra(3))}};
+  t.Watch.applyChanges(configuration);
+  CHECK(t.version() == 4);
+  configuration.Changes = {inNextEra(5), {config(6, inNextEra(5))}};
+  t.Watch.applyChanges(configuration);
+  CHECK(t.version() == 6);
+  PublishedChanges servers;
+  servers.Changes = {inNextEra(4), {{"", "b", inNextEra(4), "model"}}};
+  t.Watch.applyChanges(servers);
+  CHECK(t.servers() == 2);
+  CHECK(restores == 1);
+}
+
+TEST_CASE("changes of an era that has ended are ignored") {
+  FollowerFixture t;
+  PublishedChanges changes;
+  changes.Changes = {inNextEra(4), {{"", "b", inNextEra(4), "model"}}};
+  t.Watch.applyChanges(changes);
+  changes.Changes = {50, {{"", "c", 50, "model"}, {"", "b", 0, ""}}};
+  CHECK_FALSE(t.Watch.applyChanges(changes));
+  CHECK(t.servers() == 2);
+}
+
+TEST_CASE("servers that a restored store lacks are kept for a time") {
+  FollowerFixture t;
+  t.Store.Lists["servers"] = {};
+  PublishedChanges changes;
+  changes.Changes = {inNextEra(2), {{"", "a", 0, ""}}};
+  t.Watch.applyChanges(changes);
+  runBesideWatcher(t, Milliseconds(2'000));
+  CHECK(t.servers() == 1);
+  runBesideWatcher(t, Milliseconds(750));
+  CHECK(t.servers() == 0);
+}
+
+TEST_CASE("a watch that ends with its era is followed by a read") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(20));
+  CHECK(t.version() == 4);
+  t.Store.Revision = inNextEra(3);
+  t.Store.Lists["config"] = {config(5, inNextEra(3))};
+  t.Store.Watches["config"].push_back({Failure::HistoryExpired, {}});
+  t.Watch.checkPeerView({{1, inNextEra(3)}, {}});
+  t.runFor(Milliseconds(300));
+  t.Watch.checkPeerView({{1, inNextEra(3)}, {}});
+  t.runFor(Milliseconds(300));
+  CHECK(t.version() == 5);
+  // A read that was answered before the restore.
+  t.Store.Revision = 40;
+  t.Store.Lists["config"] = {config(9, 40)};
+  for (int i = 0; i < 4; ++i) {
+    t.Watch.checkPeerView({{2, inNextEra(9)}, {}});
+    t.runFor(Milliseconds(200));
+  }
+  CHECK(t.version() == 5);
+}
