Log and measure how old changes of the store are when they are applied

Published changes carry the time for which their watcher has known them, without the way from it; what a read finds is at most as old as the last answer of the store.

Cost: two bytes with each published change, a line for each batch of changes.

--- a/Source/Explain/RequestTrace.cpp
+++ b/Source/Explain/RequestTrace.cpp
@@ -26,12 +26,12 @@
   static const std::set<std::string> events = {
       "configuration",   "server",
       "dependency_lost", "dependency_regained",
-      "store_restored",  "readiness",
-      "started",         "stopping",
-      "stopped",         "reload",
-      "watch_renewed",   "lines_dropped",
-      "server_return",   "server_closed",
-      "object_skipped"};
+      "store_restored",  "changes_applied",
+      "readiness",       "started",
+      "stopping",        "stopped",
+      "reload",          "watch_renewed",
+      "lines_dropped",   "server_return",
+      "server_closed",   "object_skipped"};
   return events.contains(line.Event);
 }
 
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -273,7 +273,8 @@
 
 Awaitable<void> FleetWatch::publishUnlessPublished(WatchedFeed &feed,
                                                    PublishedChanges changes) {
-  co_await sleepFor(feed.Duty.publishPatience());
+  changes.Age = feed.Duty.publishPatience();
+  co_await sleepFor(changes.Age);
   if (!feed.Published.hasNews(changes.Changes))
     co_return;
   Metrics.count("sardineford_changes_published_late_total",
@@ -301,6 +302,7 @@
   if (feed.Duty.isStoreSilent(now))
     GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
   std::vector<store::Object> news = applyPublished(feed, published);
+  recordChangeAge(feed, news.size(), "peer", published.Age);
   applyNews(feed, news);
   return !news.empty();
 }
@@ -318,6 +320,23 @@
   }
 }
 
+void FleetWatch::recordChangeAge(const WatchedFeed &feed, size_t objects,
+                                 std::string_view source, Milliseconds age) {
+  if (objects == 0)
+    return;
+  Metrics.observe("sardineford_change_age_seconds",
+                  {{"feed", feed.Kind}, {"source", std::string(source)}},
+                  Seconds(age));
+  FeedView known = feed.Objects.view();
+  log::event(Category::Store, log::Level::Info, "changes_applied",
+             {{"feed", feed.Kind},
+              {"era", store::eraOf(known.NewestVersion)},
+              {"newest_revision", store::revisionOf(known.NewestVersion)},
+              {"objects", objects},
+              {"source", source},
+              {"age_ms", age.count()}});
+}
+
 /// Keeps servers for a time if many entries went missing together.
 void FleetWatch::recordMissing(const std::vector<store::Object> &changes) {
   auto missing =
@@ -394,7 +413,9 @@
                      "watch missed changes");
       feed.Revision = std::max(feed.Revision, changes->Revision);
       // Peers may have sent newer objects in the meantime.
-      applyNews(feed, feed.Objects.applyNews(*changes));
+      std::vector<store::Object> news = feed.Objects.applyNews(*changes);
+      recordChangeAge(feed, news.size(), "watch", Milliseconds(0));
+      applyNews(feed, news);
       publish(feed, *changes);
       backoff.reset();
       // The few watchers of a large fleet do not have to save calls.
@@ -418,7 +439,10 @@
 Awaitable<uint64_t> FleetWatch::readConfiguration() {
   store::ObjectList list = co_await Store.list(Codec.configurationKind());
   recordListEra(ConfigurationFeed, list);
-  publish(ConfigurationFeed, applyList(ConfigurationFeed, list));
+  store::Changes changes = applyList(ConfigurationFeed, list);
+  recordChangeAge(ConfigurationFeed, changes.Objects.size(), "read",
+                  timeSince(ConfigurationFeed.ConfirmedAt));
+  publish(ConfigurationFeed, std::move(changes));
   for (const store::Object &it : list.Objects)
     applyConfiguration(it);
   co_return list.Revision;
@@ -428,6 +452,8 @@
   store::ObjectList list = co_await Store.list(Codec.serverKind());
   recordListEra(ServerFeed, list);
   store::Changes changes = applyList(ServerFeed, list);
+  recordChangeAge(ServerFeed, changes.Objects.size(), "read",
+                  timeSince(ServerFeed.ConfirmedAt));
   recordMissing(changes.Objects);
   publish(ServerFeed, std::move(changes));
   std::vector<ServerEntry> entries;
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -77,6 +77,10 @@
                          std::function<Awaitable<uint64_t>()> readAll);
   void applyNews(const WatchedFeed &feed,
                  const std::vector<store::Object> &news);
+  /// Logs and measures how old changes are that this process learns now. From
+  /// the store it is at most the age of the last answer.
+  void recordChangeAge(const WatchedFeed &feed, size_t objects,
+                       std::string_view source, Milliseconds age);
   void recordMissing(const std::vector<store::Object> &changes);
   Awaitable<uint64_t> readConfiguration();
   Awaitable<uint64_t> readServers();
--- a/Source/Peers/ReportCodec.cpp
+++ b/Source/Peers/ReportCodec.cpp
@@ -43,6 +43,7 @@
   head.set_revision(changes.Changes.Revision);
   head.set_grace_ms(static_cast<uint32_t>(changes.MissingGrace.count()));
   head.set_is_configuration(changes.IsConfiguration);
+  head.set_age_ms(static_cast<uint32_t>(changes.Age.count()));
 }
 
 fleet::PublishedChanges decodeChanges(const messages::LoadShare &in) {
@@ -50,7 +51,8 @@
       in.changes().is_configuration(),
       {in.changes().revision(), {}},
       Milliseconds(in.changes().grace_ms()),
-      {in.changes().digest(), in.changes().newest_version(), std::nullopt}};
+      {in.changes().digest(), in.changes().newest_version(), std::nullopt},
+      Milliseconds(in.changes().age_ms())};
   for (const messages::StoredObject &it : in.changes().objects())
     out.Changes.Objects.push_back({"", it.name(), it.version(), it.value()});
   return out;
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -30,6 +30,8 @@
   Milliseconds MissingGrace{0};
   /// What the watcher knows after these changes; a digest of 0 if not told.
   FeedView Publisher = {};
+  /// Time for which the watcher has known them, without the way from there.
+  Milliseconds Age{0};
 };
 
 /// State of the store as known to one process; exchanged between processes.
