Add requests that crash each server that executes them, with failing tests

A stand-in ends soon after it has begun to execute a request with one path, before it answers; the request comes again at any daemon.

--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -59,7 +59,7 @@
 }
 
 bool isStream(const std::string &route) {
-  return route == ResumableRoute || route == StreamRoute;
+  return route.starts_with(ResumableRoute) || route.starts_with(StreamRoute);
 }
 
 bool hasWholeResponse(const CallResult &r) {
@@ -123,7 +123,7 @@
 http::Request makeCall(const std::string &id, const std::string &route,
                        Milliseconds deadline, std::string sharedParts) {
   http::Request r;
-  r.Method = route == RepeatableRoute ? "GET" : "POST";
+  r.Method = route.starts_with(RepeatableRoute) ? "GET" : "POST";
   r.Target = route + "1";
   r.Fields.add("Host", DeploymentHost);
   r.Fields.add(std::string(names::RequestId), id);
--- a/StandIns/Platform/PlatformCaller.h
+++ b/StandIns/Platform/PlatformCaller.h
@@ -46,7 +46,9 @@
   unsigned ContinuedTakeUps = 0;
 };
 
-/// Builds a request for a route of PlatformDeployment. `sharedParts` are the
+/// Builds a request for a route of PlatformDeployment, with a path that all
+/// requests of the route share; the begin of another path may follow the
+/// route's. `sharedParts` are the
 /// prompt parts before the request's own one, as in the header; empty for one
 /// of a few prompts.
 http::Request makeCall(const std::string &id, const std::string &route,
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -145,6 +145,7 @@
       "--step_ms=" + std::to_string(Options.StepTime.count()),
       "--drain_ms=" + std::to_string(Options.DrainTime.count()),
       "--crashing_part=" + Options.CrashingPart,
+      "--crashing_path=" + Options.CrashingPath,
       "--limit=" + std::to_string(limit.PerSecond),
       "--limit_from_ms=" + std::to_string(limit.From.count()),
       "--limit_ms=" + std::to_string(limit.Length.count()),
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -34,6 +34,8 @@
   Milliseconds DrainTime{1'500};
   /// Id of a prompt part that crashes engines; empty for none.
   std::string CrashingPart;
+  /// Path of requests that crash backend servers; empty for none.
+  std::string CrashingPath;
   /// Named by the last decode engine.
   NamedLimit Limit;
 };
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -214,6 +214,7 @@
     co_await out.send(std::move(r));
     co_return;
   }
+  co_await crashOnPath(request, id);
   if (Options.Stage.empty())
     co_await serveRequest(id, out);
   else if (prefillOnly)
@@ -240,6 +241,16 @@
   co_await out.send(std::move(r));
 }
 
+Awaitable<void> PlatformWorker::crashOnPath(const http::Request &request,
+                                            const std::string &id) {
+  if (Options.CrashingPath.empty() || request.Target != Options.CrashingPath)
+    co_return;
+  recordEvent(id, "run");
+  co_await sleepFor(CrashDelay);
+  recordEvent(id, "crash");
+  std::_Exit(1);
+}
+
 void PlatformWorker::crashIfPromptCrashes(const http::Request &request,
                                           const std::string &id) {
   std::string parts =
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -60,6 +60,9 @@
   /// Id of a prompt part, as in the header of requests, that ends the process
   /// soon after it has begun to answer; empty for none.
   std::string CrashingPart;
+  /// Path of requests, repeats of one, that end the process soon after it has
+  /// begun to execute them, before it answers; empty for none.
+  std::string CrashingPath;
   NamedLimit Limit;
   /// Time from the start of the server after which its responses, and not its
   /// entry in the store, say that it leaves; negative for never.
@@ -100,6 +103,9 @@
                           http::ResponseWriter &out);
   Awaitable<void> heartbeat();
   Awaitable<void> writeEntry();
+  /// Ends the process soon if the request has the crashing path.
+  Awaitable<void> crashOnPath(const http::Request &request,
+                              const std::string &id);
   /// Ends the process after a while if the prompt has the crashing part.
   void crashIfPromptCrashes(const http::Request &request,
                             const std::string &id);
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -22,6 +22,8 @@
              "time to continue serving after reporting as leaving, ms");
 DEFINE_string(crashing_part, "",
               "id of a prompt part that ends the process; empty for none");
+DEFINE_string(crashing_path, "",
+              "path of requests that end the process; empty for none");
 DEFINE_double(limit, -1,
               "limit of requests a second to name; negative for none");
 DEFINE_int32(limit_from_ms, 0, "time from the start until the limit, ms");
@@ -57,6 +59,7 @@
   o.StepTime = Milliseconds(FLAGS_step_ms);
   o.DrainTime = Milliseconds(FLAGS_drain_ms);
   o.CrashingPart = FLAGS_crashing_part;
+  o.CrashingPath = FLAGS_crashing_path;
   o.Limit = {FLAGS_limit, Milliseconds(FLAGS_limit_from_ms),
              Milliseconds(FLAGS_limit_ms)};
   o.LeavesAfter = Milliseconds(FLAGS_leaves_after_ms);
--- a/Tests/Process/CrashingPartTest.cpp
+++ b/Tests/Process/CrashingPartTest.cpp
@@ -20,11 +20,19 @@
 /// requests with it that may reach backend servers after that.
 constexpr Milliseconds StabilityWindow{3'000};
 constexpr unsigned AllowedRequests = 3;
-constexpr unsigned CrashesUntilBound = 5;
 
-constexpr const char *CrashingPart = "c0ffee";
-constexpr const char *CrashingPrompt = "a1:500,c0ffee:300";
-/// Shares its first part with the crashing prompt.
+/// What crashes backend servers beside sound requests.
+struct CrashCause {
+  const char *SoundRoute = ResumableRoute;
+  const char *CrashingRoute = ResumableRoute;
+  const char *CrashingPart = "c0ffee";
+  /// Shares its first part with the sound prompt.
+  const char *CrashingPrompt = "a1:500,c0ffee:300";
+  const char *CrashingPath = "";
+  unsigned CrashesUntilBound = 5;
+  Milliseconds StepTime{40};
+};
+
 constexpr const char *SoundPrompt = "a1:500,beef:300";
 
 struct CrashRun {
@@ -37,10 +45,10 @@
   std::vector<WorkerEvent> History;
 };
 
-class CrashingPartCase {
+class CrashCase {
 public:
-  explicit CrashingPartCase(Milliseconds stepTime)
-      : Deployment(Io, options(stepTime)), Client(Io) {}
+  explicit CrashCase(const CrashCause &cause)
+      : Cause(cause), Deployment(Io, options(cause)), Client(Io) {}
 
   CrashRun run(Milliseconds length) {
     spawn(Io, "case", [this, length] { return play(length); });
@@ -51,15 +59,17 @@
   }
 
 private:
-  static PlatformDeploymentOptions options(Milliseconds stepTime) {
+  static PlatformDeploymentOptions options(const CrashCause &cause) {
     PlatformDeploymentOptions o;
     o.Programs = SARDINEFORD_PROGRAMS;
     o.Folder = makeTemporaryFolder();
     o.Daemons = 3;
     o.DecodeEngines = 6;
-    o.StepTime = stepTime;
+    o.PlainServers = 3;
+    o.StepTime = cause.StepTime;
     o.RetrySlack = 200;
-    o.CrashingPart = CrashingPart;
+    o.CrashingPart = cause.CrashingPart;
+    o.CrashingPath = cause.CrashingPath;
     return o;
   }
 
@@ -69,10 +79,10 @@
       spawn(Io, "restart", [this] { return restartWorkers(); });
       MonoTime end = MonoClock::now() + length;
       for (unsigned i = 0; MonoClock::now() < end; ++i) {
-        call(i, SoundPrompt);
+        call(i, true);
         // Begins when the sound requests have been served for a while.
         if (i >= 20 && i % 4 == 0)
-          call(i / 4, CrashingPrompt);
+          call(i / 4, false);
         co_await sleepFor(Milliseconds(50));
       }
       co_await sleepFor(Deadline);
@@ -80,22 +90,24 @@
     Io.stop();
   }
 
-  void call(unsigned i, std::string prompt) {
+  void call(unsigned i, bool isSound) {
     http::Endpoint daemon =
         Deployment.Daemons[i % Deployment.Daemons.size()].HttpListen;
     bool isLate =
         Crashes > 0 && MonoClock::now() - LastCounted > StabilityWindow;
-    spawn(Io, "call", [this, daemon, isLate, prompt]() -> Awaitable<void> {
-      CallResult r =
-          co_await callDaemon(Client, daemon, ResumableRoute, Deadline, prompt);
-      bool isSound = prompt == SoundPrompt;
-      if (isLate)
-        (isSound ? Out.LateSound : Out.LateCrashing).push_back(r);
-      if (isSound)
-        Out.Sound.push_back(r);
-      else
-        Out.CrashingIds.insert(r.Id);
-    });
+    std::string route = isSound ? Cause.SoundRoute : Cause.CrashingRoute;
+    std::string prompt = isSound ? SoundPrompt : Cause.CrashingPrompt;
+    spawn(Io, "call",
+          [this, daemon, isLate, isSound, route, prompt]() -> Awaitable<void> {
+            CallResult r =
+                co_await callDaemon(Client, daemon, route, Deadline, prompt);
+            if (isLate)
+              (isSound ? Out.LateSound : Out.LateCrashing).push_back(r);
+            if (isSound)
+              Out.Sound.push_back(r);
+            else
+              Out.CrashingIds.insert(r.Id);
+          });
   }
 
   /// Starts each engine again a second after its crash.
@@ -104,7 +116,7 @@
       for (DeployedWorker &it : Deployment.Workers) {
         if (it.ChildProcess->running() || Restarting.contains(&it))
           continue;
-        if (++Crashes <= CrashesUntilBound)
+        if (++Crashes <= Cause.CrashesUntilBound)
           LastCounted = MonoClock::now();
         Restarting.insert(&it);
         spawn(Io, "start", [this, &it]() -> Awaitable<void> {
@@ -117,6 +129,7 @@
     }
   }
 
+  CrashCause Cause;
   IoContext Io{1};
   PlatformDeployment Deployment;
   http::Client Client;
@@ -127,14 +140,14 @@
   std::set<DeployedWorker *> Restarting;
 };
 
-/// Returns the requests with the crashing part that reached a backend server
-/// later than a stability window after the fifth crash.
-unsigned countLateArrivals(const CrashRun &run) {
+/// Returns the crashing requests that reached a backend server later than a
+/// stability window after the last crash that counts.
+unsigned countLateArrivals(const CrashRun &run, unsigned crashesUntilBound) {
   unsigned crashes = 0;
   Milliseconds end = Milliseconds::max();
   unsigned out = 0;
   for (const WorkerEvent &it : run.History) {
-    if (it.Action == "crash" && ++crashes == CrashesUntilBound)
+    if (it.Action == "crash" && ++crashes == crashesUntilBound)
       end = it.Time + StabilityWindow;
     bool isArrival = it.Action == "run" || it.Action == "prefill";
     if (isArrival && it.Time > end && run.CrashingIds.contains(it.Request))
@@ -150,13 +163,13 @@
       }));
 }
 
-void checkThatPartIsStopped(Milliseconds stepTime) {
-  CrashRun run = CrashingPartCase(stepTime).run(Milliseconds(12'000));
+void checkThatCauseIsStopped(const CrashCause &cause) {
+  CrashRun run = CrashCase(cause).run(Milliseconds(12'000));
   auto crashes =
       std::count_if(run.History.begin(), run.History.end(),
                     [](const auto &it) { return it.Action == "crash"; });
   INFO(crashes << " crashes, " << run.CrashingIds.size() << " requests");
-  CHECK(countLateArrivals(run) <= AllowedRequests);
+  CHECK(countLateArrivals(run, cause.CrashesUntilBound) <= AllowedRequests);
   for (const CallResult &it : run.LateCrashing) {
     INFO(it.Id << ", status " << it.Status << " after " << it.Elapsed.count()
                << " ms");
@@ -172,10 +185,35 @@
 TEST_CASE("requests that crash one engine after another are stopped by all "
           "daemons",
           "[process]") {
-  checkThatPartIsStopped(Milliseconds(40));
+  checkThatCauseIsStopped({});
 }
 
 TEST_CASE("answers that end before their engine crashes do not count as sound",
           "[process]") {
-  checkThatPartIsStopped(Milliseconds(2));
+  CrashCause cause;
+  cause.StepTime = Milliseconds(2);
+  checkThatCauseIsStopped(cause);
+}
+
+TEST_CASE("a request that crashes each plain server is not repeated for long",
+          "[process]") {
+  CrashCause cause;
+  cause.SoundRoute = RepeatableRoute;
+  cause.CrashingRoute = "/status/x";
+  cause.CrashingPart = "";
+  cause.CrashingPath = "/status/x1";
+  cause.CrashesUntilBound = 3;
+  checkThatCauseIsStopped(cause);
+}
+
+TEST_CASE("a request that crashes each engine that prefills it is not repeated "
+          "for long",
+          "[process]") {
+  CrashCause cause;
+  cause.CrashingRoute = "/draft/x";
+  cause.CrashingPrompt = SoundPrompt;
+  cause.CrashingPart = "";
+  cause.CrashingPath = "/draft/x1";
+  cause.CrashesUntilBound = 3;
+  checkThatCauseIsStopped(cause);
 }
