--- /dev/null
+++ b/Source/Gateway/CallerRequest.cpp
@@ -0,0 +1,16 @@
+#include "Sardineford/Gateway/CallerRequest.h"
+
+#include "Sardineford/Common/Random.h"
+
+namespace sardineford::gateway {
+
+uint64_t hashOfRepeats(const CallerRequest &request) {
+  uint64_t out = hash64(request.Method);
+  out = hash64(request.Host, out);
+  out = hash64(request.Target, out);
+  out =
+      hash64(request.ForwardedHeaders.find("Authorization").value_or(""), out);
+  return hash64(request.Body, out);
+}
+
+} // namespace sardineford::gateway
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -281,6 +281,7 @@
   auto context = std::make_shared<RequestContext>(RequestContext{
       std::move(request), routes, route,
       fleet::pickService(*route, Shared.Random), now, now + timeout, out});
+  context->RepeatsHash = hashOfRepeats(context->Request);
   Shared.service(context->Service).RetryBudget.recordRequest(now);
   out.onPeerDisconnected([weak = std::weak_ptr<RequestContext>(context)] {
     std::shared_ptr<RequestContext> locked = weak.lock();
@@ -339,6 +340,7 @@
               {"route", context.Route->Name},
               {"service", context.Service},
               {"parts", sharedPartNames(context.Request)},
+              {"request_key", fmt::format("{:x}", context.RepeatsHash)},
               {"kind", fleet::toString(context.Route->Kind)},
               {"prompt_tokens", context.Request.PromptTokens},
               {"most_output_tokens", context.Request.MaxOutputTokens},
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -96,6 +96,8 @@
   MonoTime Deadline;
   http::ResponseWriter &Out;
   AttemptRecord Attempts;
+  /// hashOfRepeats of the request.
+  uint64_t RepeatsHash = 0;
   /// Close the connections to the backend servers if the caller disconnects.
   std::vector<std::weak_ptr<http::AbortHandle>> Guards;
   bool CallerGone = false;
--- a/include/Sardineford/Gateway/CallerRequest.h
+++ b/include/Sardineford/Gateway/CallerRequest.h
@@ -41,6 +41,10 @@
   std::optional<uint64_t> ResumeAfter;
 };
 
+/// Returns a hash that is the same for repeats of a request by one caller,
+/// whatever their ids: of method, host, path, credentials and body.
+uint64_t hashOfRepeats(const CallerRequest &request);
+
 /// Returns the parts of the prompt that other requests may share. The last part
 /// belongs to the request alone.
 inline std::span<const PromptPart> sharedParts(const CallerRequest &request) {
