Stop sending a request that has crashed three servers

Cause: crashes were held against prompt parts of streams alone. A plain request has none, a prefill was not watched, and a stream that crashes engines took the blame to the parts that it shares with sound ones.

CrashEvidence and Findings have a key for the request beside that for a part: a hash of method, host, path, credentials and body, with the highest bit set, in the same messages. It is blocked after three crashes, each of which counts, or five crash moments if it was sound before; tried again like a part; and rejected at once as not executed. A request explains the crashes of its parts. Two requests say nothing of each other.

--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -29,6 +29,8 @@
 /// Bounds memory and datagrams. Much less is needed: only parts of answers that
 /// had just begun have evidence.
 constexpr size_t MaxParts = 256;
+/// Each crash makes suspects of all requests that the server had.
+constexpr size_t MaxRequests = 4'096;
 constexpr size_t MaxCrashesPerPart = 8;
 
 void sortAndLimit(std::vector<CrashSighting> &crashes) {
@@ -47,6 +49,14 @@
                     [](const CrashSighting &it) { return !it.Refuted; }));
 }
 
+bool isWeaker(const EvidenceByPart::value_type &a,
+              const EvidenceByPart::value_type &b) {
+  size_t crashesOfA = countUnrefuted(a.second);
+  size_t crashesOfB = countUnrefuted(b.second);
+  return crashesOfA != crashesOfB ? crashesOfA < crashesOfB
+                                  : a.second.LastUseAt < b.second.LastUseAt;
+}
+
 bool hasCrash(const PartEvidence &e, uint32_t server) {
   return std::any_of(
       e.Crashes.begin(), e.Crashes.end(),
@@ -56,10 +66,12 @@
 } // namespace
 
 unsigned countCrashMoments(const PartEvidence &e) {
+  bool countsEach = e.IsRequest && !e.WasSound;
+  Milliseconds length = countsEach ? Milliseconds(0) : CrashMomentLength;
   unsigned n = 0;
   MonoTime start{};
   for (const CrashSighting &it : e.Crashes) {
-    if (it.Refuted || (n > 0 && it.At - start < CrashMomentLength))
+    if (it.Refuted || (n > 0 && it.At - start < length))
       continue;
     ++n;
     start = it.At;
@@ -115,15 +127,21 @@
   std::erase_if(evidence, [&](const auto &it) {
     return now - it.second.LastUseAt > EvidenceLifetime;
   });
-  while (evidence.size() > MaxParts)
-    evidence.erase(std::min_element(
-        evidence.begin(), evidence.end(), [](const auto &a, const auto &b) {
-          size_t crashesOfA = countUnrefuted(a.second);
-          size_t crashesOfB = countUnrefuted(b.second);
-          return crashesOfA != crashesOfB
-                     ? crashesOfA < crashesOfB
-                     : a.second.LastUseAt < b.second.LastUseAt;
-        }));
+  // Requests follow the parts in the order of the keys.
+  auto limit = [&](bool isRequest, size_t most) {
+    auto firstRequest = evidence.lower_bound(RequestBit);
+    auto begin = isRequest ? firstRequest : evidence.begin();
+    auto end = isRequest ? evidence.end() : firstRequest;
+    for (auto n = static_cast<size_t>(std::distance(begin, end)); n > most;
+         --n) {
+      auto weakest = std::min_element(begin, end, isWeaker);
+      if (weakest == begin)
+        ++begin;
+      evidence.erase(weakest);
+    }
+  };
+  limit(false, MaxParts);
+  limit(true, MaxRequests);
 }
 
 bool isExplainedByOthers(const EvidenceByPart &evidence, const PartEvidence &e,
@@ -131,8 +149,12 @@
   size_t n = countUnrefuted(e);
   return std::any_of(evidence.begin(), evidence.end(), [&](const auto &it) {
     const PartEvidence &other = it.second;
+    // Two requests that were at the same servers say nothing of each other.
+    if (other.IsRequest && e.IsRequest)
+      return false;
+    size_t needed = other.IsRequest ? n : n + 1;
     if (std::find(parts.begin(), parts.end(), it.first) != parts.end() ||
-        !isBlocking(other) || countUnrefuted(other) <= n)
+        !isBlocking(other) || countUnrefuted(other) < needed)
       return false;
     return std::all_of(e.Crashes.begin(), e.Crashes.end(),
                        [&](const CrashSighting &crash) {
--- a/Source/Gateway/CrashCheck.cpp
+++ b/Source/Gateway/CrashCheck.cpp
@@ -22,17 +22,12 @@
   return peers::hashOfIncarnation(server.Entry.Id, server.Entry.StartedMs);
 }
 
-std::vector<uint64_t> sharedPartIds(const RequestContext &context) {
-  std::vector<uint64_t> out;
-  for (const PromptPart &it : sharedParts(context.Request))
-    out.push_back(it.Id);
-  return out;
-}
-
 void publishCrash(SharedState &shared, uint32_t incarnation) {
   BrokenServer &broken = shared.BrokenServers[incarnation];
-  std::vector<uint64_t> parts(broken.Parts.begin(), broken.Parts.end());
-  shared.Findings.recordCrash(incarnation, broken.At, parts, MonoClock::now());
+  std::vector<fleet::SuspectKey> suspects(broken.Suspects.begin(),
+                                          broken.Suspects.end());
+  shared.Findings.recordCrash(incarnation, broken.At, suspects,
+                              MonoClock::now());
 }
 
 /// Finds out whether a server has crashed, and tells all processes if so.
@@ -54,7 +49,7 @@
              {{"server", server->Entry.Id},
               {"started_ms", server->Entry.StartedMs},
               {"check", toString(result)},
-              {"parts", broken.Parts.size()},
+              {"suspects", broken.Suspects.size()},
               {"outcome", crashed ? "crashed" : "runs"}});
   if (!crashed) {
     shared.BrokenServers.erase(incarnation);
@@ -75,36 +70,46 @@
 }
 
 Awaitable<void> judgeShortAnswer(SharedState &shared, fleet::ServerPtr server,
-                                 std::vector<uint64_t> parts, MonoTime begin) {
+                                 std::vector<fleet::SuspectKey> suspects,
+                                 MonoTime begin) {
   co_await sleepFor(fleet::CrashAnswerTime);
   removeOld(shared);
   uint32_t incarnation = incarnationOf(*server);
   auto broken = shared.BrokenServers.find(incarnation);
   if (broken != shared.BrokenServers.end()) {
-    broken->second.Parts.insert(parts.begin(), parts.end());
+    broken->second.Suspects.insert(suspects.begin(), suspects.end());
     if (broken->second.Crashed)
       publishCrash(shared, incarnation);
     co_return;
   }
-  if (!shared.Findings.needsSoundAnswer(parts, MonoClock::now()))
+  if (!shared.Findings.needsSoundAnswer(suspects, MonoClock::now()))
     co_return;
   shared.BrokenServers[incarnation] = {
-      MonoClock::now(), {parts.begin(), parts.end()}, false};
+      MonoClock::now(), {suspects.begin(), suspects.end()}, false};
   if (co_await checkServer(shared, std::move(server)))
-    shared.Findings.recordSound(parts, begin, MonoClock::now());
+    shared.Findings.recordSound(suspects, begin, MonoClock::now());
 }
 
 } // namespace
 
-void recordBrokenAnswer(SharedState &shared, const RequestContext &context,
+std::vector<fleet::SuspectKey> suspectsOf(const RequestContext &context) {
+  std::vector<fleet::SuspectKey> out = requestSuspect(context);
+  for (const PromptPart &it : sharedParts(context.Request))
+    out.push_back(fleet::keyOfPart(it.Id));
+  return out;
+}
+
+std::vector<fleet::SuspectKey> requestSuspect(const RequestContext &context) {
+  return {fleet::keyOfRequest(context.RepeatsHash)};
+}
+
+void recordBrokenAnswer(SharedState &shared,
+                        const std::vector<fleet::SuspectKey> &suspects,
                         const fleet::ServerPtr &server) {
-  std::vector<uint64_t> parts = sharedPartIds(context);
-  if (parts.empty())
-    return;
   removeOld(shared);
   uint32_t incarnation = incarnationOf(*server);
   auto [it, isFirst] = shared.BrokenServers.try_emplace(incarnation);
-  it->second.Parts.insert(parts.begin(), parts.end());
+  it->second.Suspects.insert(suspects.begin(), suspects.end());
   if (isFirst) {
     it->second.At = MonoClock::now();
     spawn(shared.Io, "check-crash", [&shared, server]() -> Awaitable<void> {
@@ -126,28 +131,34 @@
 
 void recordSoundAnswer(SharedState &shared, const RequestContext &context,
                        MonoTime begin) {
-  shared.Findings.recordSound(sharedPartIds(context), begin, MonoClock::now());
+  shared.Findings.recordSound(suspectsOf(context), begin, MonoClock::now());
 }
 
-void recordShortAnswer(SharedState &shared, const RequestContext &context,
+void recordShortAnswer(SharedState &shared,
+                       std::vector<fleet::SuspectKey> suspects,
                        const fleet::ServerPtr &server, MonoTime begin) {
-  std::vector<uint64_t> parts = sharedPartIds(context);
-  if (parts.empty())
-    return;
   spawn(shared.Io, "short-answer",
-        [&shared, server, parts = std::move(parts), begin] {
-          return judgeShortAnswer(shared, server, parts, begin);
+        [&shared, server, suspects = std::move(suspects), begin] {
+          return judgeShortAnswer(shared, server, suspects, begin);
         });
 }
 
-std::string findBlockedPart(SharedState &shared, RequestContext &context) {
+std::string findBlock(SharedState &shared, RequestContext &context,
+                      const std::vector<fleet::SuspectKey> &suspects) {
   fleet::PartsDecision decision =
-      shared.Findings.decide(sharedPartIds(context), MonoClock::now());
-  context.TriedPart = decision.TriedPart;
+      shared.Findings.decide(suspects, MonoClock::now());
+  context.TriedSuspect = decision.TriedPart;
   if (!decision.BlockedPart)
     return "";
+  if (fleet::isRequest(*decision.BlockedPart))
+    return "the request has crashed several servers";
   return fmt::format("prompt part {:x} has crashed several engines",
                      *decision.BlockedPart);
 }
 
+void recordTrial(SharedState &shared, const RequestContext &context) {
+  if (context.TriedSuspect)
+    shared.Findings.recordTrial(*context.TriedSuspect, MonoClock::now());
+}
+
 } // namespace sardineford::gateway
--- a/Source/Gateway/CrashCheck.h
+++ b/Source/Gateway/CrashCheck.h
@@ -4,10 +4,19 @@
 
 namespace sardineford::gateway {
 
-/// Records that the connection of an answer has broken before the answer showed
-/// that its prompt is sound. Finds out whether the server has crashed, and
-/// tells all processes which prompt parts may have caused it.
-void recordBrokenAnswer(SharedState &shared, const RequestContext &context,
+/// Returns what may be to blame if an engine crashes under an answer to the
+/// request: the prompt parts that other requests may share, and the request.
+std::vector<fleet::SuspectKey> suspectsOf(const RequestContext &context);
+
+/// Returns the request alone, which is to blame if other servers crash under
+/// it, or an engine before it answers.
+std::vector<fleet::SuspectKey> requestSuspect(const RequestContext &context);
+
+/// Records that the connection of an attempt has broken before the answer
+/// showed that the suspects are sound. Finds out whether the server has
+/// crashed, and tells all processes what may have caused it.
+void recordBrokenAnswer(SharedState &shared,
+                        const std::vector<fleet::SuspectKey> &suspects,
                         const fleet::ServerPtr &server);
 
 /// Records that a server refuses connections.
@@ -18,15 +27,21 @@
 void recordSoundAnswer(SharedState &shared, const RequestContext &context,
                        MonoTime begin);
 
-/// Records a complete answer that was too short to show that its prompt is
+/// Records a complete answer that was too short to show that the suspects are
 /// sound: its server may crash after the end. Decides when a crash would be
-/// known, with a health check if other requests with these parts need the
+/// known, with a health check if other requests with the suspects need the
 /// result.
-void recordShortAnswer(SharedState &shared, const RequestContext &context,
+void recordShortAnswer(SharedState &shared,
+                       std::vector<fleet::SuspectKey> suspects,
                        const fleet::ServerPtr &server, MonoTime begin);
 
-/// Returns a description for the caller if the request may not be sent to an
-/// engine because a prompt part has crashed several, or an empty string.
-std::string findBlockedPart(SharedState &shared, RequestContext &context);
+/// Returns a description for the caller if the request may not be sent to a
+/// server because it or one of its suspects has crashed several, or an empty
+/// string. Notes the suspect of which the next attempt is a trial.
+std::string findBlock(SharedState &shared, RequestContext &context,
+                      const std::vector<fleet::SuspectKey> &suspects);
+
+/// Counts the next attempt as the trial that was noted, if one was.
+void recordTrial(SharedState &shared, const RequestContext &context);
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/CrashCheck.h"
 #include "Gateway/ServerChoice.h"
 #include "Gateway/State.h"
 #include "Sardineford/Common/Log.h"
@@ -115,6 +116,8 @@
         server->Entry.Address, std::move(request), std::move(options));
   } catch (const http::TransportError &e) {
     recordTransportFault(context, *server, e);
+    if (e.Refused)
+      recordRefusedConnection(shared, server);
     endAttempt(shared, context, *attempt, AttemptOutcome::NeverSent, e.what());
     progress.Cause = FailureCause::Failed;
     progress.Detail = e.what();
@@ -176,6 +179,8 @@
   } catch (const http::TransportError &e) {
     done.Detail = e.what();
     recordTransportFault(context, *attempt.Server, e);
+    if (!e.TimedOut && !context.CallerGone)
+      recordBrokenAnswer(shared, requestSuspect(context), attempt.Server);
     co_return done;
   }
   co_return PlainAttemptResult{};
@@ -189,6 +194,13 @@
     return;
   }
   attempt.Server->Health.recordSuccess(MonoClock::now());
+  std::vector<fleet::SuspectKey> suspects = requestSuspect(context);
+  MonoTime now = MonoClock::now();
+  if (shared.Findings.needsSoundAnswer(suspects, now))
+    recordShortAnswer(shared, std::move(suspects), attempt.Server,
+                      attempt.StartedAt);
+  else
+    shared.Findings.recordSound(suspects, attempt.StartedAt, now);
   // A pause says little about the speed of the service.
   Seconds duration = MonoClock::now() - attempt.StartedAt;
   if (attempt.WasSilent)
@@ -221,6 +233,7 @@
       context.Route->mayRepeat() && state.Silence >= state.Patience;
   state.MayRetry =
       isImpatient && findRetryObstacle(shared, context).empty() &&
+      findBlock(shared, context, requestSuspect(context)).empty() &&
       !findUntriedServers(shared, context, progress).Servers.empty();
   if (isImpatient && !std::exchange(newest.WasSilent, true))
     recordSilence(shared, *newest.Server);
@@ -230,6 +243,12 @@
 /// Makes the next attempt. Returns false if none is possible.
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
                                  PlainProgress &progress) {
+  std::string block = findBlock(shared, context, requestSuspect(context));
+  if (!block.empty()) {
+    progress.Cause = FailureCause::Blocked;
+    progress.Detail = std::move(block);
+    co_return false;
+  }
   AvailableServers available = findUntriedServers(shared, context, progress);
   context.PassedOver = available.PassedOver;
   context.OpensIn = available.OpensIn;
@@ -242,6 +261,7 @@
   }
   if (!progress.TriedServers.empty() && !acquireRetry(shared, context))
     co_return false;
+  recordTrial(shared, context);
   co_await startAttempt(shared, context, progress, std::move(server));
   co_return true;
 }
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -48,8 +48,8 @@
 struct BrokenServer {
   /// Time of the first broken answer.
   MonoTime At{};
-  /// Prompt parts of these answers that other requests may share.
-  std::set<uint64_t> Parts;
+  /// What these answers make suspects of the crash.
+  std::set<fleet::SuspectKey> Suspects;
   /// The server is known to have crashed.
   bool Crashed = false;
 };
@@ -101,8 +101,8 @@
   /// Close the connections to the backend servers if the caller disconnects.
   std::vector<std::weak_ptr<http::AbortHandle>> Guards;
   bool CallerGone = false;
-  /// Blocked prompt part that the next attempt tries.
-  std::optional<uint64_t> TriedPart;
+  /// Blocked suspect that the next attempt tries.
+  std::optional<fleet::SuspectKey> TriedSuspect;
   /// Status and outcome for the log.
   unsigned Status = 0;
   std::string Outcome;
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -115,11 +115,11 @@
   return retry::decideOnSilence(state);
 }
 
-/// Returns whether the request may not be sent to an engine since a prompt part
-/// crashes engines.
+/// Returns whether the request may not be sent to an engine since it or a
+/// prompt part crashes engines.
 bool checkBlocked(SharedState &shared, RequestContext &context,
                   StreamProgress &progress) {
-  std::string detail = findBlockedPart(shared, context);
+  std::string detail = findBlock(shared, context, suspectsOf(context));
   if (detail.empty())
     return false;
   progress.LastCause = FailureCause::Blocked;
@@ -146,10 +146,13 @@
     progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
     co_return false;
   }
+  // A trial may crash the engine that prefills its prompt.
+  recordTrial(shared, context);
+  bool isTrial = context.TriedSuspect.has_value();
   progress.OpenResponses = responsesOf(open);
   std::optional<AttemptPlan> next =
       co_await planAttempt(shared, context, progress);
-  // The part may have been blocked while the prompt was prefilled.
+  // The request may have been blocked while the prompt was prefilled.
   if (next && !mayStart(shared, *next->Server)) {
     if (next->Handle)
       freeHandle(shared, *next->Handle);
@@ -157,15 +160,13 @@
   }
   bool mustStop = context.CallerGone || checkTimedOut(context, progress) ||
                   progress.hasOpenResponse() ||
-                  checkBlocked(shared, context, progress);
+                  (!isTrial && checkBlocked(shared, context, progress));
   if (!next || mustStop || (!isFirst && !acquireRetry(shared, context))) {
     if (next && next->Handle)
       freeHandle(shared, *next->Handle);
     progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
     co_return false;
   }
-  if (context.TriedPart)
-    shared.Findings.recordTrial(*context.TriedPart, MonoClock::now());
   OpenStreamAttemptPtr attempt =
       co_await startAttempt(shared, context, progress, std::move(*next));
   if (attempt)
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -1,3 +1,4 @@
+#include "Gateway/CrashCheck.h"
 #include "Gateway/EngineView.h"
 #include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
@@ -83,6 +84,12 @@
   } catch (const http::TransportError &e) {
     detail = e.what();
     recordTransportFault(context, *server, e);
+    if (e.Refused)
+      recordRefusedConnection(shared, server);
+    bool isCut = !e.TimedOut && !context.CallerGone &&
+                 e.Stage != http::TransportStage::NothingSent;
+    if (isCut)
+      recordBrokenAnswer(shared, requestSuspect(context), server);
   }
   Seconds duration = MonoClock::now() - start;
   if (handle) {
@@ -251,6 +258,10 @@
     if (!handle) {
       progress.Filter.ExcludedServers.push_back(
           view.Servers[prefillIndex]->Entry.Id);
+      // The request may have crashed the engine, and be blocked by now.
+      bool isBlocked = !findBlock(shared, context, suspectsOf(context)).empty();
+      if (isBlocked || context.TriedSuspect)
+        co_return std::nullopt;
       continue;
     }
     EngineFilter decodeFilter = progress.Filter;
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -281,7 +281,7 @@
     isCut = !e.TimedOut && !context.CallerGone;
   }
   if (isCut && !attempt.IsSound)
-    recordBrokenAnswer(shared, context, attempt.Plan.Server);
+    recordBrokenAnswer(shared, suspectsOf(context), attempt.Plan.Server);
   if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
     server.Health.recordSuccess(MonoClock::now());
     attempt.WasSilent = false;
@@ -292,7 +292,7 @@
                      attempt.TimeToFirstEvent);
     server.Health.recordSuccess(MonoClock::now());
     if (attempt.Forwards && !attempt.IsSound)
-      recordShortAnswer(shared, context, attempt.Plan.Server,
+      recordShortAnswer(shared, suspectsOf(context), attempt.Plan.Server,
                         attempt.RespondedAt);
   }
   co_return result;
--- a/Source/Peers/FindingCodec.cpp
+++ b/Source/Peers/FindingCodec.cpp
@@ -49,6 +49,7 @@
   fleet::EvidenceByPart out;
   for (const messages::PartFinding &p : in.findings().parts()) {
     fleet::PartEvidence &e = out[p.part()];
+    e.IsRequest = fleet::isRequest(p.part());
     e.WasSound = p.was_sound();
     e.LastUseAt = timeOf(p.use_age_ms(), now);
     e.Trials = p.trials();
--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -33,6 +33,20 @@
 /// Limits that nothing was heard of for this time are dropped.
 constexpr std::chrono::minutes LimitMemory{10};
 
+/// Returns the name of a suspect in the lines of requests.
+std::string nameOf(fleet::SuspectKey key) {
+  return fmt::format("{:x}", key & ~fleet::RequestBit);
+}
+
+fleet::PartEvidence evidenceOf(fleet::SuspectKey key,
+                               fleet::CrashSighting crash, MonoTime now) {
+  fleet::PartEvidence out;
+  out.Crashes = {crash};
+  out.IsRequest = fleet::isRequest(key);
+  out.LastUseAt = now;
+  return out;
+}
+
 } // namespace
 
 uint32_t hashOfIncarnation(std::string_view id, int64_t startedMs) {
@@ -73,9 +87,16 @@
                     [&](uint64_t it) { return scoreOf(it) < local; }));
 }
 
+std::optional<MonoTime> Findings::lastSound(fleet::SuspectKey key) const {
+  if (fleet::isRequest(key))
+    return SoundRepeats.find(key);
+  auto it = SoundParts.find(key);
+  return it == SoundParts.end() ? std::nullopt : std::make_optional(it->second);
+}
+
 bool Findings::wasRecentlySound(uint64_t part, MonoTime at) const {
-  auto it = SoundParts.find(part);
-  return it != SoundParts.end() && at - it->second < SoundMemory;
+  std::optional<MonoTime> last = lastSound(part);
+  return last && at - *last < SoundMemory;
 }
 
 void Findings::recordCrash(uint32_t server, MonoTime at,
@@ -83,11 +104,11 @@
   std::vector<uint64_t> news;
   for (uint64_t it : parts) {
     fleet::CrashSighting crash{server, at, false};
-    if (wasRecentlySound(it, at)) {
+    if (!fleet::isRequest(it) && wasRecentlySound(it, at)) {
       Unconfirmed[it].push_back(crash);
       continue;
     }
-    merge(it, {{crash}, false, now, 0, {}}, "local");
+    merge(it, evidenceOf(it, crash, now), "local");
     news.push_back(it);
   }
   fleet::dropOldEvidence(Parts, now);
@@ -98,8 +119,10 @@
 void Findings::recordSound(std::span<const uint64_t> parts, MonoTime begin,
                            MonoTime now) {
   for (uint64_t part : parts) {
-    MonoTime &last = SoundParts[part];
-    last = std::max(last, begin);
+    if (fleet::isRequest(part))
+      SoundRepeats.record(part, begin, now);
+    else
+      SoundParts[part] = std::max(SoundParts[part], begin);
     if (auto it = Unconfirmed.find(part); it != Unconfirmed.end())
       std::erase_if(it->second, [&](const fleet::CrashSighting &crash) {
         return crash.At <= begin;
@@ -122,8 +145,10 @@
                                 MonoTime now) const {
   return std::any_of(parts.begin(), parts.end(), [&](uint64_t part) {
     auto sound = SoundParts.find(part);
-    if (sound == SoundParts.end() || now - sound->second > SoundRenewal ||
-        Unconfirmed.contains(part))
+    bool isUnknown = sound == SoundParts.end() ||
+                     now - sound->second > SoundRenewal ||
+                     Unconfirmed.contains(part);
+    if (isUnknown && !fleet::isRequest(part))
       return true;
     auto known = Parts.find(part);
     return known != Parts.end() && fleet::hasUnrefutedCrash(known->second);
@@ -136,7 +161,9 @@
     std::erase_if(unconfirmed.second, [&](const fleet::CrashSighting &it) {
       if (now - it.At < ConfirmTime)
         return false;
-      merge(part, {{it}, true, now, 0, {}}, "local");
+      fleet::PartEvidence e = evidenceOf(part, it, now);
+      e.WasSound = true;
+      merge(part, e, "local");
       ToSend.insert(part);
       return true;
     });
@@ -162,10 +189,12 @@
 
 void Findings::recordTrial(uint64_t part, MonoTime now) {
   fleet::PartEvidence &e = Parts[part];
+  e.IsRequest = fleet::isRequest(part);
   ++e.Trials;
   e.TriedAt = now;
-  log::event(Category::Peers, log::Level::Warning, "prompt_part",
-             {{"part", fmt::format("{:x}", part)},
+  log::event(Category::Peers, log::Level::Warning,
+             e.IsRequest ? "repeated_request" : "prompt_part",
+             {{e.IsRequest ? "request_key" : "part", nameOf(part)},
               {"outcome", "tried"},
               {"trials", e.Trials}});
   sendParts(std::span(&part, 1), now);
@@ -193,12 +222,13 @@
 bool Findings::merge(uint64_t part, const fleet::PartEvidence &from,
                      std::string_view source) {
   fleet::PartEvidence &e = Parts[part];
+  e.IsRequest = fleet::isRequest(part);
   bool wasBlocking = fleet::isBlocking(e);
   fleet::mergeEvidence(e, from);
   // What went on well here may not be known to the others yet.
   if (!e.Crashes.empty() && wasRecentlySound(part, e.Crashes.front().At)) {
     e.WasSound = true;
-    fleet::refuteCrashes(e, SoundParts[part]);
+    fleet::refuteCrashes(e, *lastSound(part));
   }
   logVerdict(part, e, wasBlocking, source);
   fleet::PartEvidence known = from;
@@ -210,10 +240,12 @@
   bool isBlocking = fleet::isBlocking(e);
   if (isBlocking == wasBlocking)
     return;
-  Metrics.count("sardineford_prompt_part_verdicts_total",
+  std::string suspect = e.IsRequest ? "request" : "prompt_part";
+  Metrics.count("sardineford_" + suspect + "_verdicts_total",
                 {{"outcome", isBlocking ? "blocked" : "cleared"}});
-  log::event(Category::Peers, log::Level::Warning, "prompt_part",
-             {{"part", fmt::format("{:x}", part)},
+  log::event(Category::Peers, log::Level::Warning,
+             e.IsRequest ? "repeated_request" : "prompt_part",
+             {{e.IsRequest ? "request_key" : "part", nameOf(part)},
               {"outcome", isBlocking ? "blocked" : "cleared"},
               {"crashes", e.Crashes.size()},
               {"crash_moments", fleet::countCrashMoments(e)},
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -2,6 +2,7 @@
 
 #include "Peers/FindingCodec.h"
 #include "Peers/RunningProcess.h"
+#include "Peers/SoundRequests.h"
 #include "Sardineford/Fleet/CrashEvidence.h"
 #include "Sardineford/Metrics/Metrics.h"
 
@@ -84,6 +85,8 @@
   bool merge(uint64_t part, const fleet::PartEvidence &from,
              std::string_view source);
   bool wasRecentlySound(uint64_t part, MonoTime at) const;
+  /// Returns the begin of the last sound answer here.
+  std::optional<MonoTime> lastSound(fleet::SuspectKey key) const;
   void sendParts(std::span<const uint64_t> parts, MonoTime now);
   void removeOld(MonoTime now);
   void logVerdict(uint64_t part, const fleet::PartEvidence &e, bool wasBlocking,
@@ -109,6 +112,7 @@
   fleet::EvidenceByPart Parts;
   /// Begin of the last sound answer with each part, here.
   std::map<uint64_t, MonoTime> SoundParts;
+  SoundRequests SoundRepeats;
   /// Crashes under parts that were sound, which are told only if no sound
   /// answer follows soon.
   std::map<uint64_t, std::vector<fleet::CrashSighting>> Unconfirmed;
--- a/StandIns/Placement/CrashSimulation.cpp
+++ b/StandIns/Placement/CrashSimulation.cpp
@@ -16,13 +16,19 @@
 constexpr Milliseconds ShortAnswerTime{30};
 /// Time from the break of a connection until the crash is confirmed.
 constexpr Milliseconds CheckTime{8};
-constexpr unsigned CrashesUntilBound = 5;
+constexpr unsigned PartCrashesUntilBound = 5;
+constexpr unsigned RepeatCrashesUntilBound = 3;
 constexpr int MaxAttempts = 2;
 
 /// Ids of prompt parts. Callers' parts follow.
 constexpr uint64_t CommonPart = 1;
 constexpr uint64_t CrashingPart = 2;
 constexpr uint64_t FirstCallerPart = 100;
+/// Hashes of requests: the crashing one, sound ones that repeat, all others.
+constexpr uint64_t CrashingRequest = 1;
+constexpr uint64_t FirstRepeat = 100;
+constexpr uint64_t NumRepeats = 10;
+constexpr uint64_t FirstSingle = 1'000;
 
 struct Request {
   size_t Process = 0;
@@ -71,17 +77,36 @@
              Request r;
              r.Process = Net.random()() % Net.size();
              r.Crashes = crashes;
-             uint64_t caller = Net.random()() % Options.Callers;
-             if (crashes && Net.happens(Options.OneCallerRatio))
-               caller = 0;
-             r.Parts = {CommonPart, FirstCallerPart + caller};
-             if (crashes)
-               r.Parts.push_back(CrashingPart);
+             r.Parts =
+                 Options.AreRepeats ? repeatKeys(crashes) : partKeys(crashes);
              begin(std::move(r));
              arrive(rate, crashes);
            });
   }
 
+  std::vector<fleet::SuspectKey> partKeys(bool crashes) {
+    uint64_t caller = Net.random()() % Options.Callers;
+    if (crashes && Net.happens(Options.OneCallerRatio))
+      caller = 0;
+    std::vector<fleet::SuspectKey> out = {CommonPart, FirstCallerPart + caller};
+    if (crashes)
+      out.push_back(CrashingPart);
+    return out;
+  }
+
+  std::vector<fleet::SuspectKey> repeatKeys(bool crashes) {
+    uint64_t hash = FirstSingle + NextAnswer++;
+    if (crashes)
+      hash = CrashingRequest;
+    else if (Net.happens(Options.SoundRepeatRatio))
+      hash = FirstRepeat + Net.random()() % NumRepeats;
+    return {fleet::keyOfRequest(hash)};
+  }
+
+  unsigned crashesUntilBound() const {
+    return Options.AreRepeats ? RepeatCrashesUntilBound : PartCrashesUntilBound;
+  }
+
   bool isAfterBound(Milliseconds time) const {
     return PartCrashes > 0 && Net.now() - BoundFrom > time;
   }
@@ -104,7 +129,7 @@
       Out.SoundRejected += r.Crashes ? 0 : 1;
       return;
     }
-    bool isBound = PartCrashes >= CrashesUntilBound &&
+    bool isBound = PartCrashes >= crashesUntilBound() &&
                    isAfterBound(Options.StabilityWindow) &&
                    !Net.isDisturbed(r.Process);
     if (r.Crashes && isBound)
@@ -133,14 +158,14 @@
              [this, engine, incarnation = Engines[engine].Incarnation] {
                if (Engines[engine].Incarnation != incarnation)
                  return;
-               if (++PartCrashes <= CrashesUntilBound)
+               if (++PartCrashes <= crashesUntilBound())
                  BoundFrom = Net.now();
                crash(engine, Options.TakenAlong);
              });
       if (!Options.ShortAnswers)
         return;
     }
-    if (Options.ShortAnswers) {
+    if (Options.ShortAnswers || Options.AreRepeats) {
       Net.at(ShortAnswerTime,
              [this, engine, id] { completeShort(engine, id); });
       return;
@@ -161,6 +186,12 @@
     auto node = Engines[engine].Answers.extract(id);
     if (node.empty())
       return;
+    peers::Findings &local = Net.findings(node.mapped().Of.Process);
+    const std::vector<fleet::SuspectKey> &keys = node.mapped().Of.Parts;
+    if (Options.AreRepeats && !local.needsSoundAnswer(keys, Net.now())) {
+      local.recordSound(keys, node.mapped().Begin, Net.now());
+      return;
+    }
     Net.at(fleet::CrashAnswerTime,
            [this, engine, incarnation = Engines[engine].Incarnation,
             a = std::move(node.mapped())] {
--- a/StandIns/Placement/CrashSimulation.h
+++ b/StandIns/Placement/CrashSimulation.h
@@ -22,6 +22,11 @@
   double OtherCrashesPerSecond = 0;
   /// All answers are complete before their engine can crash.
   bool ShortAnswers = false;
+  /// The crashing requests are repeats of one, which ends its server before the
+  /// server answers. Sound requests are short and share nothing, but this share
+  /// of them are repeats of a few.
+  bool AreRepeats = false;
+  double SoundRepeatRatio = 0;
   /// Further engines that each crash takes along.
   size_t TakenAlong = 0;
   /// Time from a crash until the engine is back.
@@ -38,8 +43,8 @@
 struct CrashOutcome {
   unsigned Crashes = 0;
   /// Requests with the crashing part that reached an engine later than a
-  /// stability window after the fifth crash under it, from processes that were
-  /// not disturbed since.
+  /// stability window after the fifth crash under it, or repeats after the
+  /// third, from processes that were not disturbed since.
   unsigned LateArrivals = 0;
   /// Sound requests from two stability windows after the fifth or last crash
   /// under the part, and those that began at their first attempt.
--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -125,3 +125,44 @@
   CHECK(evidence.size() == 256);
   CHECK(evidence.contains(9));
 }
+
+TEST_CASE("crashes of several servers under one request count each") {
+  PartEvidence e;
+  for (uint32_t i = 0; i < 3; ++i)
+    e.Crashes.push_back({i, at(1) + Milliseconds(i), false});
+  CHECK_FALSE(isBlocking(e));
+  e.IsRequest = true;
+  CHECK(isBlocking(e));
+  // Repeats of a sound request may be at all servers of a rack.
+  e.WasSound = true;
+  CHECK_FALSE(isBlocking(e));
+}
+
+TEST_CASE("a request that crashes engines does not block its prompt parts") {
+  constexpr SuspectKey Request = keyOfRequest(7);
+  EvidenceByPart evidence = {{Request, crashesFrom(1, 3)},
+                             {9, crashesFrom(1, 3)}};
+  evidence[Request].IsRequest = true;
+  CHECK(isRejected(evidence, {Request, 9}, 5, 4));
+  CHECK_FALSE(isRejected(evidence, {keyOfRequest(8), 9}, 5, 4));
+}
+
+TEST_CASE("a request is not cleared by another one that was at its servers") {
+  constexpr SuspectKey Crashing = keyOfRequest(7);
+  constexpr SuspectKey Sound = keyOfRequest(8);
+  EvidenceByPart evidence = {{Crashing, crashesFrom(1, 3)},
+                             {Sound, crashesFrom(1, 5)}};
+  evidence[Crashing].IsRequest = evidence[Sound].IsRequest = true;
+  CHECK(isRejected(evidence, {Crashing}, 5, 6));
+}
+
+TEST_CASE("many suspected requests leave the evidence against parts") {
+  EvidenceByPart evidence = {{9, crashesFrom(1, 1)}};
+  for (uint64_t i = 0; i < 5'000; ++i)
+    evidence[keyOfRequest(i)] = crashesFrom(5, 5);
+  evidence[keyOfRequest(3)] = crashesFrom(4, 5);
+  dropOldEvidence(evidence, at(6));
+  CHECK(evidence.size() == 4'097);
+  CHECK(evidence.contains(9));
+  CHECK(evidence.contains(keyOfRequest(3)));
+}
--- a/Tests/Load/CrashScaleTest.cpp
+++ b/Tests/Load/CrashScaleTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdio>
 
 using namespace sardineford;
@@ -110,3 +111,59 @@
         CHECK(out.rejectedRatio() <= 0.05);
       }
 }
+
+namespace {
+
+/// Few servers for many processes.
+CrashSimulationOptions repeatsOf(size_t processes) {
+  CrashSimulationOptions o;
+  o.Processes = processes;
+  o.Engines = std::max<size_t>(3, processes / 10);
+  o.SoundPerSecond = 20.0 * static_cast<double>(o.Engines);
+  o.AreRepeats = true;
+  o.SoundRepeatRatio = 0.3;
+  return o;
+}
+
+} // namespace
+
+TEST_CASE("a request that crashes servers is stopped by the whole fleet") {
+  for (size_t processes : {6, 60, 350})
+    for (double rate : {0.5, 4.0})
+      for (bool disturbed : {false, true}) {
+        CrashSimulationOptions o = repeatsOf(processes);
+        o.CrashingPerSecond = rate;
+        if (disturbed) {
+          o.CutOffRatio = 0.3;
+          o.RestartRatio = 0.2;
+        }
+        for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+          o.Seed = seed;
+          CrashOutcome out = simulateCrashes(o);
+          print(disturbed ? "repeats, cut off, restarted" : "repeats", o, out);
+          INFO(processes << " processes, " << rate << "/s, seed " << seed);
+          CHECK(out.LateArrivals <= AllowedArrivals);
+          CHECK(out.lateBegunRatio() >= 0.5);
+          CHECK(out.rejectedRatio() <= 0.05);
+          CHECK(out.MeanBytesPerSecond < TargetBytesPerSecond);
+        }
+      }
+}
+
+TEST_CASE("servers that crash for other reasons block no repeated request") {
+  for (size_t processes : {6, 60, 350})
+    for (size_t takenAlong : {0, 2})
+      for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+        CrashSimulationOptions o = repeatsOf(processes);
+        o.CrashingPerSecond = 0;
+        o.OtherCrashesPerSecond = 1;
+        o.SoundRepeatRatio = 0.9;
+        o.TakenAlong = takenAlong;
+        o.Seed = seed;
+        CrashOutcome out = simulateCrashes(o);
+        print("repeats, other crashes", o, out);
+        INFO(processes << " processes, " << takenAlong << " taken along, seed "
+                       << seed);
+        CHECK(out.rejectedRatio() <= 0.05);
+      }
+}
--- a/include/Sardineford/Fleet/CrashEvidence.h
+++ b/include/Sardineford/Fleet/CrashEvidence.h
@@ -14,8 +14,18 @@
 /// began. An answer that goes on for longer shows that its prompt is sound.
 inline constexpr Milliseconds CrashAnswerTime{400};
 
+/// What may crash servers: a prompt part that requests share, or one request
+/// and its repeats. The highest bit tells them apart.
+using SuspectKey = uint64_t;
+
+inline constexpr SuspectKey RequestBit = SuspectKey{1} << 63;
+
+constexpr SuspectKey keyOfPart(uint64_t id) { return id & ~RequestBit; }
+constexpr SuspectKey keyOfRequest(uint64_t hash) { return hash | RequestBit; }
+constexpr bool isRequest(SuspectKey key) { return (key & RequestBit) != 0; }
+
 /// End of one backend server at which answers with a prompt part had just
-/// begun.
+/// begun, or to which a request had been sent.
 struct CrashSighting {
   /// hashOfIncarnation of the server.
   uint32_t Server = 0;
@@ -32,6 +42,8 @@
   std::vector<CrashSighting> Crashes;
   /// An answer with the part went on well before the first of the crashes.
   bool WasSound = false;
+  /// The suspect is a request and not a prompt part.
+  bool IsRequest = false;
   /// Last crash, or last request that was rejected because of the part.
   MonoTime LastUseAt{};
   /// Requests that were sent although the part was blocked, and the time of the
@@ -44,7 +56,8 @@
 
 /// Returns the number of moments at which servers crashed and that no sound
 /// answer refutes. Servers that crash close together count once, since one
-/// crash can take others along.
+/// crash can take others along. Under a request that was never sound each
+/// counts: its repeats may come at several servers at once.
 unsigned countCrashMoments(const PartEvidence &e);
 
 /// Returns whether some crash is not refuted by a sound answer.
@@ -80,7 +93,8 @@
 };
 
 /// Returns whether all crashes of the part, and further ones, happened under a
-/// blocking part that the request does not have.
+/// blocking suspect that the request does not have. A request explains the
+/// crashes of its parts also without further ones.
 bool isExplainedByOthers(const EvidenceByPart &evidence, const PartEvidence &e,
                          std::span<const uint64_t> parts);
 
@@ -96,7 +110,8 @@
 /// engine, under a load in which some requests end each engine that begins to
 /// answer them. A part that always came with a worse suspect is not to blame in
 /// a request without that one. A request with two blocked parts is never a
-/// trial. `rankOf` returns this process's rank for a part.
+/// trial. Trials of requests need not wait for each other, since each may go to
+/// another server. `rankOf` returns this process's rank for a part.
 template <class RankOf>
 PartsDecision decideOnParts(const EvidenceByPart &evidence,
                             std::span<const uint64_t> parts, MonoTime now,
@@ -107,8 +122,8 @@
     if (it == evidence.end() || !isBlocking(it->second) ||
         isExplainedByOthers(evidence, it->second, parts))
       continue;
-    if (out.TriedPart || !mayTry(it->second, rankOf(part), now) ||
-        isTrialRunning(evidence, now))
+    bool mustWait = !isRequest(part) && isTrialRunning(evidence, now);
+    if (out.TriedPart || !mayTry(it->second, rankOf(part), now) || mustWait)
       return {part, std::nullopt};
     out.TriedPart = part;
   }
