Repeat a trial soon if no crash has followed it

Cause: a trial whose engine was cut off, frozen or gone without a crash counted as failed. Class: the lack of a verdict read as one.

Evidence: the unit test fails before (rejected at 21 s after a trial at 20 s). The test of the third trial now has a crash after the second one, as a failed trial has; its bound is the same.

--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -164,7 +164,10 @@
 }
 
 bool mayTry(const PartEvidence &e, TrialRank rank, MonoTime now) {
-  size_t n = std::min<size_t>(e.Trials, TrialDelays.size() - 1);
+  // A trial that was neither followed by a crash nor by a sound answer has
+  // shown nothing: its engine may have been cut off.
+  bool hasFailed = e.Trials > 0 && e.Crashes.back().At >= e.TriedAt;
+  size_t n = hasFailed ? std::min<size_t>(e.Trials, TrialDelays.size() - 1) : 0;
   auto waited = now - std::max(e.Crashes.back().At, e.TriedAt) - TrialDelays[n];
   if (waited < waited.zero())
     return false;
--- a/StandIns/Placement/CrashSimulation.cpp
+++ b/StandIns/Placement/CrashSimulation.cpp
@@ -149,6 +149,10 @@
     if (it == Engines[engine].Answers.end())
       return;
     Answer &a = it->second;
+    if (Net.happens(Options.CutAnswerRatio)) {
+      Engines[engine].Answers.erase(it);
+      return;
+    }
     a.HasBegun = true;
     a.Begin = Net.now();
     if (a.Of.IsLate && a.Of.Attempts == 1)
--- a/StandIns/Placement/CrashSimulation.h
+++ b/StandIns/Placement/CrashSimulation.h
@@ -29,6 +29,9 @@
   double SoundRepeatRatio = 0;
   /// Further engines that each crash takes along.
   size_t TakenAlong = 0;
+  /// Share of the answers that end without a verdict, as if their connection
+  /// had been cut.
+  double CutAnswerRatio = 0;
   /// Time from a crash until the engine is back.
   Milliseconds RestartTime{4'000};
   /// Share of the processes that is cut off from the others, each for some
--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -104,10 +104,22 @@
   EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].Trials = 2;
   evidence[9].TriedAt = at(20);
+  evidence[9].Crashes.push_back({99, at(20), false});
   CHECK(isRejected(evidence, {9}, 0, 300));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 321));
 }
 
+TEST_CASE("a trial whose engine was lost for another reason is repeated soon") {
+  EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
+  evidence[9].Trials = 1;
+  evidence[9].TriedAt = at(20);
+  CHECK(isRejected(evidence, {9}, 0, 20));
+  CHECK_FALSE(isRejected(evidence, {9}, 0, 21));
+  evidence[9].Crashes.push_back({99, at(20), false});
+  CHECK(isRejected(evidence, {9}, 0, 29));
+  CHECK_FALSE(isRejected(evidence, {9}, 0, 30));
+}
+
 TEST_CASE("evidence is kept while requests are rejected because of it") {
   EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].LastUseAt = at(400);
--- a/Tests/Load/CrashScaleTest.cpp
+++ b/Tests/Load/CrashScaleTest.cpp
@@ -93,6 +93,22 @@
       }
 }
 
+TEST_CASE("trials whose answers are cut off do not keep sound parts blocked") {
+  for (size_t processes : {6, 60, 350})
+    for (uint64_t seed = 1; seed <= seedsOf(processes); ++seed) {
+      CrashSimulationOptions o = fleetOf(processes);
+      o.OtherCrashesPerSecond = 0.2;
+      o.TakenAlong = 1;
+      o.CutAnswerRatio = 0.5;
+      o.Seed = seed;
+      CrashOutcome out = simulateCrashes(o);
+      print("cut answers", o, out);
+      INFO(processes << " processes, seed " << seed);
+      CHECK(out.LateArrivals <= AllowedArrivals);
+      CHECK(out.rejectedRatio() <= 0.05);
+    }
+}
+
 TEST_CASE("sound requests that share parts with crashing ones are served") {
   for (size_t processes : {6, 350})
     for (double oneCaller : {0.0, 1.0})
