Soak leaving and closed servers, restores of the store and crashing requests

Each is a fault of its own beside the others: a server that says that it leaves in its responses alone, one that rejects all and asks for time, a store that goes back up to 4 s, and a request that crashes each plain server. Requests of the plain routes differ now in their paths, as those of callers do; before, all of a route were repeats of one.

--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -58,6 +58,11 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool isPlainRoute(const std::string &route) {
+  return route == OnceRoute || route == RepeatableRoute ||
+         route == ResumableRoute || route == StreamRoute;
+}
+
 bool isStream(const std::string &route) {
   return route.starts_with(ResumableRoute) || route.starts_with(StreamRoute);
 }
@@ -125,6 +130,9 @@
   http::Request r;
   r.Method = route.starts_with(RepeatableRoute) ? "GET" : "POST";
   r.Target = route + "1";
+  // Requests of the plain routes are no repeats of each other.
+  if (isPlainRoute(route))
+    r.Target += "?" + id;
   r.Fields.add("Host", DeploymentHost);
   r.Fields.add(std::string(names::RequestId), id);
   r.Fields.add(std::string(names::DeadlineMs),
--- a/StandIns/Platform/PlatformCaller.h
+++ b/StandIns/Platform/PlatformCaller.h
@@ -46,11 +46,10 @@
   unsigned ContinuedTakeUps = 0;
 };
 
-/// Builds a request for a route of PlatformDeployment, with a path that all
-/// requests of the route share; the begin of another path may follow the
-/// route's. `sharedParts` are the
-/// prompt parts before the request's own one, as in the header; empty for one
-/// of a few prompts.
+/// Builds a request for a route of PlatformDeployment. If the begin of a path
+/// follows the route's, all requests with it are repeats of one. `sharedParts`
+/// are the prompt parts before the request's own one, as in the header; empty
+/// for one of a few prompts.
 http::Request makeCall(const std::string &id, const std::string &route,
                        Milliseconds deadline, std::string sharedParts = "");
 
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -35,6 +35,9 @@
 /// engine is back, and the limit of one engine.
 constexpr const char *CrashingPart = "c0ffee";
 constexpr const char *CrashingPrompt = "91bd:300,c0ffee:300";
+/// A request that crashes plain servers, and what comes before its path.
+constexpr const char *CrashingPath = "/status/x1";
+constexpr const char *CrashingRoute = "/status/x";
 constexpr Milliseconds CrashingPause{300};
 constexpr Milliseconds RestartDelay{1'000};
 constexpr NamedLimit EngineLimit{3, Milliseconds(2'000), Milliseconds(600'000)};
@@ -74,12 +77,14 @@
                  // Streams last long enough to be hit by faults.
                  .StepTime = Milliseconds(20),
                  .CrashingPart = o.Hazards ? CrashingPart : "",
+                 .CrashingPath = o.Hazards ? CrashingPath : "",
                  .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {}
 
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
     Io.run();
-    for (const std::vector<CallResult> *calls : {&Calls, &CrashingCalls})
+    for (const std::vector<CallResult> *calls :
+         {&Calls, &CrashingCalls, &CrashingRepeats})
       for (const std::string &it :
            checkInvariants(*calls, Deployment.historyFile()))
         Report.Violations.push_back(it);
@@ -105,7 +110,12 @@
     for (unsigned i = 0; i < Options.Callers; ++i)
       spawn(Io, "caller", [this, i] { return callLoop(i); });
     if (Options.Hazards) {
-      spawn(Io, "crashing-requests", [this] { return crashEngines(); });
+      spawn(Io, "crashing-prompts", [this] {
+        return crashServers(ResumableRoute, CrashingPrompt, CrashingCalls);
+      });
+      spawn(Io, "crashing-repeats", [this] {
+        return crashServers(CrashingRoute, "", CrashingRepeats);
+      });
       spawn(Io, "restart", [this] { return restartEngines(); });
     }
     MonoTime end = MonoClock::now() + Options.Length;
@@ -154,15 +164,16 @@
     Io.stop();
   }
 
-  /// Sends a request at a time that crashes the engine that answers it.
-  Awaitable<void> crashEngines() {
+  /// Sends a request at a time that crashes the server that executes it.
+  Awaitable<void> crashServers(std::string route, std::string prompt,
+                               std::vector<CallResult> &calls) {
     http::Client client(Io);
     while (SendsCrashingRequests) {
       http::Endpoint daemon =
-          Deployment.Daemons[CrashingCalls.size() % Deployment.Daemons.size()]
+          Deployment.Daemons[calls.size() % Deployment.Daemons.size()]
               .HttpListen;
-      CrashingCalls.push_back(co_await callDaemon(
-          client, daemon, ResumableRoute, CallDeadline, CrashingPrompt));
+      calls.push_back(
+          co_await callDaemon(client, daemon, route, CallDeadline, prompt));
       co_await sleepFor(CrashingPause);
     }
   }
@@ -190,14 +201,19 @@
   /// Checks what the hazards may still do when all processes have been
   /// undisturbed for a stability window.
   void checkHazards() {
-    std::set<std::string> crashing;
-    for (const CallResult &it : CrashingCalls)
-      crashing.insert(it.Id);
     std::string history = Deployment.historyFile();
-    size_t n = countArrivals(history, "", CheckedFrom, &crashing);
-    if (n > AllowedCrashingRequests)
-      Report.Violations.push_back(std::to_string(n) +
-                                  " requests that crash engines reached them");
+    for (const std::vector<CallResult> *calls :
+         {&CrashingCalls, &CrashingRepeats}) {
+      std::set<std::string> crashing;
+      for (const CallResult &it : *calls)
+        crashing.insert(it.Id);
+      size_t n = countArrivals(history, "", CheckedFrom, &crashing);
+      if (n > AllowedCrashingRequests)
+        Report.Violations.push_back(
+            std::to_string(n) + " requests that crash " +
+            (calls == &CrashingCalls ? "engines" : "plain servers") +
+            " reached them");
+    }
     if (Deployment.Workers.back().Id != LimitedEngine)
       return;
     size_t limited =
@@ -285,7 +301,11 @@
     DeployedWorker &w = pickRandom(Deployment.Workers);
     Milliseconds duration = randomDuration(200, 1'800);
     bool keepId = Random() % 2 == 0;
-    switch (Random() % 12) {
+    switch (Random() % 13) {
+    case 12:
+      return [this, &w, duration, keepId] {
+        return startWithNotice(w, duration, keepId);
+      };
     case 0:
       return [this, &d, duration] { return killDaemon(d, duration); };
     case 1:
@@ -370,6 +390,21 @@
       Deployment.startWorker(w, keepId);
   }
 
+  /// Starts a server that says in its responses alone that it leaves, or
+  /// rejects all requests and asks for time, and then one as before.
+  Awaitable<void> startWithNotice(DeployedWorker &w, Milliseconds duration,
+                                  bool keepId) {
+    if (Random() % 2 == 0)
+      w.Flags = {"--leaves_after_ms=300"};
+    else
+      w.Flags = {"--retry_after=0.8", "--reject_from_ms=300",
+                 "--reject_ms=1000"};
+    co_await killWorker(w, Milliseconds(100), keepId);
+    co_await sleepFor(duration);
+    w.Flags.clear();
+    co_await killWorker(w, Milliseconds(100), keepId);
+  }
+
   /// A release starts an engine of the next software version in its place.
   Awaitable<void> drainWorker(DeployedWorker &w, bool releases) {
     std::string drained = w.Id;
@@ -392,7 +427,10 @@
     constexpr std::array<const char *, 4> Modes = {"busy", "reset", "silent",
                                                    "lose_writes"};
     std::string body = R"({"compact":true})";
-    if (Random() % 3 != 0)
+    size_t kind = Random() % 4;
+    if (kind == 0)
+      body = R"({"restore_ms":)" + std::to_string(Random() % 4'000) + "}";
+    else if (kind > 1)
       body = std::string(R"({"mode":")") + Modes[Random() % Modes.size()] +
              R"("})";
     co_await Deployment.setStoreMode(std::move(body));
@@ -416,6 +454,7 @@
   PlatformDeployment Deployment;
   std::vector<CallResult> Calls;
   std::vector<CallResult> CrashingCalls;
+  std::vector<CallResult> CrashingRepeats;
   bool SendsCrashingRequests = true;
   /// Wall-clock times between which and the end the hazards are checked.
   Milliseconds CheckedFrom{0};
