Name suspects of crashes and evidence for what they are, plainer comments

Evidence is against prompt parts and requests: PartEvidence, EvidenceByPart and PartsDecision become SuspectEvidence, EvidenceBySuspect and SuspectDecision, and the parameters follow. Log lines show revisions without the era. Comments say "without reports" and "successful response" where they were figurative. No change of behaviour but the logged revisions.

--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -9,12 +9,12 @@
 
 /// Servers that end within this time of the first count as one crash.
 constexpr Milliseconds CrashMomentLength{100};
-/// Crash moments after which requests with a part are rejected. Two can be one
-/// request and its further attempt.
+/// Crash moments after which requests with a suspect are rejected. Two can be
+/// one request and its further attempt.
 constexpr unsigned MomentsToBlock = 3;
-/// The same for a part that was sound before.
+/// The same for a suspect that was sound before.
 constexpr unsigned MomentsToBlockSound = 5;
-/// Delay of the next trial, by the number of trials made.
+/// Delay of the next trial, by the number of trials that a crash has followed.
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
     std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
@@ -49,21 +49,21 @@
                   crashes.end() - static_cast<ptrdiff_t>(MaxCrashesPerPart));
 }
 
-size_t countUnrefuted(const PartEvidence &e) {
+size_t countUnrefuted(const SuspectEvidence &e) {
   return static_cast<size_t>(
       std::count_if(e.Crashes.begin(), e.Crashes.end(),
                     [](const CrashSighting &it) { return !it.Refuted; }));
 }
 
-bool isWeaker(const EvidenceByPart::value_type &a,
-              const EvidenceByPart::value_type &b) {
+bool isWeaker(const EvidenceBySuspect::value_type &a,
+              const EvidenceBySuspect::value_type &b) {
   size_t crashesOfA = countUnrefuted(a.second);
   size_t crashesOfB = countUnrefuted(b.second);
   return crashesOfA != crashesOfB ? crashesOfA < crashesOfB
                                   : a.second.LastUseAt < b.second.LastUseAt;
 }
 
-bool hasCrash(const PartEvidence &e, uint32_t server) {
+bool hasCrash(const SuspectEvidence &e, uint32_t server) {
   return std::any_of(
       e.Crashes.begin(), e.Crashes.end(),
       [&](const CrashSighting &it) { return it.Server == server; });
@@ -71,7 +71,7 @@
 
 } // namespace
 
-unsigned countCrashMoments(const PartEvidence &e) {
+unsigned countCrashMoments(const SuspectEvidence &e) {
   bool countsEach = e.IsRequest && !e.WasSound;
   Milliseconds length = countsEach ? Milliseconds(0) : CrashMomentLength;
   unsigned n = 0;
@@ -85,14 +85,16 @@
   return n;
 }
 
-bool hasUnrefutedCrash(const PartEvidence &e) { return countUnrefuted(e) > 0; }
+bool hasUnrefutedCrash(const SuspectEvidence &e) {
+  return countUnrefuted(e) > 0;
+}
 
-bool isBlocking(const PartEvidence &e) {
+bool isBlocking(const SuspectEvidence &e) {
   return countCrashMoments(e) >=
          (e.WasSound ? MomentsToBlockSound : MomentsToBlock);
 }
 
-bool mergeEvidence(PartEvidence &into, const PartEvidence &from) {
+bool mergeEvidence(SuspectEvidence &into, const SuspectEvidence &from) {
   bool isNews = from.WasSound && !into.WasSound;
   into.WasSound = into.WasSound || from.WasSound;
   into.LastUseAt = std::max(into.LastUseAt, from.LastUseAt);
@@ -117,7 +119,7 @@
   return isNews;
 }
 
-bool refuteCrashes(PartEvidence &e, MonoTime begin) {
+bool refuteCrashes(SuspectEvidence &e, MonoTime begin) {
   bool isNews = false;
   for (CrashSighting &it : e.Crashes) {
     if (it.Refuted || it.At > begin)
@@ -129,7 +131,7 @@
   return isNews;
 }
 
-void dropOldEvidence(EvidenceByPart &evidence, MonoTime now) {
+void dropOldEvidence(EvidenceBySuspect &evidence, MonoTime now) {
   std::erase_if(evidence, [&](const auto &it) {
     return now - it.second.LastUseAt > EvidenceLifetime;
   });
@@ -150,16 +152,18 @@
   limit(true, MaxRequests);
 }
 
-bool isExplainedByOthers(const EvidenceByPart &evidence, const PartEvidence &e,
-                         std::span<const uint64_t> parts) {
+bool isExplainedByOthers(const EvidenceBySuspect &evidence,
+                         const SuspectEvidence &e,
+                         std::span<const SuspectKey> suspects) {
   size_t n = countUnrefuted(e);
   return std::any_of(evidence.begin(), evidence.end(), [&](const auto &it) {
-    const PartEvidence &other = it.second;
+    const SuspectEvidence &other = it.second;
     // Two requests that were at the same servers say nothing of each other.
     if (other.IsRequest && e.IsRequest)
       return false;
     size_t needed = other.IsRequest ? n : n + 1;
-    if (std::find(parts.begin(), parts.end(), it.first) != parts.end() ||
+    if (std::find(suspects.begin(), suspects.end(), it.first) !=
+            suspects.end() ||
         !isBlocking(other) || countUnrefuted(other) < needed)
       return false;
     return std::all_of(e.Crashes.begin(), e.Crashes.end(),
@@ -169,7 +173,7 @@
   });
 }
 
-bool mayTry(const PartEvidence &e, TrialRank rank, MonoTime now) {
+bool mayTry(const SuspectEvidence &e, TrialRank rank, MonoTime now) {
   // A trial that was neither followed by a crash nor by a sound answer has
   // shown nothing: its engine may have been cut off.
   bool hasFailed = e.Trials > 0 && e.Crashes.back().At >= e.TriedAt;
@@ -186,9 +190,9 @@
   return rank < (TrialRank{1} << static_cast<unsigned>(doublings));
 }
 
-bool isTrialRunning(const EvidenceByPart &evidence, MonoTime now) {
+bool isTrialRunning(const EvidenceBySuspect &evidence, MonoTime now) {
   return std::any_of(evidence.begin(), evidence.end(), [&](const auto &it) {
-    const PartEvidence &e = it.second;
+    const SuspectEvidence &e = it.second;
     return e.Trials > 0 && now - e.TriedAt < TrialTime;
   });
 }
--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -22,7 +22,7 @@
   /// Waiting for changes, from the store or from peers.
   bool IsWatching = false;
   uint64_t Revision = 0;
-  /// Last era of the store that this process or a watcher has heard of.
+  /// Last era that the store has named to this process or to a watcher.
   std::optional<uint64_t> Era;
   /// Time of the last answer of the store.
   MonoTime ConfirmedAt{};
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -118,7 +118,7 @@
   if (!feed.Lost)
     log::event(Category::Store, log::Level::Warning, "dependency_lost",
                {{"feed", feed.Kind},
-                {"revision", feed.Revision},
+                {"revision", store::revisionOf(feed.Revision)},
                 {"age_ms", timeSince(feed.ConfirmedAt).count()},
                 {"error", error}});
   feed.Lost = true;
@@ -130,8 +130,9 @@
     return;
   feed.Lost = false;
   GraceEnd = MonoClock::now() + MissingGracePeriod;
-  log::event(Category::Store, log::Level::Info, "dependency_regained",
-             {{"feed", feed.Kind}, {"revision", feed.Revision}});
+  log::event(
+      Category::Store, log::Level::Info, "dependency_regained",
+      {{"feed", feed.Kind}, {"revision", store::revisionOf(feed.Revision)}});
 }
 
 /// Keeps what the copy lacks for a time, since the servers write themselves
@@ -192,7 +193,7 @@
 void FleetWatch::restartWatch(WatchedFeed &feed, std::string_view reason) {
   log::event(Category::Store, log::Level::Info, "watch_renewed",
              {{"feed", feed.Kind},
-              {"revision", feed.Revision},
+              {"revision", store::revisionOf(feed.Revision)},
               {"age_ms", timeSince(feed.ConfirmedAt).count()},
               {"because", reason}});
   feed.Interrupt.expires_at(MonoClock::now());
@@ -281,7 +282,7 @@
                 {{"feed", feed.Kind}});
   log::event(Category::Store, log::Level::Info, "changes_published_late",
              {{"feed", feed.Kind},
-              {"revision", changes.Changes.Revision},
+              {"revision", store::revisionOf(changes.Changes.Revision)},
               {"objects", changes.Changes.Objects.size()},
               {"rank", Position.Rank}});
   Publish(changes);
@@ -476,7 +477,7 @@
   bool newer = !Routes || c->Version > activeVersion;
   log::event(Category::Config, log::Level::Info, "configuration",
              {{"version", c->Version},
-              {"revision", o.Version},
+              {"revision", store::revisionOf(o.Version)},
               {"in_force", activeVersion},
               {"outcome", newer ? "applied" : "ignored, not newer"}});
   if (!newer)
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -17,7 +17,7 @@
 /// does. In a large one, the first few do and the others learn the changes from
 /// them, so that calls to the store do not grow with the fleet.
 ///
-/// A process that hears of no watcher with an answer of the store, or of no
+/// A process without reports of a watcher with an answer of the store, or of no
 /// watcher at all, becomes a substitute. The delays are spread so that a whole
 /// fleet makes few attempts a second while the store is down. A substitute
 /// stops when a process before it has an answer.
@@ -74,7 +74,7 @@
   MonoTime PeerAnsweredAt{};
   MonoTime StoreRegainedAt{};
   /// This process becomes a substitute at this time; from the beginning until
-  /// it hears of a watcher.
+  /// the first report of a watcher.
   MonoTime SubstituteAt{};
   /// The same if no watcher reports until then, with an answer or without.
   MonoTime SubstituteIfSilentAt = MonoTime::max();
--- a/Source/Gateway/CrashCheck.cpp
+++ b/Source/Gateway/CrashCheck.cpp
@@ -30,7 +30,7 @@
                               MonoClock::now());
 }
 
-/// Finds out whether a server has crashed, and tells all processes if so.
+/// Finds out whether a server has crashed, and publishes the crash if so.
 /// Returns whether it runs.
 Awaitable<bool> checkServer(SharedState &shared, fleet::ServerPtr server) {
   uint32_t incarnation = incarnationOf(*server);
@@ -145,15 +145,15 @@
 
 std::string findBlock(SharedState &shared, RequestContext &context,
                       const std::vector<fleet::SuspectKey> &suspects) {
-  fleet::PartsDecision decision =
+  fleet::SuspectDecision decision =
       shared.Findings.decide(suspects, MonoClock::now());
-  context.TriedSuspect = decision.TriedPart;
-  if (!decision.BlockedPart)
+  context.TriedSuspect = decision.Tried;
+  if (!decision.Blocked)
     return "";
-  if (fleet::isRequest(*decision.BlockedPart))
+  if (fleet::isRequest(*decision.Blocked))
     return "the request has crashed several servers";
   return fmt::format("prompt part {:x} has crashed several engines",
-                     *decision.BlockedPart);
+                     *decision.Blocked);
 }
 
 void recordTrial(SharedState &shared, const RequestContext &context) {
--- a/Source/Gateway/CrashCheck.h
+++ b/Source/Gateway/CrashCheck.h
@@ -14,7 +14,7 @@
 
 /// Records that the connection of an attempt has broken before the answer
 /// showed that the suspects are sound. Finds out whether the server has
-/// crashed, and tells all processes what may have caused it.
+/// crashed, and publishes what may have caused it.
 void recordBrokenAnswer(SharedState &shared,
                         const std::vector<fleet::SuspectKey> &suspects,
                         const fleet::ServerPtr &server);
@@ -23,7 +23,8 @@
 void recordRefusedConnection(SharedState &shared,
                              const fleet::ServerPtr &server);
 
-/// Records an answer that went on well after its begin.
+/// Records a response that has lasted for longer than one that crashes its
+/// server.
 void recordSoundAnswer(SharedState &shared, const RequestContext &context,
                        MonoTime begin);
 
--- a/Source/Gateway/EngineView.h
+++ b/Source/Gateway/EngineView.h
@@ -21,7 +21,7 @@
   std::string PassedOver;
 };
 
-/// Engines whose load was just asked for. The others are not considered,
+/// Engines whose load was just queried. The others are not considered,
 /// because what is known of them is old.
 struct ProbedEngines {
   /// Cached tokens of the request's prompt, by server. Empty if every engine is
--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -27,7 +27,7 @@
   out.PassedOver += server.Entry.Id + ":" + std::string(toString(use));
 }
 
-/// Stops sending requests to a server for the time that it asked for.
+/// Sends no requests to a server until the time in its rejection has passed.
 void closeServer(SharedState &shared, fleet::Server &server,
                  const ResponseHead &head) {
   MonoTime now = MonoClock::now();
--- a/Source/Gateway/ServerChoice.h
+++ b/Source/Gateway/ServerChoice.h
@@ -9,7 +9,7 @@
 /// Servers of a service that may get a request now.
 struct AvailableServers {
   std::vector<fleet::ServerPtr> Servers;
-  /// If there are none: time until the first that asked for time opens again.
+  /// If there are none: time until the first closed server opens.
   std::optional<Milliseconds> OpensIn;
   /// Servers that were passed over and why, for the log.
   std::string PassedOver;
@@ -31,8 +31,7 @@
 void recordServerNotices(SharedState &shared, const fleet::ServerEntry &server,
                          const ResponseHead &head, MonoTime sentAt);
 
-/// Returns whether a server has asked this process for time that has not passed
-/// yet.
+/// Returns whether a server is closed to this process (ServerUse::Closed).
 bool isClosed(SharedState &shared, const fleet::ServerEntry &server);
 bool isClosed(SharedState &shared, const http::Endpoint &address);
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -193,7 +193,7 @@
                              const http::Response &response,
                              const std::string &requestId);
 
-/// Records a rejection by a server. A rejection that asks for time says nothing
+/// Records a rejection by a server. A rejection with a time says nothing
 /// of the server's health. If another server responds at its address, removes
 /// the server instead.
 void recordRejection(SharedState &shared, const fleet::ServerPtr &server,
--- a/Source/Peers/FindingCodec.cpp
+++ b/Source/Peers/FindingCodec.cpp
@@ -27,7 +27,7 @@
   return out;
 }
 
-void encodePart(uint64_t part, const fleet::PartEvidence &evidence,
+void encodePart(uint64_t part, const fleet::SuspectEvidence &evidence,
                 MonoTime now, messages::LoadShare &out) {
   messages::PartFinding &p = *out.mutable_findings()->add_parts();
   p.set_part(part);
@@ -45,10 +45,11 @@
   }
 }
 
-fleet::EvidenceByPart decodeParts(const messages::LoadShare &in, MonoTime now) {
-  fleet::EvidenceByPart out;
+fleet::EvidenceBySuspect decodeParts(const messages::LoadShare &in,
+                                     MonoTime now) {
+  fleet::EvidenceBySuspect out;
   for (const messages::PartFinding &p : in.findings().parts()) {
-    fleet::PartEvidence &e = out[p.part()];
+    fleet::SuspectEvidence &e = out[p.part()];
     e.IsRequest = fleet::isRequest(p.part());
     e.WasSound = p.was_sound();
     e.LastUseAt = timeOf(p.use_age_ms(), now);
--- a/Source/Peers/FindingCodec.h
+++ b/Source/Peers/FindingCodec.h
@@ -16,11 +16,12 @@
 messages::LoadShare makeFindings();
 
 /// Adds the evidence on a prompt part. Times are sent as ages.
-void encodePart(uint64_t part, const fleet::PartEvidence &evidence,
+void encodePart(uint64_t part, const fleet::SuspectEvidence &evidence,
                 MonoTime now, messages::LoadShare &out);
 
 /// Reads the evidence on all prompt parts of the datagram.
-fleet::EvidenceByPart decodeParts(const messages::LoadShare &in, MonoTime now);
+fleet::EvidenceBySuspect decodeParts(const messages::LoadShare &in,
+                                     MonoTime now);
 
 /// A server and what it said last of its limit.
 struct ServerLimit {
--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -19,18 +19,19 @@
 /// A peer that differs is sent what binds at most at this interval, that of its
 /// reports.
 constexpr Milliseconds RepairInterval{500};
-/// A part whose last sound answer is older may have been sound with another
+/// A suspect whose last sound answer is older may have been sound with another
 /// software version.
 constexpr std::chrono::seconds SoundMemory{60};
-/// A part whose last sound answer is older needs another one.
+/// A suspect whose last sound answer is older needs another one.
 constexpr std::chrono::seconds SoundRenewal{30};
 constexpr size_t MaxSoundParts = 4'096;
-/// Answers with a sound part go on well somewhere within this time.
+/// Some process has a successful response with a sound suspect within this
+/// time.
 constexpr std::chrono::seconds ConfirmTime{1};
-/// Time for which a process that is no longer heard of keeps its share of a
+/// Time for which a process without reports keeps its share of a
 /// limit: it may only be cut off from this one.
 constexpr std::chrono::seconds LeftMemory{30};
-/// Limits that nothing was heard of for this time are dropped.
+/// Limits without reports for this time are dropped.
 constexpr std::chrono::minutes LimitMemory{10};
 
 /// Returns the name of a suspect in the lines of requests.
@@ -38,9 +39,9 @@
   return fmt::format("{:x}", key & ~fleet::RequestBit);
 }
 
-fleet::PartEvidence evidenceOf(fleet::SuspectKey key,
-                               fleet::CrashSighting crash, MonoTime now) {
-  fleet::PartEvidence out;
+fleet::SuspectEvidence evidenceOf(fleet::SuspectKey key,
+                                  fleet::CrashSighting crash, MonoTime now) {
+  fleet::SuspectEvidence out;
   out.Crashes = {crash};
   out.IsRequest = fleet::isRequest(key);
   out.LastUseAt = now;
@@ -94,15 +95,16 @@
   return it == SoundParts.end() ? std::nullopt : std::make_optional(it->second);
 }
 
-bool Findings::wasRecentlySound(uint64_t part, MonoTime at) const {
-  std::optional<MonoTime> last = lastSound(part);
+bool Findings::wasRecentlySound(fleet::SuspectKey suspect, MonoTime at) const {
+  std::optional<MonoTime> last = lastSound(suspect);
   return last && at - *last < SoundMemory;
 }
 
 void Findings::recordCrash(uint32_t server, MonoTime at,
-                           std::span<const uint64_t> parts, MonoTime now) {
-  std::vector<uint64_t> news;
-  for (uint64_t it : parts) {
+                           std::span<const fleet::SuspectKey> suspects,
+                           MonoTime now) {
+  std::vector<fleet::SuspectKey> news;
+  for (uint64_t it : suspects) {
     fleet::CrashSighting crash{server, at, false};
     if (!fleet::isRequest(it) && wasRecentlySound(it, at)) {
       Unconfirmed[it].push_back(crash);
@@ -111,93 +113,95 @@
     merge(it, evidenceOf(it, crash, now), "local");
     news.push_back(it);
   }
-  fleet::dropOldEvidence(Parts, now);
+  fleet::dropOldEvidence(Suspects, now);
   updateDigest();
-  sendParts(news, now);
+  sendSuspects(news, now);
 }
 
-void Findings::recordSound(std::span<const uint64_t> parts, MonoTime begin,
-                           MonoTime now) {
-  for (uint64_t part : parts) {
-    if (fleet::isRequest(part))
-      SoundRepeats.record(part, begin, now);
+void Findings::recordSound(std::span<const fleet::SuspectKey> suspects,
+                           MonoTime begin, MonoTime now) {
+  for (fleet::SuspectKey suspect : suspects) {
+    if (fleet::isRequest(suspect))
+      SoundRepeats.record(suspect, begin, now);
     else
-      SoundParts[part] = std::max(SoundParts[part], begin);
-    if (auto it = Unconfirmed.find(part); it != Unconfirmed.end())
+      SoundParts[suspect] = std::max(SoundParts[suspect], begin);
+    if (auto it = Unconfirmed.find(suspect); it != Unconfirmed.end())
       std::erase_if(it->second, [&](const fleet::CrashSighting &crash) {
         return crash.At <= begin;
       });
-    auto it = Parts.find(part);
-    if (it == Parts.end())
+    auto it = Suspects.find(suspect);
+    if (it == Suspects.end())
       continue;
     bool wasBlocking = fleet::isBlocking(it->second);
     if (!fleet::refuteCrashes(it->second, begin))
       continue;
-    logVerdict(part, it->second, wasBlocking, "local");
-    ToSend.insert(part);
+    logVerdict(suspect, it->second, wasBlocking, "local");
+    ToSend.insert(suspect);
     updateDigest();
   }
   if (SoundParts.size() > MaxSoundParts)
     removeOld(now);
 }
 
-bool Findings::needsSoundAnswer(std::span<const uint64_t> parts,
+bool Findings::needsSoundAnswer(std::span<const fleet::SuspectKey> suspects,
                                 MonoTime now) const {
-  return std::any_of(parts.begin(), parts.end(), [&](uint64_t part) {
-    auto sound = SoundParts.find(part);
-    bool isUnknown = sound == SoundParts.end() ||
-                     now - sound->second > SoundRenewal ||
-                     Unconfirmed.contains(part);
-    if (isUnknown && !fleet::isRequest(part))
-      return true;
-    auto known = Parts.find(part);
-    return known != Parts.end() && fleet::hasUnrefutedCrash(known->second);
-  });
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [&](fleet::SuspectKey suspect) {
+                       auto sound = SoundParts.find(suspect);
+                       bool isUnknown = sound == SoundParts.end() ||
+                                        now - sound->second > SoundRenewal ||
+                                        Unconfirmed.contains(suspect);
+                       if (isUnknown && !fleet::isRequest(suspect))
+                         return true;
+                       auto known = Suspects.find(suspect);
+                       return known != Suspects.end() &&
+                              fleet::hasUnrefutedCrash(known->second);
+                     });
 }
 
 void Findings::endTurn(MonoTime now) {
   for (auto &unconfirmed : Unconfirmed) {
-    uint64_t part = unconfirmed.first;
+    fleet::SuspectKey suspect = unconfirmed.first;
     std::erase_if(unconfirmed.second, [&](const fleet::CrashSighting &it) {
       if (now - it.At < ConfirmTime)
         return false;
-      fleet::PartEvidence e = evidenceOf(part, it, now);
+      fleet::SuspectEvidence e = evidenceOf(suspect, it, now);
       e.WasSound = true;
-      merge(part, e, "local");
-      ToSend.insert(part);
+      merge(suspect, e, "local");
+      ToSend.insert(suspect);
       return true;
     });
   }
   std::erase_if(Unconfirmed, [](const auto &it) { return it.second.empty(); });
   updateDigest();
-  std::set<uint64_t> news = std::exchange(ToSend, {});
-  sendParts(std::vector<uint64_t>(news.begin(), news.end()), now);
+  std::set<fleet::SuspectKey> news = std::exchange(ToSend, {});
+  sendSuspects(std::vector<fleet::SuspectKey>(news.begin(), news.end()), now);
   sendLimits(std::exchange(LimitsToSend, {}), now);
   removeOld(now);
 }
 
-fleet::PartsDecision Findings::decide(std::span<const uint64_t> parts,
-                                      MonoTime now) {
-  fleet::PartsDecision out =
-      fleet::decideOnParts(Parts, parts, now, [this](uint64_t part) {
-        return rankOf(std::to_string(part));
+fleet::SuspectDecision
+Findings::decide(std::span<const fleet::SuspectKey> suspects, MonoTime now) {
+  fleet::SuspectDecision out = fleet::decideOnSuspects(
+      Suspects, suspects, now, [this](fleet::SuspectKey suspect) {
+        return rankOf(std::to_string(suspect));
       });
-  if (out.BlockedPart)
-    Parts[*out.BlockedPart].LastUseAt = now;
+  if (out.Blocked)
+    Suspects[*out.Blocked].LastUseAt = now;
   return out;
 }
 
-void Findings::recordTrial(uint64_t part, MonoTime now) {
-  fleet::PartEvidence &e = Parts[part];
-  e.IsRequest = fleet::isRequest(part);
+void Findings::recordTrial(fleet::SuspectKey suspect, MonoTime now) {
+  fleet::SuspectEvidence &e = Suspects[suspect];
+  e.IsRequest = fleet::isRequest(suspect);
   ++e.Trials;
   e.TriedAt = now;
   log::event(Category::Peers, log::Level::Warning,
              e.IsRequest ? "repeated_request" : "prompt_part",
-             {{e.IsRequest ? "request_key" : "part", nameOf(part)},
+             {{e.IsRequest ? "request_key" : "part", nameOf(suspect)},
               {"outcome", "tried"},
               {"trials", e.Trials}});
-  sendParts(std::span(&part, 1), now);
+  sendSuspects(std::span(&suspect, 1), now);
 }
 
 void Findings::removeOld(MonoTime now) {
@@ -210,42 +214,44 @@
   std::erase_if(RepairedAt, [&](const auto &it) {
     return now - it.second > RepairInterval;
   });
-  size_t n = Parts.size();
-  fleet::dropOldEvidence(Parts, now);
+  size_t n = Suspects.size();
+  fleet::dropOldEvidence(Suspects, now);
   size_t dropped = std::erase_if(Limits, [&](const auto &it) {
     return now - it.second.Limit.SeenAt > LimitMemory;
   });
-  if (Parts.size() != n || dropped > 0)
+  if (Suspects.size() != n || dropped > 0)
     updateDigest();
 }
 
-bool Findings::merge(uint64_t part, const fleet::PartEvidence &from,
+bool Findings::merge(fleet::SuspectKey suspect,
+                     const fleet::SuspectEvidence &from,
                      std::string_view source) {
-  fleet::PartEvidence &e = Parts[part];
-  e.IsRequest = fleet::isRequest(part);
+  fleet::SuspectEvidence &e = Suspects[suspect];
+  e.IsRequest = fleet::isRequest(suspect);
   bool wasBlocking = fleet::isBlocking(e);
   fleet::mergeEvidence(e, from);
-  // What went on well here may not be known to the others yet.
-  if (!e.Crashes.empty() && wasRecentlySound(part, e.Crashes.front().At)) {
+  // The others may not know of successful responses here yet.
+  if (!e.Crashes.empty() && wasRecentlySound(suspect, e.Crashes.front().At)) {
     e.WasSound = true;
-    fleet::refuteCrashes(e, *lastSound(part));
+    fleet::refuteCrashes(e, *lastSound(suspect));
   }
-  logVerdict(part, e, wasBlocking, source);
-  fleet::PartEvidence known = from;
+  logVerdict(suspect, e, wasBlocking, source);
+  fleet::SuspectEvidence known = from;
   return fleet::mergeEvidence(known, e);
 }
 
-void Findings::logVerdict(uint64_t part, const fleet::PartEvidence &e,
-                          bool wasBlocking, std::string_view source) {
+void Findings::logVerdict(fleet::SuspectKey suspect,
+                          const fleet::SuspectEvidence &e, bool wasBlocking,
+                          std::string_view source) {
   bool isBlocking = fleet::isBlocking(e);
   if (isBlocking == wasBlocking)
     return;
-  std::string suspect = e.IsRequest ? "request" : "prompt_part";
-  Metrics.count("sardineford_" + suspect + "_verdicts_total",
+  std::string kind = e.IsRequest ? "request" : "prompt_part";
+  Metrics.count("sardineford_" + kind + "_verdicts_total",
                 {{"outcome", isBlocking ? "blocked" : "cleared"}});
   log::event(Category::Peers, log::Level::Warning,
              e.IsRequest ? "repeated_request" : "prompt_part",
-             {{e.IsRequest ? "request_key" : "part", nameOf(part)},
+             {{e.IsRequest ? "request_key" : "part", nameOf(suspect)},
               {"outcome", isBlocking ? "blocked" : "cleared"},
               {"crashes", e.Crashes.size()},
               {"crash_moments", fleet::countCrashMoments(e)},
@@ -255,9 +261,9 @@
 
 void Findings::updateDigest() {
   uint32_t out = 0;
-  for (const auto &[part, e] : Parts)
+  for (const auto &[suspect, e] : Suspects)
     if (fleet::isBlocking(e))
-      out ^= static_cast<uint32_t>(hash64(std::to_string(part)));
+      out ^= static_cast<uint32_t>(hash64(std::to_string(suspect)));
   for (const auto &[server, it] : Limits)
     if (it.Limit.PerSecond)
       out ^= static_cast<uint32_t>(
@@ -265,10 +271,11 @@
   Digest = out;
 }
 
-void Findings::sendParts(std::span<const uint64_t> parts, MonoTime now) {
+void Findings::sendSuspects(std::span<const fleet::SuspectKey> suspects,
+                            MonoTime now) {
   messages::LoadShare datagram = makeFindings();
-  for (uint64_t it : parts)
-    if (auto found = Parts.find(it); found != Parts.end())
+  for (uint64_t it : suspects)
+    if (auto found = Suspects.find(it); found != Suspects.end())
       encodePart(it, found->second, now, datagram);
   if (datagram.findings().parts_size() > 0)
     SendAll(datagram);
@@ -284,9 +291,9 @@
   it->second = now;
   Metrics.count("sardineford_findings_repaired_total", {});
   messages::LoadShare datagram = makeFindings();
-  for (const auto &[part, e] : Parts)
+  for (const auto &[suspect, e] : Suspects)
     if (fleet::isBlocking(e))
-      encodePart(part, e, now, datagram);
+      encodePart(suspect, e, now, datagram);
   for (const auto &[server, limit] : Limits)
     if (limit.Limit.PerSecond)
       encodeLimit(server, limit, now, datagram);
@@ -298,13 +305,13 @@
 bool Findings::handle(const messages::LoadShare &in, MonoTime now) {
   if (!in.has_findings())
     return false;
-  for (const auto &[part, e] : decodeParts(in, now)) {
-    if (merge(part, e, "peer"))
-      ToSend.insert(part);
+  for (const auto &[suspect, e] : decodeParts(in, now)) {
+    if (merge(suspect, e, "peer"))
+      ToSend.insert(suspect);
     else
-      ToSend.erase(part);
+      ToSend.erase(suspect);
   }
-  fleet::dropOldEvidence(Parts, now);
+  fleet::dropOldEvidence(Suspects, now);
   for (const auto &[server, limit] : decodeLimits(in, now)) {
     fleet::RequestLimit known = limit.Limit;
     if (applyLimit(server, limit, "peer", now) &&
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -20,8 +20,8 @@
 namespace sardineford::peers {
 
 /// What backend servers have shown to some process and binds all of them. A
-/// crash under a part that is not known to be sound is sent to all processes at
-/// once, other news at the next turn unless a peer has sent the same before.
+/// crash under a suspect that is not known to be sound is sent to all processes
+/// at once, other news at the next turn unless a peer has sent the same before.
 /// Reports carry a digest of what binds; a process whose digest differs, since
 /// it was cut off, has restarted or lost a datagram, is sent that. Nothing is
 /// sent while there is nothing to know.
@@ -37,22 +37,23 @@
   /// Sets the running processes, including this one.
   void setProcesses(const std::vector<RunningProcess> &processes, MonoTime now);
 
-  /// Records the crash of a server at which answers with these prompt parts had
+  /// Records the crash of a server at which answers with these suspects had
   /// just begun. `server` is its hashOfIncarnation.
   void recordCrash(uint32_t server, MonoTime at,
-                   std::span<const uint64_t> parts, MonoTime now);
-  /// Records an answer with these prompt parts that went on well.
-  void recordSound(std::span<const uint64_t> parts, MonoTime begin,
+                   std::span<const fleet::SuspectKey> suspects, MonoTime now);
+  /// Records a successful response with these suspects.
+  void recordSound(std::span<const fleet::SuspectKey> suspects, MonoTime begin,
                    MonoTime now);
-  /// Returns whether it would be news that an answer with these prompt parts
-  /// went on well.
-  bool needsSoundAnswer(std::span<const uint64_t> parts, MonoTime now) const;
-  /// Decides whether a request with these prompt parts may be sent to an
+  /// Returns whether a successful response with these suspects would be news.
+  bool needsSoundAnswer(std::span<const fleet::SuspectKey> suspects,
+                        MonoTime now) const;
+  /// Decides whether a request with these suspects may be sent to an
   /// engine.
-  fleet::PartsDecision decide(std::span<const uint64_t> parts, MonoTime now);
-  /// Records that a request is sent although a part is blocked.
-  void recordTrial(uint64_t part, MonoTime now);
-  const fleet::EvidenceByPart &evidence() const { return Parts; }
+  fleet::SuspectDecision decide(std::span<const fleet::SuspectKey> suspects,
+                                MonoTime now);
+  /// Records that a request is sent although a suspect is blocked.
+  void recordTrial(fleet::SuspectKey suspect, MonoTime now);
+  const fleet::EvidenceBySuspect &evidence() const { return Suspects; }
   /// Records what a response says of its server's limit. `sentAt` is when the
   /// request was sent.
   void recordLimit(uint32_t server, const std::string &id,
@@ -70,27 +71,27 @@
   /// several times a second.
   void endTurn(MonoTime now);
 
-  /// Equal for processes that reject requests for the same prompt parts and
+  /// Equal for processes that reject requests for the same suspects and
   /// know the same limits; 0 for none.
   uint32_t digest() const { return Digest; }
-  /// Sends the evidence against these parts, and the limits, to a peer that
-  /// differs. What is refuted or newer there, the peer tells all.
+  /// Sends the evidence against these suspects, and the limits, to a peer that
+  /// differs. The peer publishes what is refuted or newer there.
   void checkPeer(uint32_t digest, const http::Endpoint &peer, MonoTime now);
   /// Handles a datagram. Returns false if it is none of this class.
   bool handle(const messages::LoadShare &in, MonoTime now);
 
 private:
-  /// Adds evidence on a part, and what this process knows of it. Returns
+  /// Adds evidence on a suspect, and what this process knows of it. Returns
   /// whether anything was new, also to the source of the evidence.
-  bool merge(uint64_t part, const fleet::PartEvidence &from,
+  bool merge(fleet::SuspectKey suspect, const fleet::SuspectEvidence &from,
              std::string_view source);
-  bool wasRecentlySound(uint64_t part, MonoTime at) const;
+  bool wasRecentlySound(fleet::SuspectKey suspect, MonoTime at) const;
   /// Returns the begin of the last sound answer here.
   std::optional<MonoTime> lastSound(fleet::SuspectKey key) const;
-  void sendParts(std::span<const uint64_t> parts, MonoTime now);
+  void sendSuspects(std::span<const fleet::SuspectKey> suspects, MonoTime now);
   void removeOld(MonoTime now);
-  void logVerdict(uint64_t part, const fleet::PartEvidence &e, bool wasBlocking,
-                  std::string_view source);
+  void logVerdict(fleet::SuspectKey suspect, const fleet::SuspectEvidence &e,
+                  bool wasBlocking, std::string_view source);
   void updateDigest();
   fleet::TrialRank rankOf(const std::string &name) const;
   /// Returns false if the limit has changed.
@@ -109,15 +110,15 @@
   /// short while ago: a process that is cut off must not take all of a limit.
   std::vector<uint64_t> ProcessHashes;
   std::map<uint64_t, MonoTime> LeftAt;
-  fleet::EvidenceByPart Parts;
-  /// Begin of the last sound answer with each part, here.
+  fleet::EvidenceBySuspect Suspects;
+  /// Begin of the last sound answer with each suspect, here.
   std::map<uint64_t, MonoTime> SoundParts;
   SoundRequests SoundRepeats;
-  /// Crashes under parts that were sound, which are told only if no sound
+  /// Crashes under suspects that were sound, which are sent only if no sound
   /// answer follows soon.
   std::map<uint64_t, std::vector<fleet::CrashSighting>> Unconfirmed;
-  /// Parts of which this process knows more than a peer.
-  std::set<uint64_t> ToSend;
+  /// Suspects of which this process knows more than a peer.
+  std::set<fleet::SuspectKey> ToSend;
   std::map<http::Endpoint, MonoTime> RepairedAt;
   LimitByServer Limits;
   /// Servers whose limits are news to some peer.
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -233,7 +233,7 @@
   std::string body = out.SerializeAsString();
   MonoTime now = MonoClock::now();
   // All processes of a large fleet learn of a change from the watchers at about
-  // the same time, and none has to tell the others.
+  // the same time, and none has to report it.
   bool isNews = !Tracking.isActive() || view.Servers.AnswerAge;
   bool isDue =
       (isNews && body != LastSent) || now - LastSentAt >= RepeatInterval;
--- a/StandIns/Placement/CrashSimulation.cpp
+++ b/StandIns/Placement/CrashSimulation.cpp
@@ -117,7 +117,7 @@
       r.IsLate = isAfterBound(Options.StabilityWindow * 2);
       Out.LateSound += r.IsLate ? 1 : 0;
     }
-    fleet::PartsDecision decision =
+    fleet::SuspectDecision decision =
         Net.findings(r.Process).decide(r.Parts, Net.now());
     std::vector<size_t> running;
     for (size_t i = 0; i < Engines.size(); ++i)
@@ -125,7 +125,7 @@
         running.push_back(i);
     if (running.empty())
       return;
-    if (decision.BlockedPart) {
+    if (decision.Blocked) {
       Out.SoundRejected += r.Crashes ? 0 : 1;
       return;
     }
@@ -134,8 +134,8 @@
                    !Net.isDisturbed(r.Process);
     if (r.Crashes && isBound)
       ++Out.LateArrivals;
-    if (decision.TriedPart)
-      Net.findings(r.Process).recordTrial(*decision.TriedPart, Net.now());
+    if (decision.Tried)
+      Net.findings(r.Process).recordTrial(*decision.Tried, Net.now());
     ++r.Attempts;
     size_t engine = running[Net.random()() % running.size()];
     uint64_t id = NextAnswer++;
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -391,7 +391,7 @@
   }
 
   /// Starts a server that says in its responses alone that it leaves, or
-  /// rejects all requests and asks for time, and then one as before.
+  /// rejects all requests with a time to wait, and then one as before.
   Awaitable<void> startWithNotice(DeployedWorker &w, Milliseconds duration,
                                   bool keepId) {
     if (Random() % 2 == 0)
--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -10,8 +10,9 @@
 MonoTime at(int seconds) { return MonoTime{} + std::chrono::seconds(seconds); }
 
 /// Crashes of different servers, one a second.
-PartEvidence crashesFrom(uint32_t first, uint32_t last, bool wasSound = false) {
-  PartEvidence out;
+SuspectEvidence crashesFrom(uint32_t first, uint32_t last,
+                            bool wasSound = false) {
+  SuspectEvidence out;
   out.WasSound = wasSound;
   for (uint32_t i = first; i <= last; ++i)
     out.Crashes.push_back({i, at(static_cast<int>(i)), false});
@@ -19,11 +20,11 @@
   return out;
 }
 
-bool isRejected(const EvidenceByPart &evidence, std::vector<uint64_t> parts,
+bool isRejected(const EvidenceBySuspect &evidence, std::vector<uint64_t> parts,
                 TrialRank rank, int seconds) {
   auto rankOf = [rank](uint64_t /*part*/) { return rank; };
-  return decideOnParts(evidence, parts, at(seconds), rankOf)
-      .BlockedPart.has_value();
+  return decideOnSuspects(evidence, parts, at(seconds), rankOf)
+      .Blocked.has_value();
 }
 
 } // namespace
@@ -36,14 +37,14 @@
 }
 
 TEST_CASE("servers that crash together count once") {
-  PartEvidence e;
+  SuspectEvidence e;
   for (uint32_t i = 0; i < 20; ++i)
     e.Crashes.push_back({i, at(1) + Milliseconds(i), false});
   CHECK(countCrashMoments(e) == 1);
 }
 
 TEST_CASE("a sound answer refutes the crashes before it") {
-  PartEvidence e = crashesFrom(1, 5);
+  SuspectEvidence e = crashesFrom(1, 5);
   CHECK(refuteCrashes(e, at(3)));
   CHECK(countCrashMoments(e) == 2);
   CHECK(e.WasSound);
@@ -51,14 +52,14 @@
 }
 
 TEST_CASE("evidence is the same in whatever order it is merged") {
-  PartEvidence refuted = crashesFrom(1, 4);
+  SuspectEvidence refuted = crashesFrom(1, 4);
   refuteCrashes(refuted, at(2));
-  PartEvidence later = crashesFrom(2, 5);
+  SuspectEvidence later = crashesFrom(2, 5);
   for (CrashSighting &it : later.Crashes)
     it.At += Milliseconds(30);
-  PartEvidence ab = refuted;
+  SuspectEvidence ab = refuted;
   CHECK(mergeEvidence(ab, later));
-  PartEvidence ba = later;
+  SuspectEvidence ba = later;
   CHECK(mergeEvidence(ba, refuted));
   CHECK(ab.Crashes == ba.Crashes);
   CHECK(ab.WasSound == ba.WasSound);
@@ -69,22 +70,22 @@
 TEST_CASE("a part that came with a crashing one is sound without it") {
   constexpr uint64_t Caller = 7;
   constexpr uint64_t Crashing = 9;
-  EvidenceByPart evidence = {{Caller, crashesFrom(1, 3)},
-                             {Crashing, crashesFrom(1, 5)}};
+  EvidenceBySuspect evidence = {{Caller, crashesFrom(1, 3)},
+                                {Crashing, crashesFrom(1, 5)}};
   CHECK(isRejected(evidence, {Caller, Crashing}, 0, 6));
   CHECK(isRejected(evidence, {Crashing}, 1, 6));
   CHECK_FALSE(isRejected(evidence, {Caller}, 5, 6));
 }
 
 TEST_CASE("a request with two blocked parts is no trial") {
-  EvidenceByPart evidence = {{7, crashesFrom(1, 3)}, {9, crashesFrom(1, 3)}};
+  EvidenceBySuspect evidence = {{7, crashesFrom(1, 3)}, {9, crashesFrom(1, 3)}};
   CHECK(isRejected(evidence, {7, 9}, 0, 5));
   CHECK_FALSE(isRejected(evidence, {7}, 0, 5));
   CHECK(isRejected(evidence, {7}, 1, 5));
 }
 
 TEST_CASE("a trial does not end the engine of another one") {
-  EvidenceByPart evidence = {{7, crashesFrom(1, 3)}, {9, crashesFrom(4, 7)}};
+  EvidenceBySuspect evidence = {{7, crashesFrom(1, 3)}, {9, crashesFrom(4, 7)}};
   evidence[9].Trials = 1;
   evidence[9].TriedAt = at(9);
   CHECK(isRejected(evidence, {7}, 0, 9));
@@ -92,7 +93,7 @@
 }
 
 TEST_CASE("more processes try a blocked part while nothing is heard of it") {
-  EvidenceByPart evidence = {{9, crashesFrom(1, 8)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 8)}};
   CHECK(isRejected(evidence, {9}, 0, 8));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 9));
   CHECK(isRejected(evidence, {9}, 1, 9));
@@ -101,7 +102,7 @@
 }
 
 TEST_CASE("a crashing part is tried twice, and then for minutes no more") {
-  EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].Trials = 2;
   evidence[9].TriedAt = at(20);
   evidence[9].Crashes.push_back({99, at(20), false});
@@ -110,7 +111,7 @@
 }
 
 TEST_CASE("a trial whose engine was lost for another reason is repeated soon") {
-  EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].Trials = 1;
   evidence[9].TriedAt = at(20);
   CHECK(isRejected(evidence, {9}, 0, 20));
@@ -121,7 +122,7 @@
 }
 
 TEST_CASE("evidence is kept while requests are rejected because of it") {
-  EvidenceByPart evidence = {{9, crashesFrom(1, 5)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].LastUseAt = at(400);
   dropOldEvidence(evidence, at(900));
   CHECK(evidence.contains(9));
@@ -130,7 +131,7 @@
 }
 
 TEST_CASE("much evidence leaves room for the strongest") {
-  EvidenceByPart evidence = {{9, crashesFrom(1, 3)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 3)}};
   for (uint64_t i = 100; i < 1'000; ++i)
     evidence[i] = crashesFrom(5, 5);
   dropOldEvidence(evidence, at(6));
@@ -139,7 +140,7 @@
 }
 
 TEST_CASE("crashes of several servers under one request count each") {
-  PartEvidence e;
+  SuspectEvidence e;
   for (uint32_t i = 0; i < 3; ++i)
     e.Crashes.push_back({i, at(1) + Milliseconds(i), false});
   CHECK_FALSE(isBlocking(e));
@@ -152,8 +153,8 @@
 
 TEST_CASE("a request that crashes engines does not block its prompt parts") {
   constexpr SuspectKey Request = keyOfRequest(7);
-  EvidenceByPart evidence = {{Request, crashesFrom(1, 3)},
-                             {9, crashesFrom(1, 3)}};
+  EvidenceBySuspect evidence = {{Request, crashesFrom(1, 3)},
+                                {9, crashesFrom(1, 3)}};
   evidence[Request].IsRequest = true;
   CHECK(isRejected(evidence, {Request, 9}, 5, 4));
   CHECK_FALSE(isRejected(evidence, {keyOfRequest(8), 9}, 5, 4));
@@ -162,14 +163,14 @@
 TEST_CASE("a request is not cleared by another one that was at its servers") {
   constexpr SuspectKey Crashing = keyOfRequest(7);
   constexpr SuspectKey Sound = keyOfRequest(8);
-  EvidenceByPart evidence = {{Crashing, crashesFrom(1, 3)},
-                             {Sound, crashesFrom(1, 5)}};
+  EvidenceBySuspect evidence = {{Crashing, crashesFrom(1, 3)},
+                                {Sound, crashesFrom(1, 5)}};
   evidence[Crashing].IsRequest = evidence[Sound].IsRequest = true;
   CHECK(isRejected(evidence, {Crashing}, 5, 6));
 }
 
 TEST_CASE("many suspected requests leave the evidence against parts") {
-  EvidenceByPart evidence = {{9, crashesFrom(1, 1)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 1)}};
   for (uint64_t i = 0; i < 5'000; ++i)
     evidence[keyOfRequest(i)] = crashesFrom(5, 5);
   evidence[keyOfRequest(3)] = crashesFrom(4, 5);
