--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -437,6 +437,9 @@
     co_await sleepFor(duration);
     std::string normal = R"({"mode":"sound"})";
     co_await Deployment.setStoreMode(std::move(normal));
+    // The operator writes what a copy may lack.
+    if (kind == 0)
+      co_await Deployment.writeConfiguration(0);
   }
 
   Awaitable<void> linkFault(Relay &link, Milliseconds duration) {
