--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -18,8 +18,7 @@
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
     std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
-/// The same for a request that was never sound, of which fewer trials are
-/// borne.
+/// The same for a request without a successful response so far.
 constexpr std::array<std::chrono::seconds, 3> RequestTrialDelays = {
     std::chrono::seconds(1), std::chrono::minutes(1), std::chrono::hours(1)};
 /// The number of processes that may make a trial doubles at this interval, for
