--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -173,8 +173,8 @@
 }
 
 bool mayTry(const SuspectEvidence &e, TrialRank rank, MonoTime now) {
-  // A trial that was neither followed by a crash nor by a sound answer has
-  // shown nothing: its engine may have been cut off.
+  // Without a crash or a successful response, the trial has shown nothing: its
+  // engine may have been cut off.
   bool hasFailed = e.Trials > 0 && e.Crashes.back().At >= e.TriedAt;
   std::span<const std::chrono::seconds> delays = TrialDelays;
   if (e.IsRequest && !e.WasSound)
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -256,7 +256,8 @@
   if (!server) {
     context.NoRetryReason = "no other server is available";
     if (available.OpensIn)
-      progress.Detail = "all backend servers have asked for time";
+      progress.Detail = "all backend servers are closed after a rejection with "
+                        "a time to wait";
     co_return false;
   }
   if (!progress.TriedServers.empty() && !acquireRetry(shared, context))
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -110,8 +110,7 @@
   std::string_view NoRetryReason;
   /// Servers that were passed over at the last choice and why, for the log.
   std::string PassedOver;
-  /// Time until a server opens, if all that could run the request have asked
-  /// for time.
+  /// Time until a server opens, if all that could run the request are closed.
   std::optional<Milliseconds> OpensIn;
   /// -1 until the first byte.
   Milliseconds TimeToFirstByte{-1};
--- a/include/Sardineford/Fleet/ServerUse.h
+++ b/include/Sardineford/Fleet/ServerUse.h
@@ -18,7 +18,7 @@
   /// Has just said that it leaves; used only if no other server is available.
   LastResort,
   Leaving,
-  /// Has rejected a request and asked this process for time.
+  /// Has rejected a request and named a time until it accepts the next one.
   Closed,
   /// This process has used its share of the limit that the server names.
   OverLimit,
