Failing test: streams of two versions after all daemons were killed

Callers got streams whose first events are of one software version and the rest of another, with nothing in the answer to show it (rule ORDER).

The test kills all daemons and replaces the servers by those of another version while the daemons are away.

A caller of the stand-ins that finds no daemon at an address now pauses 20 ms, as it would otherwise use up its list of addresses within a millisecond.

--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Pause of a caller that found no daemon at an address.
+constexpr Milliseconds ReconnectDelay{20};
+
 /// Number of prompts that requests share. Each prefers another engine.
 constexpr uint64_t SharedPrompts = 8;
 
@@ -183,8 +186,10 @@
         co_await exchange(client, it, std::move(request), std::move(options),
                           out, std::move(receive));
     out.Id = s.Id.empty() ? requestId : s.Id;
-    if (out.Outcome == DaemonCallOutcome::NotSent)
+    if (out.Outcome == DaemonCallOutcome::NotSent) {
+      co_await sleepFor(ReconnectDelay);
       continue;
+    }
     bool goesOn = s.Events > eventsBefore || hasWholeResponse(out);
     ++(eventsBefore > 0 ? out.TakeUps : out.Begins);
     out.ContinuedTakeUps += eventsBefore > 0 && goesOn ? 1 : 0;
--- a/Tests/Process/StreamVersionTest.cpp
+++ b/Tests/Process/StreamVersionTest.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds Deadline{4'000};
 /// Rule LOST counts from this number of streams that are taken up.
 constexpr unsigned MinTakenUp = 12;
+/// The entries of servers that ended are gone after this time.
+constexpr Milliseconds EntryLifetime{1'500};
 
 /// Sums over the streams of one test.
 struct Totals {
@@ -74,6 +76,27 @@
     }
   }
 
+  void killAllDaemons() {
+    for (DeployedDaemon &it : Deployment.Daemons)
+      it.ChildProcess->kill();
+  }
+
+  void startAllDaemons() {
+    for (DeployedDaemon &it : Deployment.Daemons)
+      Deployment.startDaemon(it);
+  }
+
+  /// Ends all engines and starts others of this version in their place.
+  void replaceEngines(const std::string &version) {
+    for (DeployedWorker &it : Deployment.Workers) {
+      if (it.Stage.empty())
+        continue;
+      it.ChildProcess->kill();
+      it.Version = version;
+      Deployment.startWorker(it, false);
+    }
+  }
+
   void killFirstDaemons() {
     Deployment.Daemons[0].ChildProcess->kill();
     Deployment.Daemons[1].ChildProcess->kill();
@@ -257,3 +280,35 @@
   s.checkOneVersion();
   CHECK(2 * t.Continued * t.Begins >= t.Begun * t.TakenUp);
 }
+
+TEST_CASE("no stream goes on at another version after all daemons were killed "
+          "and the servers of its version left",
+          "[process]") {
+  StreamScenario s(oneVersion());
+  s.run(60, 4, 100, [&] {
+    spawn(s.Io, "disturb", [&]() -> Awaitable<void> {
+      s.killAllDaemons();
+      s.replaceEngines("v1.1");
+      co_await sleepFor(EntryLifetime);
+      s.startAllDaemons();
+    });
+  });
+  CHECK(s.totals().TakenUp >= MinTakenUp);
+  s.checkOneVersion();
+}
+
+TEST_CASE("every stream that is taken up after all daemons were killed goes on "
+          "if there is one version",
+          "[process]") {
+  StreamScenario s(oneVersion());
+  s.run(60, 4, 100, [&] {
+    s.killAllDaemons();
+    s.startAllDaemons();
+  });
+  CHECK(s.totals().TakenUp >= MinTakenUp);
+  s.checkOneVersion();
+  for (const CallResult &it : s.Calls) {
+    INFO(it.Id << ", status " << it.Status << ", take-ups " << it.TakeUps);
+    CHECK((it.TakeUps == 0 || it.ContinuedTakeUps > 0));
+  }
+}
