Let answers for a stream's version say whether several are possible: the interface

A question now names its service, an answer has a field, FoundOrigin has Told and PeersKnowSeveral, and StreamOrigins takes setSeveralVersions. Earlier builds send neither field: not told.

--- a/Source/Peers/OriginCodec.cpp
+++ b/Source/Peers/OriginCodec.cpp
@@ -26,17 +26,22 @@
   return out;
 }
 
-messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t stream) {
+messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t service,
+                                      uint64_t stream) {
   messages::LoadShare out = makeDatagram();
   out.mutable_origins()->set_query(id);
+  out.mutable_origins()->set_service(service);
   out.mutable_origins()->add_streams(stream);
   return out;
 }
 
 messages::LoadShare encodeOriginAnswer(uint64_t id,
-                                       std::optional<uint32_t> version) {
+                                       std::optional<uint32_t> version,
+                                       std::optional<bool> hasSeveralVersions) {
   messages::LoadShare out = makeDatagram();
   out.mutable_origins()->set_answer(id);
+  if (hasSeveralVersions)
+    out.mutable_origins()->set_has_several_versions(*hasSeveralVersions);
   if (version)
     out.mutable_origins()->add_versions(*version);
   return out;
--- a/Source/Peers/OriginCodec.h
+++ b/Source/Peers/OriginCodec.h
@@ -13,9 +13,11 @@
 /// Datagrams without the name of the sender, which takes more bytes than all
 /// else in most of them.
 messages::LoadShare encodeOrigins(std::span<const OriginRecord> records);
-messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t stream);
+messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t service,
+                                      uint64_t stream);
 messages::LoadShare encodeOriginAnswer(uint64_t id,
-                                       std::optional<uint32_t> version);
+                                       std::optional<uint32_t> version,
+                                       std::optional<bool> hasSeveralVersions);
 
 /// Reads the records of a datagram. Streams without a version are skipped.
 std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in);
--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -38,6 +38,8 @@
 
   std::optional<uint32_t> Version;
   unsigned NotKnown = 0;
+  unsigned Told = 0;
+  bool PeersKnowSeveral = false;
   /// Processes that were asked and have not answered.
   std::set<http::Endpoint> Silent;
   asio::steady_timer Done;
@@ -173,14 +175,15 @@
   out.Version = Table.find(stream, MonoClock::now());
   std::string outcome = "local";
   if (!out.Version) {
-    co_await askHolders(stream, out);
+    co_await askHolders(hashOfService(service), stream, out);
     outcome = out.Version ? "found" : "unknown";
   }
   Metrics.count("sardineford_stream_origins_total", {{"outcome", outcome}});
   co_return out;
 }
 
-Awaitable<void> StreamOrigins::askHolders(uint64_t stream, FoundOrigin &out) {
+Awaitable<void> StreamOrigins::askHolders(uint64_t service, uint64_t stream,
+                                          FoundOrigin &out) {
   std::vector<http::Endpoint> holders =
       chooseHolders(stream, Candidates, Address);
   size_t n = std::min(AskedFirst, holders.size());
@@ -190,26 +193,28 @@
   uint64_t id = ++NextQuery;
   auto query = std::make_shared<PendingQuery>(Io);
   Pending[id] = query;
-  co_await ask(*query, id, stream, std::move(first));
+  messages::LoadShare datagram = encodeOriginQuery(id, service, stream);
+  co_await ask(*query, datagram, std::move(first));
   if (!query->Version) {
     // The question or its answer may have been lost.
     further.insert(further.end(), query->Silent.begin(), query->Silent.end());
-    co_await ask(*query, id, stream, std::move(further));
+    co_await ask(*query, datagram, std::move(further));
   }
   Pending.erase(id);
   out.Version = query->Version;
   out.NotKnown = query->NotKnown;
   out.Silent = static_cast<unsigned>(query->Silent.size());
+  out.Told = query->Told;
+  out.PeersKnowSeveral = query->PeersKnowSeveral;
 }
 
-Awaitable<void> StreamOrigins::ask(PendingQuery &query, uint64_t id,
-                                   uint64_t stream,
+Awaitable<void> StreamOrigins::ask(PendingQuery &query,
+                                   const messages::LoadShare &datagram,
                                    std::vector<http::Endpoint> holders) {
   if (holders.empty())
     co_return;
   query.Silent.insert(holders.begin(), holders.end());
   query.Done.expires_after(QueryTimeout);
-  messages::LoadShare datagram = encodeOriginQuery(id, stream);
   for (const http::Endpoint &it : holders)
     SendTo(datagram, it);
   if (!query.Version && !query.Silent.empty())
@@ -243,7 +248,8 @@
     std::optional<uint32_t> version;
     if (in.origins().streams_size() > 0)
       version = Table.find(in.origins().streams(0), now);
-    SendTo(encodeOriginAnswer(in.origins().query(), version), from);
+    SendTo(encodeOriginAnswer(in.origins().query(), version, std::nullopt),
+           from);
   } else {
     for (const OriginRecord &it : decodeOrigins(in))
       Table.putHeld(it, now);
--- a/Source/Peers/StreamOrigins.h
+++ b/Source/Peers/StreamOrigins.h
@@ -29,6 +29,10 @@
   /// Processes that do not know the stream, and that did not answer in time.
   unsigned NotKnown = 0;
   unsigned Silent = 0;
+  /// Processes that said whether several versions may have begun streams of the
+  /// service, and whether one said so.
+  unsigned Told = 0;
+  bool PeersKnowSeveral = false;
 };
 
 /// Knowledge of the software versions that began the streams of the fleet, so
@@ -39,11 +43,18 @@
 public:
   using Send =
       std::function<void(const messages::LoadShare &, const http::Endpoint &)>;
+  /// Returns whether several versions may have begun streams of a service,
+  /// known by its hashOfService; nothing while this process cannot tell.
+  using SeveralVersions = std::function<std::optional<bool>(uint64_t service)>;
 
   StreamOrigins(IoContext &io, metrics::Metrics &metrics,
                 http::Endpoint address, Send send);
   ~StreamOrigins();
 
+  /// Sets the source of what this process tells its peers of a service.
+  void setSeveralVersions(SeveralVersions f) {
+    HasSeveralVersions = std::move(f);
+  }
   /// Sets the running processes, including this one.
   void setProcesses(const std::vector<RunningProcess> &processes);
   /// Records the version at which a stream begins or goes on, and sends the
@@ -71,9 +82,11 @@
     uint64_t Stream = 0;
   };
 
-  Awaitable<void> askHolders(uint64_t stream, FoundOrigin &out);
-  Awaitable<void> ask(PendingQuery &query, uint64_t id, uint64_t stream,
+  Awaitable<void> askHolders(uint64_t service, uint64_t stream,
+                             FoundOrigin &out);
+  Awaitable<void> ask(PendingQuery &query, const messages::LoadShare &datagram,
                       std::vector<http::Endpoint> holders);
+  std::optional<bool> hasSeveralVersions(uint64_t service) const;
   void applyAnswer(const messages::LoadShare &in, const http::Endpoint &from);
   /// Queues the record of a stream for holders by their position.
   void queue(uint64_t stream, size_t firstHolder, size_t count);
@@ -88,6 +101,7 @@
   metrics::Metrics &Metrics;
   http::Endpoint Address;
   Send SendTo;
+  SeveralVersions HasSeveralVersions;
   std::vector<RunningProcess> Processes;
   std::vector<HashedProcess> Candidates;
   OriginTable Table;
--- a/StandIns/Placement/OriginSimulation.cpp
+++ b/StandIns/Placement/OriginSimulation.cpp
@@ -47,6 +47,7 @@
   }
 
   void run() {
+    Service = Random();
     Stream = Random();
     Version = static_cast<uint32_t>(Random());
     MonoTime beganAt =
@@ -170,14 +171,14 @@
     std::vector<size_t> silent;
     std::optional<uint32_t> out;
     auto ask = [&](size_t holder) {
-      if (!send(Out.Questions, encodeOriginQuery(1'000'000, Stream), holder,
-                t)) {
+      if (!send(Out.Questions, encodeOriginQuery(1'000'000, Service, Stream),
+                holder, t)) {
         silent.push_back(holder);
         return;
       }
       auto version = Tables[holder].find(Stream, t);
-      if (!send(Out.Questions, encodeOriginAnswer(1'000'000, version), local,
-                t))
+      if (!send(Out.Questions, encodeOriginAnswer(1'000'000, version, false),
+                local, t))
         silent.push_back(holder);
       else if (version)
         out = version;
@@ -198,6 +199,7 @@
   std::mt19937_64 &Random;
   OriginOutcome &Out;
   std::vector<Process> Fleet;
+  uint64_t Service = 0;
   uint64_t Stream = 0;
   uint32_t Version = 0;
   std::map<size_t, OriginTable> Tables;
--- a/Tests/Peers/LoadExchangeTest.cpp
+++ b/Tests/Peers/LoadExchangeTest.cpp
@@ -274,8 +274,9 @@
       f.Addresses[0].Address.Port);
   OriginRecord record{1, 2};
   for (messages::LoadShare it :
-       {encodeOrigins({&record, 1}), encodeOriginQuery(1, 1),
-        encodeOriginAnswer(1, 2), encodeOriginAnswer(1, std::nullopt)}) {
+       {encodeOrigins({&record, 1}), encodeOriginQuery(1, 1, 1),
+        encodeOriginAnswer(1, 2, true),
+        encodeOriginAnswer(1, std::nullopt, std::nullopt)}) {
     it.clear_origins();
     socket.send_to(asio::buffer(it.SerializeAsString()), to);
   }
--- a/Tests/Peers/StreamOriginsTest.cpp
+++ b/Tests/Peers/StreamOriginsTest.cpp
@@ -369,13 +369,89 @@
   f.Dead = {1, 2};
   f.IsLost = [&](const Network::Datagram &it) {
     uint64_t id = it.Message.origins().query();
-    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5), it.To);
-    f.Origins[0]->handle(encodeOriginAnswer(id, 5), {"10.0.0.9", 1});
+    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5, true), it.To);
+    f.Origins[0]->handle(encodeOriginAnswer(id, 5, true), {"10.0.0.9", 1});
     return true;
   };
   CHECK(!f.find(0, "stream").Version);
 }
 
+TEST_CASE("a process that knows one version learns of others from its peers") {
+  Network f(6);
+  for (size_t i = 0; i < 6; ++i)
+    f.Origins[i]->setSeveralVersions([i](uint64_t service) {
+      return std::optional(i != 0 && service == hashOfService("model"));
+    });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(!out.Version);
+  CHECK(out.Told == 5);
+  CHECK(out.PeersKnowSeveral);
+  f.Dead = {1, 2, 3, 4};
+  out = f.find(0, "stream");
+  CHECK(out.Told == 1);
+  CHECK(out.PeersKnowSeveral);
+}
+
+TEST_CASE("one version is the only one if all peers know no other") {
+  Network f(6);
+  for (auto &it : f.Origins)
+    it->setSeveralVersions([](uint64_t) { return std::optional(false); });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(out.Told == AskedFirst);
+  CHECK(!out.PeersKnowSeveral);
+}
+
+TEST_CASE("several versions of another service are no reason to doubt") {
+  Network f(6);
+  for (auto &it : f.Origins)
+    it->setSeveralVersions([](uint64_t service) {
+      return std::optional(service == hashOfService("other"));
+    });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(out.Told == AskedFirst);
+  CHECK(!out.PeersKnowSeveral);
+}
+
+TEST_CASE("peers that cannot tell the versions are not counted as told") {
+  Network f(4);
+  // Process 1 is an earlier build or has set no source.
+  f.Origins[2]->setSeveralVersions(
+      [](uint64_t) { return std::optional<bool>(); });
+  f.Origins[3]->setSeveralVersions(
+      [](uint64_t) { return std::optional(true); });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(out.NotKnown == 3);
+  CHECK(out.Told == 1);
+  CHECK(out.PeersKnowSeveral);
+}
+
+TEST_CASE("a question of an earlier build names no service") {
+  Network f(2);
+  f.Origins[0]->setSeveralVersions(
+      [](uint64_t) { return std::optional(true); });
+  messages::LoadShare in;
+  in.mutable_relay();
+  in.mutable_origins()->set_query(7);
+  in.mutable_origins()->add_streams(1);
+  CHECK(f.Origins[0]->handle(in, f.Processes[1].Address));
+  REQUIRE(f.Sent.size() == 1);
+  CHECK(!f.Sent[0].Message.origins().has_has_several_versions());
+}
+
+TEST_CASE("a question and its answer name service and versions") {
+  messages::LoadShare query = encodeOriginQuery(3, 4, 5);
+  CHECK(query.origins().query() == 3);
+  CHECK(query.origins().service() == 4);
+  REQUIRE(query.origins().streams_size() == 1);
+  CHECK(query.origins().streams(0) == 5);
+  messages::LoadShare answer = encodeOriginAnswer(3, 6, true);
+  CHECK(answer.origins().versions(0) == 6);
+  CHECK(answer.origins().has_several_versions());
+  answer = encodeOriginAnswer(3, std::nullopt, std::nullopt);
+  CHECK(answer.origins().versions_size() == 0);
+  CHECK(!answer.origins().has_has_several_versions());
+}
+
 TEST_CASE("datagrams of other kinds are left to others") {
   Network f(2);
   messages::LoadShare report;
