Tell with each answer for a stream's version whether several are possible

One of the ways: a process that is cut off from the store or has just started knows one version, asks nobody, and takes the lack of a record as proof of no other version.

Ruled out: a report field instead. Reports go to the group alone in a large fleet, and a process that has just started has received none.

The answering process now says whether it knows several versions for the service that the question names (setSeveralVersions; nothing while it cannot tell, or for a question of an earlier build).

--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -195,7 +195,9 @@
   Pending[id] = query;
   messages::LoadShare datagram = encodeOriginQuery(id, service, stream);
   co_await ask(*query, datagram, std::move(first));
-  if (!query->Version) {
+  bool isOnlyVersion = hasSeveralVersions(service) == false &&
+                       !query->PeersKnowSeveral && query->Told >= n;
+  if (!query->Version && !isOnlyVersion) {
     // The question or its answer may have been lost.
     further.insert(further.end(), query->Silent.begin(), query->Silent.end());
     co_await ask(*query, datagram, std::move(further));
@@ -221,6 +223,11 @@
     co_await query.Done.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+std::optional<bool> StreamOrigins::hasSeveralVersions(uint64_t service) const {
+  return service != 0 && HasSeveralVersions ? HasSeveralVersions(service)
+                                            : std::nullopt;
+}
+
 void StreamOrigins::applyAnswer(const messages::LoadShare &in,
                                 const http::Endpoint &from) {
   auto it = Pending.find(in.origins().answer());
@@ -229,6 +236,10 @@
   PendingQuery &query = *it->second;
   if (query.Silent.erase(from) == 0)
     return;
+  if (in.origins().has_has_several_versions()) {
+    ++query.Told;
+    query.PeersKnowSeveral |= in.origins().has_several_versions();
+  }
   if (in.origins().versions_size() > 0)
     query.Version = in.origins().versions(0);
   else
@@ -248,7 +259,8 @@
     std::optional<uint32_t> version;
     if (in.origins().streams_size() > 0)
       version = Table.find(in.origins().streams(0), now);
-    SendTo(encodeOriginAnswer(in.origins().query(), version, std::nullopt),
+    SendTo(encodeOriginAnswer(in.origins().query(), version,
+                              hasSeveralVersions(in.origins().service())),
            from);
   } else {
     for (const OriginRecord &it : decodeOrigins(in))
