--- a/Tests/Peers/StreamOriginsTest.cpp
+++ b/Tests/Peers/StreamOriginsTest.cpp
@@ -22,6 +22,9 @@
 constexpr MonoTime Start{std::chrono::seconds(10'000)};
 /// Records are repeated within this time.
 constexpr Milliseconds RepeatLimit{150};
+/// Records are given to new holders within this time: less than lies between
+/// two waves of deaths, in which the deaths must be noticed, too.
+constexpr Milliseconds HandoverLimit{600};
 
 std::vector<RunningProcess> makeProcesses(size_t n, size_t domains) {
   std::vector<RunningProcess> out;
@@ -44,16 +47,36 @@
   };
 
   explicit Network(size_t n) : Processes(makeProcesses(n, 3)) {
-    for (const RunningProcess &it : Processes) {
-      http::Endpoint from = it.Address;
-      auto send = [this, from](const messages::LoadShare &message,
-                               const http::Endpoint &to) {
-        deliver({from, to, message});
-      };
-      Origins.push_back(
-          std::make_unique<StreamOrigins>(Io, Metrics, from, send));
-      Origins.back()->setProcesses(Processes);
-    }
+    for (const RunningProcess &it : Processes)
+      Origins.push_back(start(it.Address));
+  }
+
+  std::unique_ptr<StreamOrigins> start(const http::Endpoint &from) {
+    auto send = [this, from](const messages::LoadShare &message,
+                             const http::Endpoint &to) {
+      deliver({from, to, message});
+    };
+    auto out = std::make_unique<StreamOrigins>(Io, Metrics, from, send);
+    out->setProcesses(Processes);
+    return out;
+  }
+
+  /// Starts a process again under its address, without what it knew.
+  void restart(size_t i) {
+    Origins[i].reset();
+    Origins[i] = start(Processes[i].Address);
+  }
+
+  /// Ends processes. The others have noticed it.
+  void kill(const std::set<size_t> &processes) {
+    Dead.insert(processes.begin(), processes.end());
+    std::vector<RunningProcess> running;
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (!Dead.contains(i))
+        running.push_back(Processes[i]);
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (!Dead.contains(i))
+        Origins[i]->setProcesses(running);
   }
 
   void deliver(Datagram datagram) {
@@ -452,6 +475,34 @@
   CHECK(!answer.origins().has_has_several_versions());
 }
 
+TEST_CASE("the version of a stream outlives holders that die in turn") {
+  Network f(12);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  REQUIRE(f.records() == HoldersPerStream);
+  std::vector<size_t> holders = {f.receiver(0), f.receiver(1), f.receiver(2)};
+  f.kill({0, holders[0], holders[1]});
+  f.runFor(HandoverLimit);
+  f.kill({holders[2]});
+  for (size_t i = 0; i < 12; ++i)
+    if (!f.Dead.contains(i))
+      CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("the version of a stream outlives holders that restart in turn") {
+  Network f(12);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  REQUIRE(f.records() == HoldersPerStream);
+  std::vector<size_t> holders = {f.receiver(0), f.receiver(1), f.receiver(2)};
+  for (size_t it : {size_t{0}, holders[0], holders[1]})
+    f.restart(it);
+  f.runFor(HandoverLimit);
+  f.restart(holders[2]);
+  for (size_t i = 0; i < 12; ++i)
+    CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
+}
+
 TEST_CASE("datagrams of other kinds are left to others") {
   Network f(2);
   messages::LoadShare report;
