--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -38,6 +38,8 @@
 
   std::optional<uint32_t> Version;
   unsigned NotKnown = 0;
+  unsigned Told = 0;
+  bool PeersKnowSeveral = false;
   /// Processes that were asked and have not answered.
   std::set<http::Endpoint> Silent;
   asio::steady_timer Done;
@@ -173,14 +175,15 @@
   out.Version = Table.find(stream, MonoClock::now());
   std::string outcome = "local";
   if (!out.Version) {
-    co_await askHolders(stream, out);
+    co_await askHolders(hashOfService(service), stream, out);
     outcome = out.Version ? "found" : "unknown";
   }
   Metrics.count("sardineford_stream_origins_total", {{"outcome", outcome}});
   co_return out;
 }
 
-Awaitable<void> StreamOrigins::askHolders(uint64_t stream, FoundOrigin &out) {
+Awaitable<void> StreamOrigins::askHolders(uint64_t service, uint64_t stream,
+                                          FoundOrigin &out) {
   std::vector<http::Endpoint> holders =
       chooseHolders(stream, Candidates, Address);
   size_t n = std::min(AskedFirst, holders.size());
@@ -190,32 +193,41 @@
   uint64_t id = ++NextQuery;
   auto query = std::make_shared<PendingQuery>(Io);
   Pending[id] = query;
-  co_await ask(*query, id, stream, std::move(first));
-  if (!query->Version) {
+  messages::LoadShare datagram = encodeOriginQuery(id, service, stream);
+  co_await ask(*query, datagram, std::move(first));
+  bool isOnlyVersion = hasSeveralVersions(service) == false &&
+                       !query->PeersKnowSeveral && query->Told >= n;
+  if (!query->Version && !isOnlyVersion) {
     // The question or its answer may have been lost.
     further.insert(further.end(), query->Silent.begin(), query->Silent.end());
-    co_await ask(*query, id, stream, std::move(further));
+    co_await ask(*query, datagram, std::move(further));
   }
   Pending.erase(id);
   out.Version = query->Version;
   out.NotKnown = query->NotKnown;
   out.Silent = static_cast<unsigned>(query->Silent.size());
+  out.Told = query->Told;
+  out.PeersKnowSeveral = query->PeersKnowSeveral;
 }
 
-Awaitable<void> StreamOrigins::ask(PendingQuery &query, uint64_t id,
-                                   uint64_t stream,
+Awaitable<void> StreamOrigins::ask(PendingQuery &query,
+                                   const messages::LoadShare &datagram,
                                    std::vector<http::Endpoint> holders) {
   if (holders.empty())
     co_return;
   query.Silent.insert(holders.begin(), holders.end());
   query.Done.expires_after(QueryTimeout);
-  messages::LoadShare datagram = encodeOriginQuery(id, stream);
   for (const http::Endpoint &it : holders)
     SendTo(datagram, it);
   if (!query.Version && !query.Silent.empty())
     co_await query.Done.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+std::optional<bool> StreamOrigins::hasSeveralVersions(uint64_t service) const {
+  return service != 0 && HasSeveralVersions ? HasSeveralVersions(service)
+                                            : std::nullopt;
+}
+
 void StreamOrigins::applyAnswer(const messages::LoadShare &in,
                                 const http::Endpoint &from) {
   auto it = Pending.find(in.origins().answer());
@@ -224,6 +236,10 @@
   PendingQuery &query = *it->second;
   if (query.Silent.erase(from) == 0)
     return;
+  if (in.origins().has_has_several_versions()) {
+    ++query.Told;
+    query.PeersKnowSeveral |= in.origins().has_several_versions();
+  }
   if (in.origins().versions_size() > 0)
     query.Version = in.origins().versions(0);
   else
@@ -243,7 +259,9 @@
     std::optional<uint32_t> version;
     if (in.origins().streams_size() > 0)
       version = Table.find(in.origins().streams(0), now);
-    SendTo(encodeOriginAnswer(in.origins().query(), version), from);
+    SendTo(encodeOriginAnswer(in.origins().query(), version,
+                              hasSeveralVersions(in.origins().service())),
+           from);
   } else {
     for (const OriginRecord &it : decodeOrigins(in))
       Table.putHeld(it, now);
