Record in the store which versions streams can have begun at

Cause: what says that a service has one version is memory of the process (Directory::PresentVersions, DepartedVersions). A daemon that starts after the old servers have gone finds one version and takes that as proof that there was no other; it did not even ask its peers. The class of fault: no record is taken as a record of nothing.

Now an object for each service in the store (kind sardineford-versions) holds the versions from which streams can be taken up, and is written before streams begin at a further one. A daemon reads the objects once when it starts; a recorded version without a server counts for as long as callers come back. A take-up without a local record always asks the stream's holders, and goes on at the only version known here only if the records are read, no peer knows of a second version, and the route has no other service.

--- a/Source/Fleet/Configuration.cpp
+++ b/Source/Fleet/Configuration.cpp
@@ -78,4 +78,13 @@
   return route.Targets.back().Service;
 }
 
+std::set<std::string> resumableServices(const Configuration &configuration) {
+  std::set<std::string> out;
+  for (const Route &route : configuration.Routes)
+    for (const Target &it : route.Targets)
+      if (route.Kind == RequestKind::Stream && route.Resumable)
+        out.insert(it.Service);
+  return out;
+}
+
 } // namespace sardineford::fleet
--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -178,6 +178,32 @@
   return out;
 }
 
+KnownVersions Directory::knownVersions(const std::string &service,
+                                       MonoTime now) const {
+  KnownVersions out;
+  if (auto it = PresentVersions.find(service); it != PresentVersions.end())
+    out.Present = it->second;
+  out.Possible = softwareVersions(service, now);
+  if (auto it = Records.find(service); it != Records.end())
+    out.Recorded = it->second;
+  return out;
+}
+
+bool Directory::isRecorded(const std::string &service,
+                           const std::string &version) const {
+  auto it = Records.find(service);
+  return it != Records.end() && it->second.contains(version);
+}
+
+void Directory::applyRecord(const VersionRecord &record, MonoTime now) {
+  std::set<std::string> &known = Records[record.Service];
+  const std::set<std::string> &present = PresentVersions[record.Service];
+  for (const std::string &it : record.Versions)
+    if (!known.contains(it) && !present.contains(it))
+      DepartedVersions[record.Service][it] = now;
+  known = record.Versions;
+}
+
 ServerPtr Directory::find(const std::string &id) const {
   auto it = ById.find(id);
   return it == ById.end() ? nullptr : it->second;
--- a/Source/Gateway/EngineView.cpp
+++ b/Source/Gateway/EngineView.cpp
@@ -40,6 +40,30 @@
                    entry.Id) == filter.ExcludedServers.end();
 }
 
+/// Returns the engines that may get the request. A stream that callers can take
+/// up begins only at a recorded version, unless there is no other engine.
+AvailableServers findEngines(SharedState &shared, const RequestContext &context,
+                             const EngineFilter &filter) {
+  auto isRecorded = [&](const fleet::ServerEntry &it) {
+    return !context.Route->Resumable || filter.SoftwareVersion ||
+           shared.Versions.mayBegin(it.Service, it.SoftwareVersion,
+                                    MonoClock::now());
+  };
+  AvailableServers out = findAvailableServers(
+      shared, context.Service, [&](const fleet::ServerEntry &it) {
+        return isAllowed(filter, it) && isRecorded(it);
+      });
+  bool hasDecodeEngine =
+      std::any_of(out.Servers.begin(), out.Servers.end(), [](const auto &it) {
+        return it->Entry.Role != routing::EngineRole::Prefill;
+      });
+  if (hasDecodeEngine)
+    return out;
+  return findAvailableServers(
+      shared, context.Service,
+      [&](const fleet::ServerEntry &it) { return isAllowed(filter, it); });
+}
+
 /// Returns the engines in the order in which the longest shared prefix prefers
 /// them, by rendezvous hashing. All processes agree on it.
 std::vector<size_t> rankEngines(const EngineView &view,
@@ -126,9 +150,7 @@
   MonoTime now = MonoClock::now();
   Seconds meanStreamDuration =
       shared.service(context.Service).MeanStreamDuration;
-  AvailableServers available = findAvailableServers(
-      shared, context.Service,
-      [&](const fleet::ServerEntry &it) { return isAllowed(filter, it); });
+  AvailableServers available = findEngines(shared, context, filter);
   view.OpensIn = available.OpensIn;
   view.PassedOver = std::move(available.PassedOver);
   for (const fleet::ServerPtr &it : available.Servers) {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -56,6 +56,7 @@
         recordServerChange(server, change);
       }),
       Watch(io, store, codec, Servers, Metrics),
+      Versions(io, store, Servers, Metrics),
       Peers(io, store, settings.get(node::Name),
             {settings.get(node::FailureDomain),
              http::parseEndpoint(settings.get(PeerListen))},
@@ -65,6 +66,7 @@
              protocol,
              Servers,
              Watch,
+             Versions,
              Metrics,
              randomGenerator(),
              settings.get(node::FailureDomain),
@@ -79,11 +81,22 @@
              Peers.origins(),
              Peers.findings()} {
   Watch.expectPosition();
-  Watch.onConfiguration([this] { applyLimits(); });
+  Watch.onConfiguration([this] { applyConfiguration(); });
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.processes();
     if (std::optional<fleet::FleetPosition> position = Peers.position())
       Watch.setPosition(*position);
+    Versions.setPosition(Peers.position());
+  });
+  Versions.onWritten([this](const fleet::VersionRecord &record) {
+    Peers.publishVersionRecord(record);
+  });
+  Versions.onApplied(
+      [this](const std::string &service) { publishOrigins(service); });
+  Peers.origins().setSeveralVersions(
+      [this](uint64_t service) { return hasSeveralVersions(service); });
+  Peers.onVersionRecord([this](const fleet::VersionRecord &record) {
+    Versions.applyPublished(record);
   });
   Watch.onChanges([this](const fleet::PublishedChanges &changes) {
     Peers.publishChanges(changes);
@@ -91,7 +104,10 @@
   Peers.onChanges([this](const fleet::PublishedChanges &changes) {
     return Watch.applyChanges(changes);
   });
-  Watch.onRestore([this] { Peers.registerAgain(); });
+  Watch.onRestore([this] {
+    Peers.registerAgain();
+    Versions.readAgain();
+  });
   Peers.exchangeStoreViews(
       [this] { return Watch.view(); },
       [this](const fleet::StoreView &peer) { Watch.checkPeerView(peer); });
@@ -104,11 +120,24 @@
   registerGauges();
 }
 
+std::optional<bool> Gateway::hasSeveralVersions(uint64_t service) const {
+  if (!Watch.isLoaded() || !Servers.isVersionHistoryKnown())
+    return std::nullopt;
+  for (const std::string &it : Versions.services())
+    if (peers::hashOfService(it) == service)
+      return Servers.softwareVersions(it, MonoClock::now()).size() > 1;
+  return std::nullopt;
+}
+
+void Gateway::publishOrigins(const std::string &service) {
+  if (Servers.softwareVersions(service, MonoClock::now()).size() > 1)
+    Peers.origins().publishAll(service);
+}
+
 void Gateway::recordServerChange(const fleet::Server &server,
                                  std::string_view change) {
   const std::string &service = server.Entry.Service;
-  if (Servers.softwareVersions(service, MonoClock::now()).size() > 1)
-    Peers.origins().publishAll(service);
+  publishOrigins(service);
   Metrics.count("sardineford_server_changes_total",
                 {{"service", server.Entry.Service}});
   log::event(Category::Fleet, log::Level::Info, "server",
@@ -154,6 +183,7 @@
                     return respondMetrics(r, out);
                   });
   Watch.start();
+  Versions.start();
   Peers.start();
   spawn(Io, "stop", [this] { return stopOnSignal(); });
   spawn(Io, "event-loop-lag", [this] { return measureEventLoopLag(Metrics); });
@@ -165,6 +195,11 @@
 
 void Gateway::applySettings() { Shared.setRetryBounds(retryBoundsOf(Options)); }
 
+void Gateway::applyConfiguration() {
+  applyLimits();
+  Versions.setServices(fleet::resumableServices(Watch.routes()->config()));
+}
+
 void Gateway::applyLimits() {
   const fleet::CallerLimits &limits = Watch.routes()->config().Limits;
   RequestServer->setLimits(limits.MaxHeaderBytes, limits.MaxBodyBytes,
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/FleetWatch.h"
+#include "Fleet/VersionRecorder.h"
 #include "Gateway/State.h"
 #include "Peers/LoadExchange.h"
 #include "Sardineford/Fleet/FleetCodec.h"
@@ -31,6 +32,7 @@
                                 http::ResponseWriter &out, unsigned status,
                                 std::string detail);
   Awaitable<void> stopOnSignal();
+  void applyConfiguration();
   void applyLimits();
   bool isReady() const;
   Milliseconds stopGrace() const;
@@ -39,6 +41,12 @@
   bool stopsBeforeTimeout(const fleet::Route &route) const;
   void logRequest(const RequestContext &context);
   void registerGauges();
+  /// Returns whether streams of a service, by its hashOfService, can have begun
+  /// at several versions; empty if this process does not know.
+  std::optional<bool> hasSeveralVersions(uint64_t service) const;
+  /// Tells the peers where the streams of a service began once it has several
+  /// versions.
+  void publishOrigins(const std::string &service);
   /// Counts and logs a change of the list of servers.
   void recordServerChange(const fleet::Server &server, std::string_view change);
 
@@ -49,6 +57,7 @@
   http::Client Client;
   fleet::Directory Servers;
   fleet::FleetWatch Watch;
+  fleet::VersionRecorder Versions;
   peers::LoadExchange Peers;
   SharedState Shared;
   std::unique_ptr<http::Server> RequestServer;
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/FleetWatch.h"
+#include "Fleet/VersionRecorder.h"
 #include "Peers/Findings.h"
 #include "Peers/LoadTracking.h"
 #include "Peers/StreamOrigins.h"
@@ -61,6 +62,7 @@
   const BackendProtocol &Protocol;
   fleet::Directory &Servers;
   const fleet::FleetWatch &Watch;
+  const fleet::VersionRecorder &Versions;
   metrics::Metrics &Metrics;
   std::mt19937_64 &Random;
   std::string FailureDomain;
--- a/Source/Gateway/StreamOrigin.h
+++ b/Source/Gateway/StreamOrigin.h
@@ -7,12 +7,23 @@
 
 namespace sardineford::gateway {
 
+/// What a process knows of where a stream that is taken up can have begun.
+struct TakeUpEvidence {
+  /// Software versions that may have begun it.
+  std::set<std::string> Versions;
+  /// Hash of the version that did, if some process knows it.
+  std::optional<uint32_t> Found;
+  /// `Versions` has all that were in service while it can have begun.
+  bool IsHistoryKnown = false;
+  /// Another process knows of more versions.
+  bool PeersKnowSeveral = false;
+  /// It may have begun at a service that the request does not go to.
+  bool HasOtherServices = false;
+};
+
 /// Chooses the software version at which a stream that is taken up goes on.
-/// `versions` are those that may have begun it, `found` is the hash of the one
-/// that did, if it is known. Returns nothing if the request must be rejected:
-/// no server has the version, or it is not known and several are possible.
-std::optional<std::string>
-chooseTakeUpVersion(const std::set<std::string> &versions,
-                    std::optional<uint32_t> found);
+/// Returns nothing if the request must be rejected: no server has the version,
+/// or it is not known and others are possible.
+std::optional<std::string> chooseTakeUpVersion(const TakeUpEvidence &evidence);
 
 } // namespace sardineford::gateway
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -344,6 +344,10 @@
     applyChanges(in, from);
     return;
   }
+  if (in.has_version_record()) {
+    applyVersionRecord(in, from);
+    return;
+  }
   LearnedFindings.checkPeer(in.findings_digest(), from, now);
   if (in.has_relay()) {
     applyRelay(in);
@@ -461,6 +465,23 @@
   send("findings", copy.SerializeAsString(), LastRecipients.OtherGroups);
 }
 
+void LoadExchange::publishVersionRecord(const fleet::VersionRecord &record) {
+  messages::LoadShare datagram = encodeVersionRecord(record);
+  datagram.set_node(Node);
+  sendToAll("version record", datagram);
+}
+
+void LoadExchange::applyVersionRecord(const messages::LoadShare &in,
+                                      const http::Endpoint &from) {
+  if (OnVersionRecord)
+    OnVersionRecord(decodeVersionRecord(in));
+  if (in.version_record().relayed() || !Peers.isInGroup(from))
+    return;
+  messages::LoadShare copy = in;
+  copy.mutable_version_record()->set_relayed(true);
+  send("version record", copy.SerializeAsString(), LastRecipients.OtherGroups);
+}
+
 void LoadExchange::queueForRelay(const messages::LoadShare &in,
                                  const http::Endpoint &from) {
   if (isCompact(from))
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -69,6 +69,13 @@
   void onChanges(std::function<bool(const fleet::PublishedChanges &)> f) {
     OnChanges = std::move(f);
   }
+  /// Sends a record that this process has written to all peers, in two steps as
+  /// reports.
+  void publishVersionRecord(const fleet::VersionRecord &record);
+  /// Sets the function that receives the records that peers have written.
+  void onVersionRecord(std::function<void(const fleet::VersionRecord &)> f) {
+    OnVersionRecord = std::move(f);
+  }
   /// Sets the source of the local store view that is published, and the
   /// function that receives the views of peers.
   void
@@ -103,6 +110,8 @@
   void sendToAll(std::string_view kind, const messages::LoadShare &datagram);
   void handleDatagram(std::string_view bytes, const http::Endpoint &from);
   void relayFindings(const messages::LoadShare &in, const http::Endpoint &from);
+  void applyVersionRecord(const messages::LoadShare &in,
+                          const http::Endpoint &from);
   void applyReport(const messages::LoadShare &in, const http::Endpoint &from);
   void applyRelay(const messages::LoadShare &in);
   void queueForRelay(const messages::LoadShare &in, const http::Endpoint &from);
@@ -124,6 +133,7 @@
   std::function<fleet::StoreView()> LocalView;
   std::function<void(const fleet::StoreView &)> OnPeerView;
   std::function<bool(const fleet::PublishedChanges &)> OnChanges;
+  std::function<void(const fleet::VersionRecord &)> OnVersionRecord;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
--- a/Source/Peers/ReportCodec.cpp
+++ b/Source/Peers/ReportCodec.cpp
@@ -58,4 +58,21 @@
   return out;
 }
 
+messages::LoadShare encodeVersionRecord(const fleet::VersionRecord &record) {
+  messages::LoadShare out;
+  // Earlier builds find nothing in the relay and drop the datagram.
+  out.mutable_relay();
+  messages::VersionRecord &r = *out.mutable_version_record();
+  r.set_service(record.Service);
+  for (const std::string &it : record.Versions)
+    r.add_versions(it);
+  r.set_version(record.Version);
+  return out;
+}
+
+fleet::VersionRecord decodeVersionRecord(const messages::LoadShare &in) {
+  const messages::VersionRecord &r = in.version_record();
+  return {r.service(), {r.versions().begin(), r.versions().end()}, r.version()};
+}
+
 } // namespace sardineford::peers
--- a/Source/Peers/ReportCodec.h
+++ b/Source/Peers/ReportCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Fleet/StoreView.h"
+#include "Sardineford/Fleet/VersionRecord.h"
 
 namespace sardineford::messages {
 class LoadShare;
@@ -20,4 +21,8 @@
                        messages::LoadShare &out);
 fleet::PublishedChanges decodeChanges(const messages::LoadShare &in);
 
+/// Makes a datagram of a record in the store. Earlier builds drop it.
+messages::LoadShare encodeVersionRecord(const fleet::VersionRecord &record);
+fleet::VersionRecord decodeVersionRecord(const messages::LoadShare &in);
+
 } // namespace sardineford::peers
--- a/Tests/Fleet/DirectoryTest.cpp
+++ b/Tests/Fleet/DirectoryTest.cpp
@@ -191,3 +191,74 @@
   CHECK(d.ofService("model").size() == 1);
   CHECK(d.leavingOf("model").empty());
 }
+
+namespace {
+
+ServerEntry versioned(const std::string &id, const std::string &version) {
+  ServerEntry e = entry(id);
+  e.SoftwareVersion = version;
+  return e;
+}
+
+} // namespace
+
+TEST_CASE("a recorded version counts after a start at which it has no server") {
+  Directory d = makeDirectory();
+  d.applyRecord({"model", {"v1", "v1.1"}, 7}, Start);
+  d.setRecordsRead();
+  d.put(versioned("a", "v1.1"));
+  CHECK(d.softwareVersions("model", Start) ==
+        std::set<std::string>{"v1", "v1.1"});
+  CHECK(d.isVersionHistoryKnown());
+
+  SECTION("until no caller can come back with its streams") {
+    CHECK(d.softwareVersions("model", Start + StreamMemory) ==
+          std::set<std::string>{"v1.1"});
+  }
+  SECTION("a newer record does not make it count for longer") {
+    MonoTime later = Start + StreamMemory / 2;
+    d.applyRecord({"model", {"v1", "v1.1", "v2"}, 8}, later);
+    CHECK(d.softwareVersions("model", Start + StreamMemory) ==
+          std::set<std::string>{"v1.1", "v2"});
+  }
+}
+
+TEST_CASE("the only recorded version is the only one after a start") {
+  Directory d = makeDirectory();
+  d.applyRecord({"model", {"v1"}, 7}, Start);
+  d.setRecordsRead();
+  d.put(versioned("a", "v1"));
+  CHECK(d.softwareVersions("model", Start) == std::set<std::string>{"v1"});
+  CHECK(d.isVersionHistoryKnown());
+}
+
+TEST_CASE("the versions of a service are not known before its record is read") {
+  Directory d = makeDirectory();
+  d.put(versioned("a", "v1"));
+  CHECK_FALSE(d.isVersionHistoryKnown());
+  // A peer may send it before this process has read the others.
+  d.applyRecord({"model", {"v1"}, 7}, Start);
+  CHECK_FALSE(d.isVersionHistoryKnown());
+  d.setRecordsRead();
+  CHECK(d.isVersionHistoryKnown());
+}
+
+TEST_CASE("a service without a record has had no other version") {
+  Directory d = makeDirectory();
+  d.put(versioned("a", "v1"));
+  d.setRecordsRead();
+  CHECK(d.softwareVersions("model", Start) == std::set<std::string>{"v1"});
+  CHECK(d.isVersionHistoryKnown());
+}
+
+TEST_CASE("a version that a peer has recorded counts before its server is "
+          "found") {
+  Directory d = makeDirectory();
+  d.applyRecord({"model", {"v1"}, 7}, Start);
+  d.setRecordsRead();
+  d.put(versioned("a", "v1"));
+  d.applyRecord({"model", {"v1", "v1.1"}, 8}, Start);
+  CHECK(d.softwareVersions("model", Start).size() == 2);
+  CHECK(d.isRecorded("model", "v1.1"));
+  CHECK_FALSE(d.isRecorded("model", "v2"));
+}
--- a/Tests/Gateway/StreamOriginTest.cpp
+++ b/Tests/Gateway/StreamOriginTest.cpp
@@ -6,18 +6,63 @@
 
 using namespace sardineford;
 using gateway::chooseTakeUpVersion;
+using gateway::TakeUpEvidence;
+
+namespace {
+
+TakeUpEvidence evidence(std::set<std::string> versions) {
+  TakeUpEvidence out;
+  out.Versions = std::move(versions);
+  out.IsHistoryKnown = true;
+  return out;
+}
+
+TakeUpEvidence found(std::set<std::string> versions,
+                     const std::string &version) {
+  TakeUpEvidence out = evidence(std::move(versions));
+  out.Found = peers::hashOfVersion(version);
+  return out;
+}
+
+} // namespace
 
 TEST_CASE("a stream that is taken up goes on at the version that began it") {
-  std::set<std::string> versions = {"v1", "v1.1"};
-  CHECK(chooseTakeUpVersion(versions, peers::hashOfVersion("v1.1")) == "v1.1");
+  CHECK(chooseTakeUpVersion(found({"v1", "v1.1"}, "v1.1")) == "v1.1");
 }
 
 TEST_CASE("a stream of an unknown version goes on only if there is one") {
-  CHECK(chooseTakeUpVersion({"v1"}, std::nullopt) == "v1");
-  CHECK_FALSE(chooseTakeUpVersion({"v1", "v1.1"}, std::nullopt));
-  CHECK_FALSE(chooseTakeUpVersion({}, std::nullopt));
+  CHECK(chooseTakeUpVersion(evidence({"v1"})) == "v1");
+  CHECK_FALSE(chooseTakeUpVersion(evidence({"v1", "v1.1"})));
+  CHECK_FALSE(chooseTakeUpVersion(evidence({})));
 }
 
 TEST_CASE("a stream whose version has no server does not go on at another") {
-  CHECK_FALSE(chooseTakeUpVersion({"v1.1"}, peers::hashOfVersion("v1")));
+  CHECK_FALSE(chooseTakeUpVersion(found({"v1.1"}, "v1")));
+}
+
+TEST_CASE("a stream of an unknown version does not go on if it may have begun "
+          "before the process knew the versions") {
+  TakeUpEvidence e = evidence({"v1"});
+  e.IsHistoryKnown = false;
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.Found = peers::hashOfVersion("v1");
+  CHECK(chooseTakeUpVersion(e) == "v1");
+}
+
+TEST_CASE("a stream of an unknown version does not go on if it may have begun "
+          "at another service") {
+  TakeUpEvidence e = evidence({"v1"});
+  e.HasOtherServices = true;
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.Found = peers::hashOfVersion("v1");
+  CHECK(chooseTakeUpVersion(e) == "v1");
+}
+
+TEST_CASE("a stream of an unknown version does not go on if a peer knows more "
+          "versions") {
+  TakeUpEvidence e = evidence({"v1"});
+  e.PeersKnowSeveral = true;
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.Found = peers::hashOfVersion("v1");
+  CHECK(chooseTakeUpVersion(e) == "v1");
 }
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -111,4 +112,7 @@
 /// Picks one of the route's services at random, by weight.
 const std::string &pickService(const Route &route, std::mt19937_64 &random);
 
+/// Returns the services whose streams callers can take up.
+std::set<std::string> resumableServices(const Configuration &configuration);
+
 } // namespace sardineford::fleet
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -3,6 +3,7 @@
 #include "Sardineford/Fleet/Configuration.h"
 #include "Sardineford/Fleet/Health.h"
 #include "Sardineford/Fleet/PartCache.h"
+#include "Sardineford/Fleet/VersionRecord.h"
 #include "Sardineford/Fleet/WorkInFlight.h"
 #include "Sardineford/Http/Message.h"
 #include "Sardineford/Routing/View.h"
@@ -125,6 +126,22 @@
   /// servers that departed so recently that callers may take up their streams.
   std::set<std::string> softwareVersions(const std::string &service,
                                          MonoTime now) const;
+  /// Returns what is known of the versions of a service, also from its record
+  /// in the store.
+  KnownVersions knownVersions(const std::string &service, MonoTime now) const;
+  /// Returns whether softwareVersions() has all versions from which a caller
+  /// may take up a stream, also those of servers that departed before the start
+  /// of this process.
+  bool isVersionHistoryKnown() const { return RecordsRead; }
+  bool isRecorded(const std::string &service, const std::string &version) const;
+  /// Applies the record of a service. Its versions without a server count as
+  /// departed now, since when they departed is not known.
+  void applyRecord(const VersionRecord &record, MonoTime now);
+  /// Forgets a record that the store does not hold any more.
+  void dropRecord(const std::string &service) { Records.erase(service); }
+  /// Sets that the records of all services were applied. A service without one
+  /// has had no streams.
+  void setRecordsRead() { RecordsRead = true; }
   ServerPtr find(const std::string &id) const;
   size_t size() const { return ById.size(); }
   template <class F> void forEach(F f) {
@@ -160,6 +177,9 @@
   std::map<std::string, std::set<std::string>> PresentVersions;
   /// Last departure from each software version, by service.
   std::map<std::string, std::map<std::string, MonoTime>> DepartedVersions;
+  /// Recorded versions, by service.
+  std::map<std::string, std::set<std::string>> Records;
+  bool RecordsRead = false;
   /// Missing servers and the ends of their grace periods.
   std::map<std::string, MonoTime> Missing;
   bool Loaded = false;
