Give records of streams to the processes that hold them after deaths and restarts

Cause: a record is sent to three processes once.

Ruled out: more holders (each one more costs some 2 KB/s a process at 40 streams/s, beside 5.9 of 7); only comparing lists of processes (a process that restarts within the 2 s after which silence is noticed never leaves the list, and its address stays the same).

A process that has just started asks each other process once for the records that it is to hold; after deaths are noticed, those that have records give them to the new holders. Both are pure functions (chooseRecordsFor, chooseHandovers). Only records that were sent, of streams that began within StreamMemory, newest first, and with their age, so that deaths again and again do not keep them. HandoverQueue bounds the bytes: five seconds of the target of all control traffic (7 KB/s) at once, and that rate from then on.

At 350 processes the simulation plays streams of two seconds before the deaths, not of 30.

Tests of the opposite harm: no storm of records at a mass death and restarts, nothing is given on with one version, nor for old streams; each process is asked once.

The test network now runs until the processes have asked each other, and isRecord excludes the new datagrams: the counts of records are checked as before.

--- a/Source/Peers/OriginCodec.cpp
+++ b/Source/Peers/OriginCodec.cpp
@@ -56,4 +56,35 @@
   return out;
 }
 
+messages::LoadShare encodeRecordsRequest(const std::string &failureDomain) {
+  messages::LoadShare out = makeDatagram();
+  out.mutable_origins()->set_wants_records(true);
+  out.set_failure_domain(failureDomain);
+  return out;
+}
+
+messages::LoadShare encodeHandover(std::span<const KnownOrigin> records,
+                                   MonoTime now) {
+  messages::LoadShare out = makeDatagram();
+  for (const KnownOrigin &it : records) {
+    out.mutable_origins()->add_streams(it.Record.Stream);
+    out.mutable_origins()->add_versions(it.Record.Version);
+    auto age = std::chrono::ceil<std::chrono::seconds>(now - it.BeganAt);
+    out.mutable_origins()->add_ages_s(static_cast<uint32_t>(age.count()));
+  }
+  return out;
+}
+
+std::vector<KnownOrigin> decodeHandover(const messages::LoadShare &in,
+                                        MonoTime now) {
+  std::vector<KnownOrigin> out;
+  std::vector<OriginRecord> records = decodeOrigins(in);
+  const auto &ages = in.origins().ages_s();
+  for (size_t i = 0; i < records.size() && static_cast<int>(i) < ages.size();
+       ++i)
+    out.push_back(
+        {records[i], now - std::chrono::seconds(ages[static_cast<int>(i)])});
+  return out;
+}
+
 } // namespace sardineford::peers
--- a/Source/Peers/OriginCodec.h
+++ b/Source/Peers/OriginCodec.h
@@ -3,6 +3,8 @@
 #include "Peers/OriginTable.h"
 
 #include <span>
+#include <string>
+#include <vector>
 
 namespace sardineford::messages {
 class LoadShare;
@@ -22,4 +24,12 @@
 /// Reads the records of a datagram. Streams without a version are skipped.
 std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in);
 
+/// Asks for the records that the sender, in this failure domain, is to hold.
+messages::LoadShare encodeRecordsRequest(const std::string &failureDomain);
+messages::LoadShare encodeHandover(std::span<const KnownOrigin> records,
+                                   MonoTime now);
+/// Reads records that another holder gives; empty if the datagram has none.
+std::vector<KnownOrigin> decodeHandover(const messages::LoadShare &in,
+                                        MonoTime now);
+
 } // namespace sardineford::peers
--- a/Source/Peers/OriginHolders.cpp
+++ b/Source/Peers/OriginHolders.cpp
@@ -32,26 +32,34 @@
   }
 }
 
+uint64_t scoreOf(uint64_t stream, const HashedProcess &process) {
+  std::string_view key(reinterpret_cast<const char *>(&stream), sizeof(stream));
+  return hash64(key, process.Hash);
+}
+
 } // namespace
 
+HashedProcess hashProcess(const RunningProcess &process) {
+  return {process, hash64(http::toString(process.Address))};
+}
+
 std::vector<HashedProcess>
 hashProcesses(const std::vector<RunningProcess> &processes) {
   std::vector<HashedProcess> out;
   out.reserve(processes.size());
   for (const RunningProcess &it : processes)
-    out.push_back({it, hash64(http::toString(it.Address))});
+    out.push_back(hashProcess(it));
   return out;
 }
 
 std::vector<http::Endpoint>
 chooseHolders(uint64_t stream, const std::vector<HashedProcess> &processes,
               const http::Endpoint &local) {
-  std::string_view key(reinterpret_cast<const char *>(&stream), sizeof(stream));
   std::vector<Candidate> candidates;
   candidates.reserve(processes.size());
   for (const HashedProcess &it : processes)
     if (it.Process.Address != local)
-      candidates.push_back({hash64(key, it.Hash), &it.Process});
+      candidates.push_back({scoreOf(stream, it), &it.Process});
   size_t n = std::min(MaxHolderCandidates, candidates.size());
   std::partial_sort(
       candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(n),
@@ -66,4 +74,14 @@
   return out;
 }
 
+bool mayHold(uint64_t stream, const HashedProcess &process,
+             const std::vector<HashedProcess> &processes) {
+  uint64_t score = scoreOf(stream, process);
+  size_t higher = 0;
+  for (const HashedProcess &it : processes)
+    if (scoreOf(stream, it) > score && ++higher == MaxHolderCandidates)
+      return false;
+  return true;
+}
+
 } // namespace sardineford::peers
--- a/Source/Peers/OriginHolders.h
+++ b/Source/Peers/OriginHolders.h
@@ -24,6 +24,7 @@
 
 std::vector<HashedProcess>
 hashProcesses(const std::vector<RunningProcess> &processes);
+HashedProcess hashProcess(const RunningProcess &process);
 
 /// Returns the processes but the local one that may hold the record of a
 /// stream, the likely ones first, by rendezvous hashing. The holders lie in
@@ -33,4 +34,9 @@
 chooseHolders(uint64_t stream, const std::vector<HashedProcess> &processes,
               const http::Endpoint &local);
 
+/// Returns whether a process may be among the holders of a stream, without the
+/// work of choosing them.
+bool mayHold(uint64_t stream, const HashedProcess &process,
+             const std::vector<HashedProcess> &processes);
+
 } // namespace sardineford::peers
--- a/Source/Peers/OriginTable.cpp
+++ b/Source/Peers/OriginTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Sardineford/Common/Random.h"
 
+#include <algorithm>
+
 namespace sardineford::peers {
 
 uint64_t hashOfService(std::string_view service) { return hash64(service); }
@@ -20,6 +22,7 @@
   Record &out = Records[record.Stream];
   out.Version = record.Version;
   out.PutAt = now;
+  out.BeganAt = now;
   while (Puts.size() > MaxRecords || now - Puts.front().At > OriginAge) {
     auto it = Records.find(Puts.front().Stream);
     if (it != Records.end() && it->second.PutAt == Puts.front().At)
@@ -38,6 +41,30 @@
   put(record, now);
 }
 
+void OriginTable::putHandedOver(const KnownOrigin &origin, MonoTime now) {
+  if (!find(origin.Record.Stream, now))
+    put(origin.Record, now).BeganAt = origin.BeganAt;
+}
+
+std::vector<KnownOrigin> OriginTable::recentRecords(Milliseconds age,
+                                                    MonoTime now) const {
+  std::vector<KnownOrigin> out;
+  for (auto put = Puts.rbegin(); put != Puts.rend() && now - put->At <= age;
+       ++put) {
+    auto it = Records.find(put->Stream);
+    if (it == Records.end() || it->second.PutAt != put->At)
+      continue;
+    bool wasPublished = it->second.WasSent || !it->second.Service;
+    if (wasPublished && now - it->second.BeganAt <= age)
+      out.push_back({{put->Stream, it->second.Version}, it->second.BeganAt});
+  }
+  std::stable_sort(out.begin(), out.end(),
+                   [](const KnownOrigin &a, const KnownOrigin &b) {
+                     return a.BeganAt > b.BeganAt;
+                   });
+  return out;
+}
+
 std::optional<uint32_t> OriginTable::find(uint64_t stream, MonoTime now) const {
   auto it = Records.find(stream);
   if (it == Records.end() || now - it->second.PutAt > OriginAge)
--- a/Source/Peers/OriginTable.h
+++ b/Source/Peers/OriginTable.h
@@ -21,6 +21,12 @@
   bool operator==(const OriginRecord &) const = default;
 };
 
+/// A record and the time at which its stream began or went on.
+struct KnownOrigin {
+  OriginRecord Record;
+  MonoTime BeganAt;
+};
+
 uint64_t hashOfService(std::string_view service);
 uint64_t hashOfStream(std::string_view service, std::string_view streamId);
 uint32_t hashOfVersion(std::string_view version);
@@ -40,6 +46,12 @@
   void putLocal(const OriginRecord &record, uint64_t service, MonoTime now);
   /// Adds or renews a record that a peer has sent.
   void putHeld(const OriginRecord &record, MonoTime now);
+  /// Adds a record that another holder has given. One that is known is not
+  /// renewed.
+  void putHandedOver(const KnownOrigin &origin, MonoTime now);
+  /// Returns the records that were sent or received, of streams that began
+  /// within this time. Newest first.
+  std::vector<KnownOrigin> recentRecords(Milliseconds age, MonoTime now) const;
   std::optional<uint32_t> find(uint64_t stream, MonoTime now) const;
   void erase(uint64_t stream) { Records.erase(stream); }
   /// Marks the streams of this process in a service as sent. Returns those that
@@ -52,6 +64,7 @@
   struct Record {
     uint32_t Version = 0;
     MonoTime PutAt;
+    MonoTime BeganAt;
     /// Set for streams of this process.
     std::optional<uint64_t> Service;
     bool WasSent = false;
--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -1,7 +1,9 @@
 #include "Peers/StreamOrigins.h"
 
 #include "Messages/Messages.pb.h"
+#include "Peers/HandoverLimits.h"
 #include "Peers/OriginCodec.h"
+#include "Sardineford/Fleet/Directory.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
@@ -30,6 +32,10 @@
 /// Streams whose records are sent together when a second version appears.
 constexpr size_t PublishedAtOnce = 32;
 constexpr Milliseconds PublishInterval{20};
+/// Processes that die together are noticed within this time.
+constexpr Milliseconds DeathGrouping{100};
+/// Headers of IP and UDP.
+constexpr size_t HeaderBytes = 28;
 
 } // namespace
 
@@ -48,15 +54,105 @@
 StreamOrigins::StreamOrigins(IoContext &io, metrics::Metrics &metrics,
                              http::Endpoint address, Send send)
     : Io(io), Metrics(metrics), Address(std::move(address)),
-      SendTo(std::move(send)), RepetitionTimer(io), PublishTimer(io) {}
+      SendTo(std::move(send)), RepetitionTimer(io), PublishTimer(io),
+      HandoverTimer(io) {}
 
 StreamOrigins::~StreamOrigins() = default;
 
 void StreamOrigins::setProcesses(const std::vector<RunningProcess> &processes) {
   if (processes == Processes)
     return;
+  MonoTime now = MonoClock::now();
+  std::set<http::Endpoint> running;
+  for (const RunningProcess &it : processes) {
+    running.insert(it.Address);
+    Gone.erase(it.Address);
+    bool isNew = now - StartedAt <= fleet::StreamMemory;
+    if (isNew && it.Address != Address && Asked.insert(it.Address).second)
+      ToAsk.push_back(it.Address);
+  }
+  for (const HashedProcess &it : Candidates)
+    if (!running.contains(it.Process.Address)) {
+      if (Gone.empty())
+        GoneAt = now;
+      Gone[it.Process.Address] = it;
+    }
   Processes = processes;
   Candidates = hashProcesses(processes);
+  scheduleHandover();
+}
+
+void StreamOrigins::scheduleHandover() {
+  bool isIdle = ToAsk.empty() && Gone.empty() && ToCompare.empty() &&
+                Newcomers.empty() && Handovers.empty();
+  if (isIdle || std::exchange(HandoverScheduled, true))
+    return;
+  HandoverTimer.expires_after(HandoverInterval);
+  HandoverTimer.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    HandoverScheduled = false;
+    MonoTime now = MonoClock::now();
+    chooseDueHandovers(now);
+    sendHandovers(now);
+    scheduleHandover();
+  });
+}
+
+void StreamOrigins::chooseDueHandovers(MonoTime now) {
+  std::vector<KnownOrigin> recent;
+  if (!Newcomers.empty())
+    recent = Table.recentRecords(fleet::StreamMemory, now);
+  for (size_t i = 0; i < NewcomersAtOnce && !Newcomers.empty(); ++i) {
+    HashedProcess newcomer = Newcomers.begin()->second;
+    Newcomers.erase(Newcomers.begin());
+    std::vector<HashedProcess> processes = Candidates;
+    std::erase_if(processes, [&](const HashedProcess &it) {
+      return it.Process.Address == newcomer.Process.Address;
+    });
+    processes.push_back(newcomer);
+    for (const KnownOrigin &it : chooseRecordsFor(newcomer, recent, processes))
+      Handovers.push(newcomer.Process.Address, it);
+  }
+  if (ToCompare.empty() && !Gone.empty() && now - GoneAt >= DeathGrouping) {
+    std::vector<KnownOrigin> records =
+        Table.recentRecords(fleet::StreamMemory, now);
+    ToCompare.assign(records.begin(), records.end());
+    After = Candidates;
+    Before = Candidates;
+    for (const auto &[endpoint, process] : std::exchange(Gone, {}))
+      Before.push_back(process);
+  }
+  size_t n = std::min(ComparedAtOnce, ToCompare.size());
+  auto end = ToCompare.begin() + static_cast<ptrdiff_t>(n);
+  std::vector<KnownOrigin> records(ToCompare.begin(), end);
+  ToCompare.erase(ToCompare.begin(), end);
+  for (const Handover &it : chooseHandovers(records, Before, After, Address))
+    Handovers.push(it.To, it.Record);
+}
+
+void StreamOrigins::sendHandovers(MonoTime now) {
+  auto send = [this](const messages::LoadShare &datagram,
+                     const http::Endpoint &to) {
+    Handovers.countSent(datagram.ByteSizeLong() + HeaderBytes);
+    SendTo(datagram, to);
+  };
+  for (size_t i = 0; i < HandoversAtOnce && Handovers.maySend(now); ++i) {
+    if (!ToAsk.empty()) {
+      auto local = std::find_if(
+          Processes.begin(), Processes.end(),
+          [&](const RunningProcess &it) { return it.Address == Address; });
+      send(encodeRecordsRequest(
+               local == Processes.end() ? "" : local->FailureDomain),
+           ToAsk.front());
+      ToAsk.pop_front();
+    } else if (!Handovers.empty()) {
+      auto [to, records] = Handovers.take(RecordsPerHandover);
+      Metrics.count("sardineford_stream_origins_handed_over_total", {},
+                    static_cast<double>(records.size()));
+      send(encodeHandover(records, now), to);
+    }
+  }
 }
 
 void StreamOrigins::record(std::string_view service, std::string_view streamId,
@@ -253,7 +349,10 @@
   if (!in.has_origins())
     return false;
   MonoTime now = MonoClock::now();
-  if (in.origins().answer() != 0) {
+  if (in.origins().wants_records()) {
+    Newcomers[from] = hashProcess({in.failure_domain(), from});
+    scheduleHandover();
+  } else if (in.origins().answer() != 0) {
     applyAnswer(in, from);
   } else if (in.origins().query() != 0) {
     std::optional<uint32_t> version;
@@ -262,6 +361,9 @@
     SendTo(encodeOriginAnswer(in.origins().query(), version,
                               hasSeveralVersions(in.origins().service())),
            from);
+  } else if (in.origins().ages_s_size() > 0) {
+    for (const KnownOrigin &it : decodeHandover(in, now))
+      Table.putHandedOver(it, now);
   } else {
     for (const OriginRecord &it : decodeOrigins(in))
       Table.putHeld(it, now);
--- a/Source/Peers/StreamOrigins.h
+++ b/Source/Peers/StreamOrigins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Peers/OriginHandover.h"
 #include "Peers/OriginHolders.h"
 #include "Peers/OriginTable.h"
 #include "Sardineford/Common/Async.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,7 +57,9 @@
   void setSeveralVersions(SeveralVersions f) {
     HasSeveralVersions = std::move(f);
   }
-  /// Sets the running processes, including this one.
+  /// Sets the running processes, including this one. Records of those that have
+  /// gone are given to the processes that hold them now; a process that has
+  /// just started asks each of the others for the records that it is to hold.
   void setProcesses(const std::vector<RunningProcess> &processes);
   /// Records the version at which a stream begins or goes on, and sends the
   /// record at the end of this turn of the event loop. It is only kept if the
@@ -96,6 +100,10 @@
   void scheduleRepetition();
   void repeatDue();
   void schedulePublishing();
+  void scheduleHandover();
+  /// Chooses records for processes that hold them now.
+  void chooseDueHandovers(MonoTime now);
+  void sendHandovers(MonoTime now);
 
   IoContext &Io;
   metrics::Metrics &Metrics;
@@ -114,6 +122,22 @@
   std::deque<uint64_t> ToPublish;
   boost::asio::steady_timer PublishTimer;
   bool PublishScheduled = false;
+  MonoTime StartedAt = MonoClock::now();
+  /// Processes that were asked for records, and that are yet to be asked.
+  std::set<http::Endpoint> Asked;
+  std::deque<http::Endpoint> ToAsk;
+  /// Processes that have gone since the records were last compared.
+  std::map<http::Endpoint, HashedProcess> Gone;
+  MonoTime GoneAt{};
+  /// Records that are being compared, and the processes before and after.
+  std::deque<KnownOrigin> ToCompare;
+  std::vector<HashedProcess> Before;
+  std::vector<HashedProcess> After;
+  /// Processes that have asked for records.
+  std::map<http::Endpoint, HashedProcess> Newcomers;
+  HandoverQueue Handovers;
+  boost::asio::steady_timer HandoverTimer;
+  bool HandoverScheduled = false;
   std::map<uint64_t, std::shared_ptr<PendingQuery>> Pending;
   uint64_t NextQuery = 0;
 };
--- a/Tests/Load/StreamOriginsScaleTest.cpp
+++ b/Tests/Load/StreamOriginsScaleTest.cpp
@@ -1,3 +1,5 @@
+#include "Peers/OriginHandover.h"
+#include "StandIns/Placement/HandoverSimulation.h"
 #include "StandIns/Placement/OriginSimulation.h"
 
 #include <catch2/catch.hpp>
@@ -22,6 +24,7 @@
 
 /// Target of all control traffic of a process.
 constexpr double TargetBytesPerSecond = 7'000;
+constexpr double MaxDatagramBytes = 1'500;
 
 } // namespace
 
@@ -68,3 +71,43 @@
     CHECK(rate * bytes < TargetBytesPerSecond);
   }
 }
+
+// The share of taken-up streams that goes on has to be at least half that of
+// new streams.
+TEST_CASE("versions are found after two waves of deaths in any fleet") {
+  struct Load {
+    size_t Processes;
+    double StreamsPerSecond;
+  };
+  for (const Load &it : {Load{6, 84}, Load{60, 1'000}, Load{350, 14'000}}) {
+    unsigned streams = 0;
+    unsigned found = 0;
+    unsigned foundWithout = 0;
+    HandoverOutcome out;
+    // A few processes die in many ways.
+    for (uint64_t seed = 1; seed <= (it.Processes < 100 ? 20 : 1); ++seed) {
+      HandoverSimulationOptions o;
+      o.Processes = it.Processes;
+      o.StreamsPerSecond = it.StreamsPerSecond;
+      o.Seed = seed;
+      if (it.Processes > 100)
+        o.StreamTime = Milliseconds(2'000);
+      out = simulateHandovers(o);
+      streams += out.Streams;
+      found += out.Found;
+      o.HandsOver = false;
+      foundWithout += simulateHandovers(o).Found;
+      CHECK(out.MaxBytesPerSecond <= peers::HandoverQueue::BurstBytes +
+                                         peers::HandoverQueue::BytesPerSecond +
+                                         MaxDatagramBytes);
+    }
+    std::printf(
+        "handovers: %3zu processes, found %.3f, without %.3f; a process "
+        "%.0f datagrams, %.0f B, at most %.0f B in a second\n",
+        it.Processes, double(found) / streams, double(foundWithout) / streams,
+        out.MeanDatagrams, out.MeanBytes, out.MaxBytesPerSecond);
+    INFO(it.Processes << " processes");
+    CHECK(double(found) / streams >= 0.5);
+    CHECK(found >= foundWithout);
+  }
+}
--- a/Tests/Peers/StreamOriginsTest.cpp
+++ b/Tests/Peers/StreamOriginsTest.cpp
@@ -25,6 +25,10 @@
 /// Records are given to new holders within this time: less than lies between
 /// two waves of deaths, in which the deaths must be noticed, too.
 constexpr Milliseconds HandoverLimit{600};
+/// Processes have asked all others for records within this time.
+constexpr Milliseconds StartLimit{200};
+/// Headers of IP and UDP.
+constexpr size_t HeaderBytes = 28;
 
 std::vector<RunningProcess> makeProcesses(size_t n, size_t domains) {
   std::vector<RunningProcess> out;
@@ -42,13 +46,26 @@
     messages::LoadShare Message;
 
     bool isRecord() const {
-      return Message.origins().query() == 0 && Message.origins().answer() == 0;
+      const messages::StreamOrigins &origins = Message.origins();
+      return origins.query() == 0 && origins.answer() == 0 &&
+             !origins.wants_records() && !isHandover();
     }
+    bool isHandover() const { return Message.origins().ages_s_size() > 0; }
+    size_t bytes() const { return Message.ByteSizeLong() + HeaderBytes; }
   };
 
   explicit Network(size_t n) : Processes(makeProcesses(n, 3)) {
     for (const RunningProcess &it : Processes)
       Origins.push_back(start(it.Address));
+    // Each asks all others for records.
+    while (Sent.size() < n * (n - 1)) {
+      Io.restart();
+      Io.run_one_for(StartLimit);
+    }
+    Io.restart();
+    Io.poll();
+    Io.restart();
+    Sent.clear();
   }
 
   std::unique_ptr<StreamOrigins> start(const http::Endpoint &from) {
@@ -503,6 +520,105 @@
     CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
 }
 
+TEST_CASE("a process that starts asks each other one for records once") {
+  Network f(40);
+  f.restart(0);
+  f.runFor(StartLimit * 2);
+  f.Origins[0]->setProcesses({f.Processes[0]});
+  f.Origins[0]->setProcesses(f.Processes);
+  f.runFor(StartLimit);
+  CHECK(f.Sent.size() == 39);
+}
+
+TEST_CASE("streams of a service with one version are given to nobody") {
+  Network f(6);
+  for (int i = 0; i < 100; ++i)
+    f.Origins[0]->record("model", std::to_string(i), "v1", false);
+  f.restart(1);
+  f.runFor(StartLimit);
+  f.kill({2, 3});
+  f.runFor(HandoverLimit);
+  CHECK(std::none_of(f.Sent.begin(), f.Sent.end(),
+                     [](const auto &it) { return it.isHandover(); }));
+}
+
+TEST_CASE("streams that callers no longer take up are given to nobody") {
+  OriginTable table;
+  table.putHeld({1, 7}, Start);
+  table.putHeld({2, 7}, Start + std::chrono::seconds(20));
+  MonoTime now = Start + std::chrono::seconds(31);
+  std::vector<KnownOrigin> records =
+      table.recentRecords(std::chrono::seconds(30), now);
+  REQUIRE(records.size() == 1);
+  CHECK(records[0].Record == OriginRecord{2, 7});
+  // A record keeps its age when it is given on.
+  OriginTable other;
+  for (const KnownOrigin &it :
+       decodeHandover(encodeHandover(records, now), now))
+    other.putHandedOver(it, now);
+  CHECK(other.find(2, now) == 7U);
+  now += std::chrono::seconds(20);
+  CHECK(other.recentRecords(std::chrono::seconds(30), now).empty());
+}
+
+TEST_CASE("records are given to new holders only, by those that have them") {
+  std::vector<HashedProcess> all = hashProcesses(makeProcesses(60, 5));
+  for (uint64_t stream = 0; stream < 500; ++stream) {
+    std::vector<http::Endpoint> holders = chooseHolders(stream, all, {});
+    std::vector<HashedProcess> after = all;
+    std::erase_if(after, [&](const HashedProcess &it) {
+      return it.Process.Address == holders[0];
+    });
+    KnownOrigin record{{stream, 7}, Start};
+    std::vector<Handover> out =
+        chooseHandovers({&record, 1}, all, after, holders[1]);
+    std::vector<http::Endpoint> now = chooseHolders(stream, after, {});
+    REQUIRE(out.size() >= 1);
+    for (const Handover &it : out) {
+      CHECK(std::find(holders.begin(), holders.begin() + HoldersPerStream,
+                      it.To) == holders.begin() + HoldersPerStream);
+      CHECK(std::find(now.begin(), now.begin() + HoldersPerStream, it.To) !=
+            now.begin() + HoldersPerStream);
+    }
+    CHECK(chooseHandovers({&record, 1}, all, all, holders[1]).empty());
+    for (const HashedProcess &it : all) {
+      bool holds =
+          std::find(holders.begin(), holders.begin() + HoldersPerStream,
+                    it.Process.Address) != holders.begin() + HoldersPerStream;
+      CHECK(chooseRecordsFor(it, {&record, 1}, all).size() == (holds ? 1 : 0));
+    }
+  }
+}
+
+TEST_CASE("a mass death and restarts cause no storm of records") {
+  Network f(40);
+  // Only process 0 runs.
+  for (size_t i = 1; i < 40; ++i)
+    f.Dead.insert(i);
+  for (uint32_t i = 0; i < 20'000; i += 100) {
+    std::vector<OriginRecord> records;
+    for (uint32_t k = i; k < i + 100; ++k)
+      records.push_back({k * 0x9E3779B97F4A7C15, 7});
+    f.Origins[0]->handle(encodeOrigins(records), f.Processes[1].Address);
+  }
+  std::vector<RunningProcess> running(f.Processes.begin(),
+                                      f.Processes.begin() + 16);
+  f.Origins[0]->setProcesses(running);
+  MonoTime begin = MonoClock::now();
+  for (size_t i = 1; i < 40; ++i) {
+    f.Origins[0]->handle(encodeRecordsRequest("domain-0"),
+                         f.Processes[i].Address);
+    f.runFor(Milliseconds(50));
+  }
+  double bytes = 0;
+  for (const Network::Datagram &it : f.Sent)
+    bytes += static_cast<double>(it.bytes());
+  double seconds = toSeconds(MonoClock::now() - begin);
+  CHECK(f.Sent.size() > 10);
+  // A burst of five seconds' bytes, and then the target of a process.
+  CHECK(bytes <= 7'000 * (5 + seconds) + 1'500);
+}
+
 TEST_CASE("datagrams of other kinds are left to others") {
   Network f(2);
   messages::LoadShare report;
