Failing test: a crash that is not of the trial delays the next one

Measured on: isRejected is true 4 s after the trial, 2 s after a crash at a server to which the trial was not sent; the test fails.

--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -121,6 +121,16 @@
   CHECK_FALSE(isRejected(evidence, {9}, 0, 30));
 }
 
+// A request that was sent before its part was blocked may crash later.
+TEST_CASE("a crash that is not of the trial does not delay the next one") {
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
+  evidence[9].Trials = 1;
+  evidence[9].TriedAt = at(20);
+  evidence[9].Crashes.push_back({99, at(22), false});
+  CHECK(isRejected(evidence, {9}, 0, 22));
+  CHECK_FALSE(isRejected(evidence, {9}, 0, 24));
+}
+
 TEST_CASE("evidence is kept while requests are rejected because of it") {
   EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].LastUseAt = at(400);
