Failing tests: a stopping server drops requests that have arrived

What callers saw: status 0 while a daemon stopped (/status/ and /file/, PromiseTest). Neither the daemon's lines nor a server's history names them. Measured on: a request whose connection waits to be accepted gets no response; a request of which a part was read is not among the open ones, for which the stop waits.

--- a/Tests/Http/ServerTest.cpp
+++ b/Tests/Http/ServerTest.cpp
@@ -59,3 +59,70 @@
   CHECK(isServedAfterIdleTime(Milliseconds(5'000)));
   CHECK_FALSE(isServedAfterIdleTime(ShortIdleTimeout));
 }
+
+namespace {
+
+/// A server and one connection to it that the server has not accepted yet.
+struct WaitingConnection {
+  IoContext Io{1};
+  http::Server Server{Io, options(),
+                      [](http::Request &, http::ResponseWriter &out) {
+                        return out.send(http::Response());
+                      }};
+  tcp::socket Socket{Io};
+
+  WaitingConnection() {
+    Server.start();
+    Io.poll();
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Server.port()});
+  }
+
+  static http::ServerOptions options() {
+    http::ServerOptions o;
+    o.Listen = {"127.0.0.1", 0};
+    return o;
+  }
+
+  void send(const std::string &bytes) {
+    boost::asio::write(Socket, boost::asio::buffer(bytes));
+  }
+
+  void runFor(Milliseconds t) {
+    Io.restart();
+    Io.run_for(t);
+  }
+
+  bool hasResponse() { return Socket.available() > 0; }
+};
+
+constexpr Milliseconds ShortTime{50};
+
+} // namespace
+
+// Seen as callers without a response while a daemon stops.
+TEST_CASE(
+    "a request that arrived before the listening socket closes is served") {
+  WaitingConnection c;
+  c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  c.Server.stopAccepting();
+  c.runFor(ShortTime);
+  CHECK(c.hasResponse());
+}
+
+TEST_CASE("a request that is being received counts as open") {
+  WaitingConnection c;
+  c.send("GET / HTTP/1.1\r\nHo");
+  c.runFor(ShortTime);
+  CHECK(c.Server.openRequests() == 1);
+  c.send("st: h\r\n\r\n");
+  c.runFor(ShortTime);
+  CHECK(c.hasResponse());
+  CHECK(c.Server.openRequests() == 0);
+}
+
+TEST_CASE("connections without a request do not count as open") {
+  WaitingConnection c;
+  c.Server.stopAccepting();
+  c.runFor(ShortTime);
+  CHECK(c.Server.openRequests() == 0);
+}
