Failing test: two allocators of ports give out the same ones

PortAllocator takes the code of freeEndpoint without a change of what it does, so that a test can play two processes.

--- a/StandIns/Deployment/Deployment.cpp
+++ b/StandIns/Deployment/Deployment.cpp
@@ -4,14 +4,13 @@
 #include "Sardineford/Http/Client.h"
 #include "Sardineford/Membership/HttpInstanceList.h"
 #include "Sardineford/Store/HttpObjectStore.h"
+#include "StandIns/Deployment/PortAllocator.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/json.hpp>
 
-#include <atomic>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -67,26 +66,10 @@
 }
 
 http::Endpoint freeEndpoint() {
-  // Ports below the system's range of ephemeral ports, so that no outgoing
-  // connection uses the port of a process while it restarts.
-  static std::atomic<uint32_t> next{10'000 + static_cast<uint32_t>(getpid()) *
-                                                 131 % 20'000};
-  namespace asio = boost::asio;
-  asio::io_context io;
-  for (;;) {
-    auto port = static_cast<uint16_t>(10'000 + next++ % 22'000);
-    asio::ip::tcp::acceptor probe(io);
-    boost::system::error_code ec;
-    probe.open(asio::ip::tcp::v4());
-    probe.bind({asio::ip::make_address(Loopback), port}, ec);
-    // Some processes also bind the port for UDP, which the TCP probe does not
-    // detect.
-    asio::ip::udp::socket datagrams(io, asio::ip::udp::v4());
-    if (!ec)
-      datagrams.bind({asio::ip::make_address(Loopback), port}, ec);
-    if (!ec)
-      return {Loopback, port};
-  }
+  static std::mutex mutex;
+  static PortAllocator allocator(static_cast<uint32_t>(getpid()));
+  std::lock_guard lock(mutex);
+  return allocator.next();
 }
 
 http::Response callBlocking(const http::Endpoint &to, http::Request request,
