Failing test: a change that the store drops is not noticed beside others

What callers may see: a server that a process does not know, or that has left, until the store is quiet for long enough. Measured on: a watcher whose store drops one change, while another object changes with each watch, does not know it after 2.5 s beside a peer that reports it; the test fails. The opposite harm, reads beside a peer that knows the same changes earlier or later, has a test that passes.

--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -1,4 +1,5 @@
 #include "Fleet/FleetWatch.h"
+#include "Fleet/KnownObjects.h"
 
 #include "Sardineford/Store/Version.h"
 
@@ -25,6 +26,8 @@
   struct Step {
     std::optional<Failure> Fails;
     std::vector<Object> Objects;
+    /// The watch returns this long after its call.
+    Milliseconds Delay{0};
   };
 
   std::map<std::string, std::vector<Object>> Lists;
@@ -56,6 +59,8 @@
       co_await sleepFor(std::chrono::seconds(60));
     Step s = Watches[kind].front();
     Watches[kind].pop_front();
+    if (s.Delay > Milliseconds(0))
+      co_await sleepFor(s.Delay);
     if (s.Fails)
       throw StoreError(*s.Fails, "scripted");
     Changes out;
@@ -545,3 +550,51 @@
   }
   CHECK(t.version() == 5);
 }
+
+namespace {
+
+/// A process whose server "a" changes again and again, and a peer that knows
+/// the same changes, each a report later or earlier, and perhaps server "b".
+struct ChangingFixture : Fixture {
+  KnownObjects Peer;
+
+  ChangingFixture() {
+    Store.Lists["servers"] = {{"servers", "a", 3, "model"}};
+    for (uint64_t i = 0; i < 40; ++i)
+      Store.Watches["servers"].push_back({std::nullopt,
+                                          {{"servers", "a", 20 + i, "model"}},
+                                          Milliseconds(150)});
+    Peer.update(Store.Lists["servers"][0]);
+    Watch.start();
+    runFor(Milliseconds(20));
+  }
+
+  /// Runs while the peer reports a version that this process had or will have.
+  void runBesidePeer(int reports) {
+    for (int i = 0; i < reports; ++i) {
+      uint64_t known = Watch.view().Servers.NewestVersion;
+      Peer.update({"servers", "a", i % 2 == 0 ? known : known + 1, "model"});
+      StoreView v = Watch.view();
+      v.Servers.Digest = Peer.view().Digest;
+      v.Servers.NewestVersion = Peer.view().NewestVersion;
+      Watch.checkPeerView(v);
+      runFor(Milliseconds(100));
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("a dropped change is noticed while other changes keep coming") {
+  ChangingFixture t;
+  t.Peer.update({"servers", "b", 11, "model"});
+  t.Store.Lists["servers"].push_back({"servers", "b", 11, "model"});
+  t.runBesidePeer(25);
+  CHECK(t.Servers.ofService("model").size() == 2);
+}
+
+TEST_CASE("changes that peers know earlier or later cause no read") {
+  ChangingFixture t;
+  t.runBesidePeer(50);
+  CHECK(t.Store.ListCalls["servers"] == 1);
+}
