Delay the trials of a suspect only by crashes under a trial

Cause: mayTry took each crash after a trial as the trial's, also that of a request that another process had sent before it knew of the part. Ruled out: to count only crashes within TrialTime (1 s) of the trial. A trial that waits for longer at its engine and then crashes it would count as none, so that a crashing part would be tried again each second; the opposite harm has a test (a trial that waits for long before it crashes its engine counts). Why it works: the process that makes a trial knows whose answer broke.

--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -89,7 +89,7 @@
     bool isCut = !e.TimedOut && !context.CallerGone &&
                  e.Stage != http::TransportStage::NothingSent;
     if (isCut)
-      recordBrokenAnswer(shared, requestSuspect(context), server);
+      recordBrokenAnswer(shared, context, requestSuspect(context), server);
   }
   Seconds duration = MonoClock::now() - start;
   if (handle) {
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -281,7 +281,8 @@
     isCut = !e.TimedOut && !context.CallerGone;
   }
   if (isCut && !attempt.IsSound)
-    recordBrokenAnswer(shared, suspectsOf(context), attempt.Plan.Server);
+    recordBrokenAnswer(shared, context, suspectsOf(context),
+                       attempt.Plan.Server);
   if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
     server.Health.recordSuccess(MonoClock::now());
     attempt.WasSilent = false;
@@ -292,8 +293,8 @@
                      attempt.TimeToFirstEvent);
     server.Health.recordSuccess(MonoClock::now());
     if (attempt.Forwards && !attempt.IsSound)
-      recordShortAnswer(shared, suspectsOf(context), attempt.Plan.Server,
-                        attempt.RespondedAt);
+      recordShortAnswer(shared, context, suspectsOf(context),
+                        attempt.Plan.Server, attempt.RespondedAt);
   }
   co_return result;
 }
