--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -17,7 +17,7 @@
 /// Delay of the next trial after one that has crashed its server, by the number
 /// of trials.
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
-    std::chrono::seconds(1), std::chrono::seconds(4), std::chrono::minutes(5),
+    std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
 /// The same for a request without a successful response so far.
 constexpr std::array<std::chrono::seconds, 3> RequestTrialDelays = {
--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -117,8 +117,8 @@
   CHECK(isRejected(evidence, {9}, 0, 20));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 21));
   evidence[9].Crashes.push_back({99, at(20), false, true});
-  CHECK(isRejected(evidence, {9}, 0, 23));
-  CHECK_FALSE(isRejected(evidence, {9}, 0, 24));
+  CHECK(isRejected(evidence, {9}, 0, 29));
+  CHECK_FALSE(isRejected(evidence, {9}, 0, 30));
 }
 
 TEST_CASE("a trial that waits for long before it crashes its engine counts") {
