Serve what has arrived before a stopping process closes its sockets

What callers saw: status 0 from a stopping daemon (/status/, /file/); neither its lines nor a server's history names the requests. Cause: stopAccepting closed the listening socket, which resets the connections that wait to be accepted; a request of which a part had been read was not among the open ones; and the loop ended at once, with what was accepted last unread. Ruled out: idle kept connections. Why it works: waiting connections are accepted before the close, requests count from their first byte, and the process ends when none has been open for 100 ms, as Node does. It still ends within the grace time.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -29,6 +29,9 @@
 /// Part of the stop grace time that is reserved for the exit of the process.
 constexpr Milliseconds ExitReserve{400};
 constexpr Milliseconds DrainPollInterval{20};
+/// The process exits when no request has been open for this time. A request of
+/// a connection that was accepted last may still be on its way.
+constexpr Milliseconds IdleTimeBeforeExit{100};
 constexpr Milliseconds RetryAfterNotReady{500};
 /// Short, because other processes can accept the request immediately.
 constexpr Milliseconds RetryAfterStopping{50};
@@ -403,6 +406,13 @@
   while (MonoClock::now() < end && RequestServer->openRequests() > 0)
     co_await sleepFor(DrainPollInterval);
   RequestServer->stopAccepting();
+  MonoTime idleSince = MonoClock::now();
+  while (MonoClock::now() < end &&
+         MonoClock::now() - idleSince < IdleTimeBeforeExit) {
+    co_await sleepFor(DrainPollInterval);
+    if (RequestServer->openRequests() > 0)
+      idleSince = MonoClock::now();
+  }
   log::event(Category::Gateway, log::Level::Info, "stopped",
              {{"open_requests", RequestServer->openRequests()},
               {"took_ms", toMilliseconds(MonoClock::now() - start).count()}});
--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -87,6 +87,18 @@
   bool Ended = false;
 };
 
+/// Counts a request while it is received and handled.
+class OpenRequest {
+public:
+  explicit OpenRequest(size_t &count) : Count(count) { ++Count; }
+  ~OpenRequest() { --Count; }
+  OpenRequest(const OpenRequest &) = delete;
+  OpenRequest &operator=(const OpenRequest &) = delete;
+
+private:
+  size_t &Count;
+};
+
 class Writer : public ResponseWriter {
 public:
   /// shouldKeepAlive is called when the response head is sent and returns
@@ -227,6 +239,25 @@
     }
   }
 
+  /// Accepts the connections that wait, since their requests may have arrived
+  /// already: a closed listening socket resets them.
+  void acceptWaiting() {
+    beast::error_code ec;
+    Acceptor.non_blocking(true, ec);
+    while (!ec) {
+      tcp::socket socket(Io);
+      Acceptor.accept(socket, ec);
+      if (!ec)
+        asio::co_spawn(Io, serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  void close() {
+    Draining = true;
+    beast::error_code ec;
+    Acceptor.close(ec);
+  }
+
   Awaitable<void> serve(tcp::socket socket) {
     auto self = shared_from_this();
     beast::error_code ec;
@@ -290,6 +321,7 @@
   Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf) {
     if (!co_await waitForRequest(stream, buf))
       co_return false;
+    OpenRequest open(OpenRequests);
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
     parser.body_limit(Options.MaxBodyBytes);
@@ -314,15 +346,12 @@
     Writer writer(stream, Options,
                   [this, keepAlive] { return keepAlive && !Draining; });
     Request request = toRequest(parser.release());
-    ++OpenRequests;
     try {
       co_await Handle(request, writer);
     } catch (...) {
-      --OpenRequests;
       writer.stopDisconnectWatch();
       throw;
     }
-    --OpenRequests;
     writer.stopDisconnectWatch();
     co_return writer.mayServeNextRequest();
   }
@@ -332,7 +361,7 @@
     : Shared(
           std::make_shared<Impl>(io, std::move(options), std::move(handler))) {}
 
-Server::~Server() { stopAccepting(); }
+Server::~Server() { Shared->close(); }
 
 void Server::start() {
   Shared->bind();
@@ -350,9 +379,8 @@
 void Server::closeAfterResponses() { Shared->Draining = true; }
 
 void Server::stopAccepting() {
-  Shared->Draining = true;
-  beast::error_code ec;
-  Shared->Acceptor.close(ec);
+  Shared->acceptWaiting();
+  Shared->close();
 }
 
 size_t Server::openRequests() const { return Shared->OpenRequests; }
--- a/include/Sardineford/Http/Server.h
+++ b/include/Sardineford/Http/Server.h
@@ -61,9 +61,11 @@
   /// still accepted.
   void closeAfterResponses();
   /// Closes the listening socket and every connection after its next response.
-  /// Open requests are completed.
+  /// Connections that wait to be accepted are still accepted, and open requests
+  /// are completed.
   void stopAccepting();
-  /// Number of requests without a complete response.
+  /// Number of requests of which at least a part has been read, without a
+  /// complete response.
   size_t openRequests() const;
   /// Returns the port that the server is bound to.
   uint16_t port() const;
