Notice a dropped change while other changes keep coming

What callers may see: a server that a process does not know, or that has left, as long as the store keeps sending other changes. Cause: watchOnce resets the comparison with the peers at each watch call. Ruled out: not to reset. Peers that collect changes at other times are ahead or behind at nearly each report, so that all would read again and again. Why it works: processes that receive the same changes pass through the same states. A store that merges changes of one object into one event is not simulated: there a busy watcher may read more often than needed.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -63,13 +63,21 @@
 
 PeerComparison::Difference compareWithPeer(Feed &feed, const FeedView &peer,
                                            MonoTime now) {
+  std::vector<uint64_t> states = feed.Objects.takeStates();
+  states.push_back(feed.Objects.view().Digest);
+  // A peer without objects has just started.
+  if (peer.Digest != 0)
+    feed.Comparison.recordStates(states, peer, now);
   // A feed without a watch call in progress reads from the store soon anyway.
   if (feed.Lost || !feed.IsWatching)
     return PeerComparison::Difference::None;
-  return feed.Comparison.compare(feed.Objects.view(), peer, now,
-                                 feed.Duty.mustWatch(now)
-                                     ? PeerComparison::NewerDelay
-                                     : PublishedNewerDelay);
+  bool watches = feed.Duty.mustWatch(now);
+  PeerComparison::Difference found = feed.Comparison.compare(
+      feed.Objects.view(), peer, now,
+      watches ? PeerComparison::NewerDelay : PublishedNewerDelay);
+  bool hasMissed = found == PeerComparison::Difference::None && watches &&
+                   feed.Comparison.disagreesForLong(peer, now);
+  return hasMissed ? PeerComparison::Difference::Persistent : found;
 }
 
 } // namespace sardineford::fleet
--- a/Source/Fleet/KnownObjects.cpp
+++ b/Source/Fleet/KnownObjects.cpp
@@ -3,9 +3,27 @@
 #include "Sardineford/Common/Random.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sardineford::fleet {
 
+namespace {
+
+/// Bounds memory while no peer reports.
+constexpr size_t MaxStates = 1'024;
+
+} // namespace
+
+void KnownObjects::recordState() {
+  if (States.size() >= MaxStates)
+    States.erase(States.begin());
+  States.push_back(Digest);
+}
+
+std::vector<uint64_t> KnownObjects::takeStates() {
+  return std::exchange(States, {});
+}
+
 void KnownObjects::update(const store::Object &o) {
   auto it = Versions.find(o.Name);
   if (it != Versions.end()) {
@@ -48,6 +66,7 @@
     if (!isNews(it, changes.Revision))
       continue;
     update(it);
+    recordState();
     out.push_back(it);
   }
   // Only after the last change: the object may have been created again.
@@ -73,9 +92,12 @@
 }
 
 void KnownObjects::replaceAll(const store::ObjectList &list) {
+  std::vector<uint64_t> states = takeStates();
   *this = KnownObjects();
+  States = std::move(states);
   for (const store::Object &it : list.Objects)
     update(it);
+  recordState();
 }
 
 FeedView KnownObjects::view() const {
--- a/Source/Fleet/KnownObjects.h
+++ b/Source/Fleet/KnownObjects.h
@@ -25,14 +25,19 @@
   std::vector<store::Object> changesTo(const store::ObjectList &list) const;
   void replaceAll(const store::ObjectList &list);
   FeedView view() const;
+  /// Returns the digests of the states since the last call, oldest first. All
+  /// processes that receive the same changes pass through the same states.
+  std::vector<uint64_t> takeStates();
 
 private:
   bool isNews(const store::Object &o, uint64_t revision) const;
+  void recordState();
 
   std::map<std::string, uint64_t> Versions;
   /// The same versions, sorted; the store assigns each version only once.
   std::set<uint64_t> SortedVersions;
   uint64_t Digest = 0;
+  std::vector<uint64_t> States;
   /// Revisions of the removals since the last list, by name: datagrams may
   /// overtake each other.
   std::map<std::string, uint64_t> Removals;
