Give each stream of the stand-in callers its own last prompt part

The callers gave all prompts the same last part, and a stream that was taken up another shared part by chance. Ruled out: take-ups that several processes send to one engine before they hear of each other. The 17 came from one process, which counts its own at once. The checks and bounds of all tests are as they were.

--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -123,10 +123,11 @@
     out.Outcome = DaemonCallOutcome::Incorrect;
 }
 
-} // namespace
-
-http::Request makeCall(const std::string &id, const std::string &route,
-                       Milliseconds deadline, std::string sharedParts) {
+/// Builds a request. `promptId` is that of the first request for a stream,
+/// which decides on its prompt. The last part of a prompt is its own.
+http::Request makeRequest(const std::string &id, const std::string &promptId,
+                          const std::string &route, Milliseconds deadline,
+                          std::string sharedParts) {
   http::Request r;
   r.Method = route.starts_with(RepeatableRoute) ? "GET" : "POST";
   r.Target = route + "1";
@@ -142,11 +143,20 @@
   r.Fields.add(std::string(names::Model), "m");
   r.Fields.add(std::string(names::TokenCounts), "900,80");
   if (sharedParts.empty())
-    sharedParts = std::to_string(hash64(id) % SharedPrompts) + ":500,91bd:300";
-  r.Fields.add(std::string(names::PromptPrefix), sharedParts + ",e4:100");
+    sharedParts =
+        std::to_string(hash64(promptId) % SharedPrompts) + ":500,91bd:300";
+  r.Fields.add(std::string(names::PromptPrefix),
+               sharedParts + "," + promptId + ":100");
   return r;
 }
 
+} // namespace
+
+http::Request makeCall(const std::string &id, const std::string &route,
+                       Milliseconds deadline, std::string sharedParts) {
+  return makeRequest(id, id, route, deadline, std::move(sharedParts));
+}
+
 Awaitable<CallResult> callStream(http::Client &client,
                                  std::vector<http::Endpoint> daemons,
                                  std::string route, Milliseconds deadline,
@@ -157,12 +167,16 @@
   MonoTime start = MonoClock::now();
   MonoTime end = start + deadline;
   bool isFirst = true;
+  std::string promptId;
   for (const http::Endpoint &it : daemons) {
     Milliseconds remaining = toMilliseconds(end - MonoClock::now());
     if (remaining <= Milliseconds(0))
       break;
     std::string requestId = makeId();
-    http::Request request = makeCall(requestId, route, remaining, sharedParts);
+    if (promptId.empty())
+      promptId = requestId;
+    http::Request request =
+        makeRequest(requestId, promptId, route, remaining, sharedParts);
     uint64_t eventsBefore = s.Events;
     if (eventsBefore > 0) {
       request.Fields.add(std::string(ResumesHeader), s.Id);
