--- a/Tests/Http/ServerTest.cpp
+++ b/Tests/Http/ServerTest.cpp
@@ -95,7 +95,7 @@
   bool hasResponse() { return Socket.available() > 0; }
 };
 
-constexpr Milliseconds ShortTime{50};
+constexpr Milliseconds ShortTime{250};
 
 } // namespace
 
