Show that a repeated rejection is taken for the next request's

Callers of repeatable routes were told 503, "not run", for requests that a server had run, and such requests ran at more servers than maxAttempts allows.

The relay of the stand-ins repeats the last rejection of a connection at once, after 50 ms, after the next request, and in two parts; the stand-in of a backend server sheds each n-th request or health check, with or without the id of the request.

--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -159,7 +159,8 @@
                                             std::string body) const {
   http::Response r;
   r.Status = status;
-  r.Fields.add(std::string(names::RequestId), id);
+  if (!id.empty())
+    r.Fields.add(std::string(names::RequestId), id);
   r.Fields.add(std::string(names::ServerSeal), "stand-in");
   if (Options.Limit.PerSecond >= 0 &&
       isWithin(Options.Limit.From, Options.Limit.Length))
@@ -174,13 +175,18 @@
 }
 
 http::Response PlatformWorker::makeRejection(const std::string &id) const {
-  http::Response r = makeResponse(503, id, "");
+  http::Response r = makeResponse(503, Options.Sheds.HasId ? id : "", "");
   r.Fields.add(std::string(names::NotExecuted), "1");
   if (isWithin(Options.Rejects.From, Options.Rejects.Length))
     r.Fields.add("Retry-After", Options.Rejects.RetryAfter);
   return r;
 }
 
+bool PlatformWorker::shedsNext() {
+  ++ArrivalCount;
+  return Options.Sheds.Every > 0 && ArrivalCount % Options.Sheds.Every == 0;
+}
+
 bool PlatformWorker::isWithin(Milliseconds from, Milliseconds length) const {
   Milliseconds age = toMilliseconds(MonoClock::now() - StartedAt);
   return age >= from && age < from + length;
@@ -201,6 +207,10 @@
     co_return;
   }
   if (http::pathOf(request.Target) == HealthPath) {
+    if (shedsNext()) {
+      co_await out.send(makeRejection(id));
+      co_return;
+    }
     http::Response r = makeResponse(Draining ? 503 : 200, id, "");
     r.Fields.add(std::string(names::InstanceId), Options.Id);
     co_await out.send(std::move(r));
@@ -209,7 +219,7 @@
   recordEvent(id, "arrival");
   bool isPushedBack = !Options.Rejects.RetryAfter.empty() &&
                       isWithin(Options.Rejects.From, Options.Rejects.Length);
-  if (isPushedBack || Listener.openRequests() > Options.Slots) {
+  if (isPushedBack || shedsNext() || Listener.openRequests() > Options.Slots) {
     http::Response r = makeRejection(id);
     co_await out.send(std::move(r));
     co_return;
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -38,6 +38,14 @@
   Milliseconds Length{0};
 };
 
+/// Which requests and health checks the server rejects as if it were full.
+struct Shedding {
+  /// Rejects each n-th one; 0 to reject none.
+  unsigned Every = 0;
+  /// The rejections have the ids of their requests.
+  bool HasId = true;
+};
+
 struct PlatformWorkerOptions {
   std::string Id;
   std::string Service;
@@ -68,6 +76,7 @@
   /// entry in the store, say that it leaves; negative for never.
   Milliseconds LeavesAfter{-1};
   PushBack Rejects;
+  Shedding Sheds;
   /// File to which a line is appended for each event.
   std::string History;
 };
@@ -114,6 +123,8 @@
   http::Response makeResponse(unsigned status, const std::string &id,
                               std::string body) const;
   http::Response makeRejection(const std::string &id) const;
+  /// Returns whether the next request is rejected.
+  bool shedsNext();
   bool isWithin(Milliseconds from, Milliseconds length) const;
   void recordEvent(const std::string &id, const char *action);
 
@@ -127,6 +138,7 @@
   MonoTime StartedAt = MonoClock::now();
   bool Draining = false;
   uint64_t AttemptCount = 0;
+  uint64_t ArrivalCount = 0;
   /// Request ids of prefilled prompts, by KV handle.
   std::map<std::string, std::string> KvHandles;
 };
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -35,6 +35,9 @@
               "Retry-After of the rejections of all requests; empty for none");
 DEFINE_int32(reject_from_ms, 0, "time from the start until these, ms");
 DEFINE_int32(reject_ms, 0, "time for which all requests are rejected, ms");
+DEFINE_int32(shed_every, 0,
+             "reject each n-th request or health check as if full; 0 for none");
+DEFINE_bool(shed_with_id, true, "rejections have the id of the request");
 DEFINE_string(history, "", "file to append the history to");
 
 using namespace sardineford;
@@ -65,6 +68,7 @@
   o.LeavesAfter = Milliseconds(FLAGS_leaves_after_ms);
   o.Rejects = {FLAGS_retry_after, Milliseconds(FLAGS_reject_from_ms),
                Milliseconds(FLAGS_reject_ms)};
+  o.Sheds = {static_cast<unsigned>(FLAGS_shed_every), FLAGS_shed_with_id};
   o.History = FLAGS_history;
   standins::PlatformWorker worker(io, o);
   worker.start();
--- a/StandIns/Relay/Relay.cpp
+++ b/StandIns/Relay/Relay.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <utility>
 
 namespace sardineford::standins {
 
@@ -17,6 +19,9 @@
 namespace {
 
 constexpr size_t BufferBytes = size_t{16} * 1024;
+/// Delay of a rejection that is repeated later, and between its two parts.
+constexpr Milliseconds RepeatDelay{50};
+constexpr Milliseconds PartDelay{3};
 
 tcp::endpoint toNative(const http::Endpoint &e) {
   return {asio::ip::make_address(e.Host), e.Port};
@@ -30,6 +35,16 @@
   return text == "swallow_open" ? LinkMode::BlackholeOpen : LinkMode::Forward;
 }
 
+bool isRejection(std::string_view bytes) {
+  constexpr std::array<std::string_view, 3> Starts = {
+      "HTTP/1.1 503 ", "HTTP/1.1 421 ", "HTTP/1.1 429 "};
+  bool isWhole = bytes.ends_with("\r\n\r\n");
+  return isWhole &&
+         std::any_of(Starts.begin(), Starts.end(), [&](std::string_view it) {
+           return bytes.starts_with(it);
+         });
+}
+
 } // namespace
 
 struct Relay::Link {
@@ -39,6 +54,8 @@
   tcp::socket From;
   tcp::socket To;
   bool Blackholed = false;
+  /// Rejection to write again; empty for none.
+  std::string Rejection;
 
   void close() {
     boost::system::error_code ec;
@@ -85,6 +102,7 @@
   boost::system::error_code ignored;
   from.set_option(tcp::no_delay(true), ignored);
   to.set_option(tcp::no_delay(true), ignored);
+  ++NumConnections;
   auto link = std::make_shared<Link>(std::move(from), std::move(to));
   Links.push_back(link);
   spawn(Io, "relay-to-target", [this, link] { return copyBytes(link, true); });
@@ -111,12 +129,48 @@
         out, asio::buffer(buf.data(), n), asio::as_tuple(use_awaitable));
     if (failed)
       break;
+    if (!toTarget)
+      recordRejection(link, {buf.data(), n});
+    else if (Repeated == RepeatedRejection::AfterNextRequest ||
+             Repeated == RepeatedRejection::AfterNextRequestInParts)
+      repeatRejection(link, Milliseconds(0));
   }
   // A blackholed link keeps the connection of the other end open.
   if (!link->Blackholed && Mode != LinkMode::Blackhole)
     link->close();
 }
 
+void Relay::recordRejection(const LinkPtr &link, std::string_view bytes) {
+  if (Repeated == RepeatedRejection::Never || !isRejection(bytes))
+    return;
+  link->Rejection = bytes;
+  if (Repeated == RepeatedRejection::AtOnce)
+    repeatRejection(link, Milliseconds(0));
+  else if (Repeated == RepeatedRejection::Later)
+    repeatRejection(link, RepeatDelay);
+}
+
+void Relay::repeatRejection(LinkPtr link, Milliseconds delay) {
+  if (link->Rejection.empty())
+    return;
+  std::string bytes = std::exchange(link->Rejection, {});
+  size_t first = Repeated == RepeatedRejection::AfterNextRequestInParts
+                     ? bytes.size() / 2
+                     : bytes.size();
+  spawn(Io, "repeated-rejection",
+        [link, bytes, first, delay]() -> Awaitable<void> {
+          co_await sleepFor(delay);
+          co_await asio::async_write(link->From,
+                                     asio::buffer(bytes.data(), first),
+                                     asio::as_tuple(use_awaitable));
+          if (first == bytes.size())
+            co_return;
+          co_await sleepFor(PartDelay);
+          co_await asio::async_write(link->From, asio::buffer(bytes) + first,
+                                     asio::as_tuple(use_awaitable));
+        });
+}
+
 void Relay::setMode(LinkMode mode) {
   Mode = mode;
   for (const std::weak_ptr<Link> &it : Links) {
--- a/StandIns/Relay/Relay.h
+++ b/StandIns/Relay/Relay.h
@@ -23,6 +23,18 @@
   BlackholeToTarget,
 };
 
+/// When a relay writes the last rejection of a connection once more.
+enum class RepeatedRejection {
+  Never,
+  AtOnce,
+  /// After a delay that a kept connection outlives.
+  Later,
+  /// After it has forwarded the next request.
+  AfterNextRequest,
+  /// The same, in two parts.
+  AfterNextRequestInParts,
+};
+
 /// Forwards TCP connections, as a stand-in for a network link between two
 /// processes. POST with {"mode": ...} or {"delay_ms": ...} to the admin
 /// endpoint changes the simulated fault.
@@ -35,6 +47,10 @@
   void setMode(LinkMode mode);
   /// Sets the delay of each received block of bytes.
   void setDelay(Milliseconds d) { Delay = d; }
+  /// Repeats rejections without a body, as a faulty server does.
+  void setRepeatedRejections(RepeatedRejection when) { Repeated = when; }
+  /// Number of connections that were accepted.
+  size_t connections() const { return NumConnections; }
   /// Closes the connections that are open now; later connections work.
   void closeOpenConnections();
 
@@ -45,6 +61,10 @@
   Awaitable<void> acceptLoop();
   Awaitable<void> openLink(boost::asio::ip::tcp::socket from);
   Awaitable<void> copyBytes(LinkPtr link, bool toTarget);
+  /// Keeps a rejection that was forwarded to the caller.
+  void recordRejection(const LinkPtr &link, std::string_view bytes);
+  /// Writes the last rejection of the connection to the caller again.
+  void repeatRejection(LinkPtr link, Milliseconds delay);
   Awaitable<void> handle(http::Request &request, http::ResponseWriter &out);
 
   IoContext &Io;
@@ -54,6 +74,8 @@
   http::Server Admin;
   LinkMode Mode = LinkMode::Forward;
   Milliseconds Delay{0};
+  RepeatedRejection Repeated = RepeatedRejection::Never;
+  size_t NumConnections = 0;
   std::list<std::weak_ptr<Link>> Links;
 };
 
