Close connections whose responses could be taken for a later request's

Callers of repeatable routes were told 503, "not run", for requests that a server had run, and such requests ran at more servers than maxAttempts allows.

Cause: a response was matched to its request by its id alone. A rejection without an id was believed on any kept connection, so a copy of the rejection of an earlier request, health check or call that freed a handle counted for the request that came next. A prefill whose response belonged to another request left its connection open, with its own response still to come.

Ruled out by the tests: requests that may run once (each attempt has a new connection; none was rejected though it had run) and a copy with the id of its own request (a failure with ids was the rejection of a call without an id).

An id goes out on a connection once (needsNewConnection); a response that could be given to a later request, since it has no id or another one, ends its connection (mayReuseConnection). So whatever arrives on a kept connection without an id, or with the right one, is the response to what was sent. A rejection that has its id keeps its connection. The prefill looks at the id before the rejection.

--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/HealthCheck.h"
 
 #include "Gateway/ServerChoice.h"
+#include "Gateway/State.h"
 
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Http/Status.h"
@@ -39,7 +40,7 @@
   MonoTime start = MonoClock::now();
   try {
     http::Response r =
-        co_await shared.Client.call(entry.Address, std::move(request), options);
+        co_await callServer(shared, entry.Address, std::move(request), options);
     ResponseHead head = shared.Protocol.decodeHead(r);
     recordServerNotices(shared, entry, head, start);
     if (head.RespondingServer && *head.RespondingServer != entry.Id)
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -104,9 +104,9 @@
   attemptOptions.RemainingTime = context.remainingTime();
   http::Request request =
       shared.Protocol.makeAttemptRequest(context.Request, attemptOptions);
-  bool fresh = !context.Route->mayRepeat();
   http::CallOptions options =
-      attemptCallOptions(context, fresh, context.remainingTime());
+      attemptCallOptions(context, server->Entry.Address,
+                         context.Route->mayRepeat(), context.remainingTime());
   attempt->Patience = attemptPatience(shared, context);
   attempt->Index = context.Attempts.add(server->Entry.Id);
   attempt->StartedAt = MonoClock::now();
@@ -283,10 +283,13 @@
   progress.Open.erase(it);
   endAttempt(shared, context, *attempt, result.Outcome, result.Detail);
   progress.Cause = FailureCause::Failed;
+  // Whatever else arrives on the connection of an unusable response belongs to
+  // no request.
+  if (result.Outcome == AttemptOutcome::Unknown)
+    attempt->Response->close();
+  else
+    settleConnection(shared, context.Request.Id, *attempt->Response);
   if (result.Outcome != AttemptOutcome::Answered) {
-    // Whatever else arrives on the connection belongs to no request.
-    if (result.Outcome == AttemptOutcome::Unknown)
-      attempt->Response->close();
     progress.Detail = std::move(result.Detail);
     co_return false;
   }
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Gateway/ConnectionReuse.h"
 
 #include <algorithm>
 
@@ -70,13 +71,15 @@
   Shared.Tracking.recordChange(Server->Entry.Id);
 }
 
-http::CallOptions attemptCallOptions(RequestContext &context, bool fresh,
+http::CallOptions attemptCallOptions(RequestContext &context,
+                                     const http::Endpoint &to, bool mayRepeat,
                                      Milliseconds timeout) {
+  bool idSentBefore = !context.SentTo.insert(to).second;
   http::CallOptions options;
   options.ConnectTimeout = std::min(
       ConnectTimeout, std::max(context.remainingTime(), Milliseconds(1)));
   options.Timeout = std::max(timeout, Milliseconds(1));
-  options.FreshConnection = fresh;
+  options.FreshConnection = needsNewConnection({mayRepeat, idSentBefore});
   options.ResendOnStale = false;
   options.MaxIdleTime = MaxConnectionIdle;
   options.Abort = std::make_shared<http::AbortHandle>();
@@ -121,7 +124,7 @@
 std::string validateResponse(const ResponseHead &head,
                              const http::Response &response,
                              const std::string &requestId) {
-  if (head.RequestId && *head.RequestId != requestId)
+  if (isOfOtherRequest({requestId, head.RequestId, head.NotExecuted}))
     return "the response belongs to another request";
   if (head.NotExecuted)
     return "";
@@ -135,6 +138,37 @@
   return "";
 }
 
+void settleConnection(SharedState &shared, const std::string &requestId,
+                      http::ResponseStream &response) {
+  ResponseHead head = shared.Protocol.decodeHead(response.head());
+  Exchange exchange{requestId, head.RequestId, head.NotExecuted};
+  bool mayReuse = mayReuseConnection(exchange);
+  if (!mayReuse)
+    response.close();
+  if (head.NotExecuted)
+    shared.Metrics.count("sardineford_rejections_total",
+                         {{"connection", mayReuse ? "kept" : "closed"}});
+}
+
+Awaitable<http::Response> callServer(SharedState &shared, http::Endpoint to,
+                                     http::Request request,
+                                     http::CallOptions options) {
+  MonoTime deadline = MonoClock::now() + options.Timeout;
+  std::unique_ptr<http::ResponseStream> response = co_await shared.Client.open(
+      std::move(to), std::move(request), std::move(options));
+  http::Response out = response->head();
+  for (;;) {
+    Milliseconds remaining = toMilliseconds(deadline - MonoClock::now());
+    std::string part =
+        co_await response->read(std::max(remaining, Milliseconds(1)));
+    if (part.empty())
+      break;
+    out.Body += part;
+  }
+  settleConnection(shared, "", *response);
+  co_return out;
+}
+
 void recordRejection(SharedState &shared, const fleet::ServerPtr &server,
                      const ResponseHead &head) {
   bool isOtherServer = head.Misdirected && head.RespondingServer &&
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -100,6 +100,8 @@
   uint64_t RepeatsHash = 0;
   /// Close the connections to the backend servers if the caller disconnects.
   std::vector<std::weak_ptr<http::AbortHandle>> Guards;
+  /// Addresses that the id of the request has been sent to.
+  std::set<http::Endpoint> SentTo;
   bool CallerGone = false;
   /// Blocked suspect that the next attempt tries.
   std::optional<fleet::SuspectKey> TriedSuspect;
@@ -173,9 +175,11 @@
   double PromptTokens;
 };
 
-/// Returns the options of the HTTP call of one attempt. The call is never
-/// resent on a stale connection, so that it sends the request at most once.
-http::CallOptions attemptCallOptions(RequestContext &context, bool fresh,
+/// Returns the options of the HTTP call of one attempt, and records its
+/// address. The call is never resent on a stale connection, so that it sends
+/// the request at most once.
+http::CallOptions attemptCallOptions(RequestContext &context,
+                                     const http::Endpoint &to, bool mayRepeat,
                                      Milliseconds timeout);
 
 /// Returns why the request may not be attempted at another backend server now,
@@ -192,6 +196,17 @@
                              const http::Response &response,
                              const std::string &requestId);
 
+/// Closes the connection of a complete response if a copy of the response could
+/// be taken for that of a later request.
+void settleConnection(SharedState &shared, const std::string &requestId,
+                      http::ResponseStream &response);
+
+/// Sends a call of this process to a backend server and reads the complete
+/// response.
+Awaitable<http::Response> callServer(SharedState &shared, http::Endpoint to,
+                                     http::Request request,
+                                     http::CallOptions options);
+
 /// Records a rejection by a server. A rejection with a time says nothing
 /// of the server's health. If another server responds at its address, removes
 /// the server instead.
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -56,7 +56,8 @@
         [&shared, engine = handle.Engine,
          request = std::move(request)]() -> Awaitable<void> {
           try {
-            co_await shared.Client.call(engine, request);
+            http::CallOptions options;
+            co_await callServer(shared, engine, request, std::move(options));
           } catch (const http::TransportError &e) {
             log::debug(log::Category::Gateway, "freeing a KV handle failed: {}",
                        e.what());
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/Stream.h"
 #include "Sardineford/Admission/StreamAdmission.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Gateway/ConnectionReuse.h"
 #include "Sardineford/Http/Status.h"
 
 #include <algorithm>
@@ -46,7 +47,8 @@
   Milliseconds timeout = std::max(
       MinFirstEventTimeout, toMilliseconds(estimate * FirstEventTimeoutFactor));
   timeout = std::min(timeout, context.remainingTime());
-  http::CallOptions options = attemptCallOptions(context, false, timeout);
+  http::CallOptions options =
+      attemptCallOptions(context, server->Entry.Address, true, timeout);
   MonoTime start = MonoClock::now();
   std::optional<KvHandle> handle;
   AttemptOutcome outcome = AttemptOutcome::Unknown;
@@ -68,13 +70,18 @@
     http::Response r =
         co_await readWhole(*response, ready ? timeout : http::ReadyTimeout);
     ResponseHead head = shared.Protocol.decodeHead(r);
+    settleConnection(shared, context.Request.Id, *response);
     recordServerNotices(shared, server->Entry, head, start);
-    if (head.NotExecuted) {
+    if (isOfOtherRequest(
+            {context.Request.Id, head.RequestId, head.NotExecuted})) {
+      detail = "the response belongs to another request";
+      server->Health.recordFailure(fleet::FailureKind::Broken,
+                                   MonoClock::now());
+    } else if (head.NotExecuted) {
       outcome = AttemptOutcome::NotExecuted;
       detail = "rejected with status " + std::to_string(r.Status);
       recordRejection(shared, server, head);
-    } else if (r.Status == http::StatusOk &&
-               (!head.RequestId || *head.RequestId == context.Request.Id)) {
+    } else if (r.Status == http::StatusOk) {
       handle = shared.Protocol.decodeHandle(server->Entry.Address, r.Body);
       outcome = AttemptOutcome::Answered;
     }
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -240,8 +240,9 @@
     attemptOptions.ResumeAfter = progress.Events.lastId();
   http::Request request =
       shared.Protocol.makeAttemptRequest(context.Request, attemptOptions);
-  http::CallOptions options = attemptCallOptions(
-      context, !context.Route->mayRepeat(), context.remainingTime());
+  http::CallOptions options =
+      attemptCallOptions(context, server->Entry.Address,
+                         context.Route->mayRepeat(), context.remainingTime());
   attempt->Patience = firstEventPatience(context, attempt->Plan);
   attempt->Index = context.Attempts.add(server->Entry.Id);
   attempt->StartedAt = MonoClock::now();
@@ -280,6 +281,9 @@
     recordTransportFault(context, server, e);
     isCut = !e.TimedOut && !context.CallerGone;
   }
+  if (result == StreamAttemptResult::Complete ||
+      result == StreamAttemptResult::NotExecuted)
+    settleConnection(shared, context.Request.Id, *attempt.Response);
   if (isCut && !attempt.IsSound)
     recordBrokenAnswer(shared, suspectsOf(context), attempt.Plan.Server);
   if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
