Show that a repeated rejection closes its server again

A server that rejects with Retry-After is left alone for that time. With a server that writes its last rejection again after the next request, the process closes it once more by the copy, although the copy has the id of another request: sardineford_servers_closed_total rises from 1 to 2 (and from 2 to 3) in two of two runs after the rejections have ended.

--- a/Tests/Process/RepeatedRejectionTest.cpp
+++ b/Tests/Process/RepeatedRejectionTest.cpp
@@ -144,6 +144,68 @@
   checkPromises(true);
 }
 
+TEST_CASE("a repeated rejection does not close its server again", "[process]") {
+  constexpr Milliseconds RejectFrom{7'000};
+  constexpr Milliseconds RejectTime{300};
+  // Longer than the delays of the deployment's start, shorter than connections
+  // stay idle.
+  constexpr Milliseconds RetryAfter{1'000};
+  IoContext io(1);
+  PlatformDeployment deployment(io, {.Programs = SARDINEFORD_PROGRAMS,
+                                     .Folder = makeTemporaryFolder(),
+                                     .Daemons = 1,
+                                     .PlainServers = 2,
+                                     .RetrySlack = 100'000});
+  DeployedWorker &server = deployment.Workers.front();
+  server.Flags = {"--retry_after=1",
+                  "--reject_from_ms=" + std::to_string(RejectFrom.count()),
+                  "--reject_ms=" + std::to_string(RejectTime.count())};
+  server.Link->setRepeatedRejections(RepeatedRejection::AfterNextRequest);
+  http::Client client(io);
+  std::vector<double> closings;
+  auto readClosings = [&]() -> Awaitable<void> {
+    http::Request r;
+    r.Target = "/metrics";
+    http::Response metrics =
+        co_await client.call(deployment.Daemons[0].Metrics, r);
+    constexpr std::string_view Name =
+        "sardineford_servers_closed_total{service=\"desk\"} ";
+    size_t at = metrics.Body.find(Name);
+    closings.push_back(at == std::string::npos
+                           ? 0
+                           : std::stod(metrics.Body.substr(at + Name.size())));
+  };
+  MonoTime start = MonoClock::now();
+  size_t correct = 0;
+  size_t calls = 0;
+  auto callUntil = [&](Milliseconds end) -> Awaitable<void> {
+    while (MonoClock::now() < start + end) {
+      CallResult r = co_await callDaemon(
+          client, deployment.Daemons[0].HttpListen, RepeatableRoute, Deadline);
+      ++calls;
+      correct += r.Outcome == DaemonCallOutcome::Correct ? 1 : 0;
+      co_await sleepFor(CallerPause);
+    }
+  };
+  spawn(io, "case", [&]() -> Awaitable<void> {
+    bool ready = co_await deployment.bringUp(StartTime);
+    for (unsigned i = 0; ready && i < CallersPerRoute; ++i)
+      spawn(io, "caller", [&]() -> Awaitable<void> {
+        co_await callUntil(RejectFrom + RetryAfter * 4);
+      });
+    co_await callUntil(RejectFrom + RejectTime + RetryAfter * 2 / 5);
+    co_await readClosings();
+    co_await callUntil(RejectFrom + RetryAfter * 4);
+    co_await readClosings();
+    io.stop();
+  });
+  io.run();
+  REQUIRE(closings.size() == 2);
+  CHECK(closings[0] > 0);
+  CHECK(closings[1] == closings[0]);
+  CHECK(correct == calls);
+}
+
 TEST_CASE("a request that may run once is rejected as not run if all servers "
           "reject it",
           "[process]") {
