Heed what a response says of its server only if it is the request's own

A server was left alone once more, for the time in a copy of an earlier rejection, after it had ended its rejections.

Cause: the notices of a response (that its server leaves, a time to wait, a limit) were recorded before the response was validated. A response with the id of another request, or one that is no response of the server at all, closed its server, marked it as leaving or limited it.

Fix: plain calls, streams, prefills and health checks record notices after the response has been found to be theirs.

--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/State.h"
 
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Gateway/ConnectionReuse.h"
 #include "Sardineford/Http/Status.h"
 
 #include <array>
@@ -42,7 +43,8 @@
     http::Response r =
         co_await callServer(shared, entry.Address, std::move(request), options);
     ResponseHead head = shared.Protocol.decodeHead(r);
-    recordServerNotices(shared, entry, head, start);
+    if (!isOfOtherRequest({"", head.RequestId, head.NotExecuted}))
+      recordServerNotices(shared, entry, head, start);
     if (head.RespondingServer && *head.RespondingServer != entry.Id)
       co_return HealthCheckResult::Refused;
     co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -149,12 +149,13 @@
         attempt.Received = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
         attempt.RequestLimit = attempt.Head.RequestLimit;
-        recordServerNotices(shared, attempt.Server->Entry, attempt.Head,
-                            attempt.StartedAt);
         done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
-        if (done.Detail.empty())
+        if (done.Detail.empty()) {
+          recordServerNotices(shared, attempt.Server->Entry, attempt.Head,
+                              attempt.StartedAt);
           continue;
+        }
         attempt.Server->Health.recordFailure(FailureKind::Broken,
                                              MonoClock::now());
         co_return done;
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -71,9 +71,11 @@
         co_await readWhole(*response, ready ? timeout : http::ReadyTimeout);
     ResponseHead head = shared.Protocol.decodeHead(r);
     settleConnection(shared, context.Request.Id, *response);
-    recordServerNotices(shared, server->Entry, head, start);
-    if (isOfOtherRequest(
-            {context.Request.Id, head.RequestId, head.NotExecuted})) {
+    bool isOther = isOfOtherRequest(
+        {context.Request.Id, head.RequestId, head.NotExecuted});
+    if (!isOther)
+      recordServerNotices(shared, server->Entry, head, start);
+    if (isOther) {
       detail = "the response belongs to another request";
       server->Health.recordFailure(fleet::FailureKind::Broken,
                                    MonoClock::now());
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -184,7 +184,6 @@
   co_await attempt.Response->receiveHead(http::ReadyTimeout);
   ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
   attempt.RequestLimit = head.RequestLimit;
-  recordServerNotices(shared, server->Entry, head, attempt.StartedAt);
   std::string error =
       validateResponse(head, attempt.Response->head(), context.Request.Id);
   if (!error.empty()) {
@@ -192,6 +191,7 @@
     server->Health.recordFailure(FailureKind::Broken, MonoClock::now());
     co_return StreamAttemptResult::Broken;
   }
+  recordServerNotices(shared, server->Entry, head, attempt.StartedAt);
   if (head.NotExecuted) {
     progress.LastDetail = "rejected with status " +
                           std::to_string(attempt.Response->head().Status);
