Close the connections of calls without ids after a rejection

A server that writes its "no new work" once more on a kept connection made the next call fail as not executed, though it was running.

Fix: Client::call, and HttpEngineClient::generate, close the connection after 421, 429 and 503. Calls that may run once have connections of their own, as before.

Evidence: "a repeated rejection is not read as the response to the next call" failed before (the second call returned "rejected") and passes now. The cost, one connection for each rejection, falls on calls to stores, controllers and engines of the own interface; it was not measured there.

--- a/Source/Engine/HttpEngineClient.cpp
+++ b/Source/Engine/HttpEngineClient.cpp
@@ -148,6 +148,8 @@
   }
   if (body->head().Status != http::StatusOk) {
     std::string text = co_await body->read(timeout);
+    // The response has no id that would tell it from a copy for the next call.
+    body->close();
     throwStatus(body->head().Status, text);
   }
   co_return std::make_unique<JsonLineStream>(std::move(body));
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -1,5 +1,7 @@
 #include "Sardineford/Http/Client.h"
 
+#include "Sardineford/Http/Status.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,6 +49,12 @@
   Milliseconds PeerIdleLimit = Milliseconds::max();
 };
 
+/// Returns whether the peer says that it has not processed the request.
+bool isRejection(unsigned status) {
+  return status == StatusMisdirected || status == StatusTooManyRequests ||
+         status == StatusUnavailable;
+}
+
 using ConnectionPtr = std::shared_ptr<Connection>;
 
 using BeastRequest = bhttp::request<bhttp::string_body>;
@@ -459,9 +467,13 @@
     std::string piece =
         co_await stream->read(std::max(remaining, Milliseconds(1)));
     if (piece.empty())
-      co_return r;
+      break;
     r.Body += piece;
   }
+  // The response has no id that would tell it from a copy for the next call.
+  if (isRejection(r.Status))
+    stream->close();
+  co_return r;
 }
 
 } // namespace sardineford::http
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -114,6 +114,22 @@
   CHECK(server.Connections == 1);
 }
 
+TEST_CASE("a repeated rejection is not read as the response to the next call") {
+  const std::string rejection =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 8\r\n\r\nrejected";
+  IoContext io(1);
+  ScriptedServer *known = nullptr;
+  ScriptedServer server(io, [&](int i) {
+    if (i == 0)
+      return rejection;
+    return known->Connections == 1 ? rejection + okResponse("right")
+                                   : okResponse("right");
+  });
+  known = &server;
+  auto bodies = callAll(io, server.at(), 2);
+  CHECK(bodies == std::vector<std::string>{"rejected", "right"});
+}
+
 TEST_CASE(
     "an idle connection past the peer's keep-alive timeout is not reused") {
   IoContext io(1);
