Soak servers that repeat rejections

The soak now also checks that no request of the repeatable plain route is rejected as not executed after a server has executed it.

--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -78,7 +78,10 @@
                  .StepTime = Milliseconds(20),
                  .CrashingPart = o.Hazards ? CrashingPart : "",
                  .CrashingPath = o.Hazards ? CrashingPath : "",
-                 .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {}
+                 .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {
+    if (o.RepeatsRejections)
+      repeatRejections();
+  }
 
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
@@ -99,6 +102,17 @@
   }
 
 private:
+  void repeatRejections() {
+    constexpr std::array<RepeatedRejection, 4> Repeats = {
+        RepeatedRejection::AtOnce, RepeatedRejection::Later,
+        RepeatedRejection::AfterNextRequest,
+        RepeatedRejection::AfterNextRequestInParts};
+    for (DeployedWorker &it : Deployment.Workers) {
+      it.Flags = {"--shed_every=20", "--shed_with_id=false"};
+      it.Link->setRepeatedRejections(Repeats[Random() % Repeats.size()]);
+    }
+  }
+
   using Fault = std::function<Awaitable<void>()>;
 
   Awaitable<void> runScenario() {
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -22,6 +22,9 @@
   /// Sends requests beside these faults that crash each engine that begins to
   /// answer them, and lets one engine name a limit of its requests.
   bool Hazards = false;
+  /// All backend servers reject some requests, without an id, and write their
+  /// rejections once more.
+  bool RepeatsRejections = false;
   unsigned Callers = 12;
   /// More than 12 form a large fleet, in which trackers know the loads and a
   /// few daemons watch the store.
--- a/StandIns/Soak/SoakChecks.cpp
+++ b/StandIns/Soak/SoakChecks.cpp
@@ -34,7 +34,8 @@
     bool isAtMostOnce = it.Route == OnceRoute || it.Route == StreamRoute;
     if (isAtMostOnce && n > 1)
       out.push_back("executed more than once: " + describe(it, n));
-    if (isAtMostOnce && it.Outcome == DaemonCallOutcome::Rejected && n > 0)
+    bool isOneRequest = isAtMostOnce || it.Route == RepeatableRoute;
+    if (isOneRequest && it.Outcome == DaemonCallOutcome::Rejected && n > 0)
       out.push_back("rejected as not executed, but executed: " +
                     describe(it, n));
     if (it.Outcome == DaemonCallOutcome::Incorrect)
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -81,6 +81,17 @@
   check(runSoak(o));
 }
 
+TEST_CASE("the daemon's invariants hold beside servers that repeat rejections",
+          "[process]") {
+  for (uint64_t seed : {7101, 7102}) {
+    SoakOptions o = optionsFor(seed);
+    o.RepeatsRejections = true;
+    o.Length = std::chrono::seconds(5);
+    INFO("seed " << seed << ", folder " << o.Folder);
+    check(runSoak(o));
+  }
+}
+
 TEST_CASE("the daemon's invariants hold under faults in a large fleet",
           "[process]") {
   SoakOptions o = optionsFor(1);
--- a/Tests/Process/RepeatedRejectionTest.cpp
+++ b/Tests/Process/RepeatedRejectionTest.cpp
@@ -144,6 +144,37 @@
   checkPromises(true);
 }
 
+TEST_CASE("rejections with ids open no connections while all servers are full",
+          "[process]") {
+  IoContext io(1);
+  PlatformDeployment deployment(io, {.Programs = SARDINEFORD_PROGRAMS,
+                                     .Folder = makeTemporaryFolder(),
+                                     .Daemons = 1,
+                                     .PlainServers = 2,
+                                     .RetrySlack = 100'000});
+  deployment.Workers[0].Flags = {"--shed_every=1"};
+  deployment.Workers[1].Flags = {"--shed_every=1"};
+  http::Client client(io);
+  size_t rejected = 0;
+  spawn(io, "case", [&]() -> Awaitable<void> {
+    bool ready = co_await deployment.bringUp(StartTime);
+    MonoTime end = MonoClock::now() + LoadTime;
+    while (ready && MonoClock::now() < end) {
+      CallResult r = co_await callDaemon(
+          client, deployment.Daemons[0].HttpListen, RepeatableRoute, Deadline);
+      rejected += r.Outcome == DaemonCallOutcome::Rejected ? 1 : 0;
+      co_await sleepFor(CallerPause);
+    }
+    io.stop();
+  });
+  io.run();
+  size_t connections = deployment.Workers[0].Link->connections() +
+                       deployment.Workers[1].Link->connections();
+  INFO(connections << " connections");
+  CHECK(rejected > 100);
+  CHECK(connections * 10 <= rejected);
+}
+
 TEST_CASE("a repeated rejection does not close its server again", "[process]") {
   constexpr Milliseconds RejectFrom{7'000};
   constexpr Milliseconds RejectTime{300};
