--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -1,8 +1,10 @@
 #include "Gateway/HealthCheck.h"
 
 #include "Gateway/ServerChoice.h"
+#include "Gateway/State.h"
 
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Gateway/ConnectionReuse.h"
 #include "Sardineford/Http/Status.h"
 
 #include <array>
@@ -39,9 +41,10 @@
   MonoTime start = MonoClock::now();
   try {
     http::Response r =
-        co_await shared.Client.call(entry.Address, std::move(request), options);
+        co_await callServer(shared, entry.Address, std::move(request), options);
     ResponseHead head = shared.Protocol.decodeHead(r);
-    recordServerNotices(shared, entry, head, start);
+    if (!isOfOtherRequest({"", head.RequestId, head.NotExecuted}))
+      recordServerNotices(shared, entry, head, start);
     if (head.RespondingServer && *head.RespondingServer != entry.Id)
       co_return HealthCheckResult::Refused;
     co_return r.Status == http::StatusOk &&head.RespondingServer == entry.Id
