Show that one odd entry among those of the servers hides all others (failing)

The stand-in of the store can hold entries of another writer: nested too deep, with numbers out of range, with bytes that are not UTF-8, with fields of another type.

--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -201,6 +201,12 @@
   co_await Client.call(Store, r);
 }
 
+Awaitable<void> PlatformDeployment::writeOddEntry(std::string name,
+                                                  size_t kind) {
+  json::object body = {{"odd_entry", kind}, {"name", name}};
+  co_await setStoreMode(json::serialize(body));
+}
+
 Awaitable<bool> PlatformDeployment::waitReady(Milliseconds timeout) {
   MonoTime end = MonoClock::now() + timeout;
   for (const DeployedDaemon &it : Daemons) {
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -95,6 +95,9 @@
   /// Writes a configuration with a higher version and with additional routes.
   Awaitable<void> writeConfiguration(unsigned extraRoutes);
   Awaitable<void> setStoreMode(std::string json);
+  /// Lets another writer leave an odd entry among those of the backend servers
+  /// (OddEntries.h).
+  Awaitable<void> writeOddEntry(std::string name, size_t kind);
   /// Returns whether all daemons report readiness before the timeout.
   Awaitable<bool> waitReady(Milliseconds timeout);
   std::string historyFile() const { return Options.Folder + "/history.jsonl"; }
--- a/StandIns/Platform/PlatformStore.cpp
+++ b/StandIns/Platform/PlatformStore.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/Platform/PlatformStore.h"
 
+#include "StandIns/Platform/OddEntries.h"
 #include "platform/Names.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -28,8 +29,23 @@
   return text ? std::strtoull(text->c_str(), nullptr, 10) : 0;
 }
 
+/// Stands in the spec of an odd entry for its text, which is not valid JSON.
+constexpr std::string_view OddEntryMark = "odd-entry:";
+
+std::string withOddEntries(std::string body) {
+  std::string quoted = '"' + std::string(OddEntryMark);
+  size_t at = 0;
+  while ((at = body.find(quoted, at)) != std::string::npos) {
+    size_t n = std::strtoull(body.c_str() + at + quoted.size(), nullptr, 10);
+    const std::string &text = oddServerEntries()[n];
+    body.replace(at, body.find('"', at + 1) + 1 - at, text);
+    at += text.size();
+  }
+  return body;
+}
+
 http::Response makeResponse(unsigned status, const json::value &body) {
-  return http::jsonResponse(status, json::serialize(body));
+  return http::jsonResponse(status, withOddEntries(json::serialize(body)));
 }
 
 } // namespace
@@ -116,8 +132,21 @@
   }
 }
 
+void PlatformStore::writeOddEntry(const std::string &name, size_t kind) {
+  std::string servers(names::ServersKind);
+  Entry &e = Kinds[servers][name];
+  e.WrittenAt = MonoClock::now();
+  e.Spec = std::string(OddEntryMark) +
+           std::to_string(kind % oddServerEntries().size());
+  e.Revision = ++Revision;
+  recordChange(servers, name, e, false);
+}
+
 http::Response PlatformStore::setMode(const http::Request &request) {
   json::object body = json::parse(request.Body).as_object();
+  if (const json::value *v = body.if_contains("odd_entry"))
+    writeOddEntry(json::value_to<std::string>(body.at("name")),
+                  v->to_number<size_t>());
   if (const json::value *v = body.if_contains("mode")) {
     std::string_view mode = v->as_string();
     Mode = mode == "busy"          ? StoreMode::Busy
--- a/StandIns/Platform/PlatformStore.h
+++ b/StandIns/Platform/PlatformStore.h
@@ -27,7 +27,9 @@
 /// Stand-in for the platform's metadata store that implements its published
 /// protocol. POST /admin with a "compact" field deletes the history, so that
 /// watches from an older revision fail with 410. With a field "restore_ms" it
-/// goes back to a copy that is so old, and begins a new era.
+/// goes back to a copy that is so old, and begins a new era. With a field
+/// "odd_entry", another writer leaves the odd entry of that number among those
+/// of the backend servers, under "name", until it expires.
 class PlatformStore {
 public:
   PlatformStore(IoContext &io, http::Endpoint listen,
@@ -58,6 +60,7 @@
   http::Response write(const std::string &kind, const std::string &name,
                        const http::Request &request);
   http::Response remove(const std::string &kind, const std::string &name);
+  void writeOddEntry(const std::string &name, size_t kind);
   http::Response setMode(const http::Request &request);
   boost::json::object toJson(const std::string &name, const Entry &e) const;
   void recordChange(const std::string &kind, const std::string &name,
--- a/Tests/Platform/FleetAdapterTest.cpp
+++ b/Tests/Platform/FleetAdapterTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/FleetAdapter.h"
 
+#include "StandIns/Platform/OddEntries.h"
+
 #include <catch2/catch.hpp>
 
 using namespace sardineford;
@@ -72,3 +74,57 @@
   o.Value = R"({"version":8})";
   CHECK_FALSE(FleetAdapter().decodeConfiguration(o));
 }
+
+TEST_CASE("an odd entry names no backend server to use") {
+  FleetAdapter a;
+  for (const std::string &it : standins::oddServerEntries()) {
+    INFO(it.substr(0, 200));
+    CHECK_FALSE(a.decodeServer(server(it)));
+  }
+  for (const char *name : {"", "i 1", "i-1\r\nX: 1", "i\t", "\xff"}) {
+    store::Object o = server(ValidServer);
+    o.Name = name;
+    CHECK_FALSE(a.decodeServer(o));
+  }
+}
+
+TEST_CASE("unusual but legal entries of backend servers are used") {
+  FleetAdapter a;
+  std::string nested = std::string(20, '[') + std::string(20, ']');
+  for (const std::string &it :
+       {withReplaced(",", " ,\n\t"), withReplaced("\"m\"", "\"\\u006d\""),
+        withReplaced("{", R"({"x":{"y":[1,{}]},"note":")"
+                          "\\\\\\\"}"
+                          R"(",)"),
+        withReplaced("{", R"({"big":1e308,"bigger":18446744073709551615,)"),
+        withReplaced("{", R"({"nested":)" + nested + ","),
+        withReplaced(":8,", ":8.0,"), withReplaced(":8,", ":8e0,")}) {
+    INFO(it);
+    auto e = a.decodeServer(server(it));
+    REQUIRE(e);
+    CHECK(e->Service == "m");
+    CHECK(e->Slots == 8);
+    CHECK(e->StartedMs == 1700000000001);
+    CHECK(http::toString(e->Address) == "10.0.0.1:80");
+  }
+}
+
+TEST_CASE("numbers of a configuration that are too large are cut") {
+  store::Object o{
+      "config", "main", 5,
+      R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+      R"("kind":"safe","service":"a","timeoutMs":1e300,"maxAttempts":1e20,)"
+      R"("targetLatencyMs":-1e300}],"services":[{"name":"a",)"
+      R"("engine":{"kvCapacity":1e300}}],)"
+      R"("limits":{"maxHeaderBytes":1e300,"maxBodyBytes":-4}})"};
+  auto c = FleetAdapter().decodeConfiguration(o);
+  REQUIRE(c);
+  CHECK(c->Routes[0].Timeout > std::chrono::hours(1));
+  CHECK(c->Routes[0].Timeout <= std::chrono::hours(24 * 366));
+  CHECK(c->Routes[0].Objective == Milliseconds(0));
+  CHECK(c->Routes[0].MaxAttempts >= 1'000);
+  CHECK(c->Services["a"].Engine->KvCacheTokens >= 1'000'000'000);
+  CHECK(c->Limits.MaxHeaderBytes >= size_t{1} << 20U);
+  CHECK(c->Limits.MaxHeaderBytes <= UINT32_MAX);
+  CHECK(c->Limits.MaxBodyBytes == 0);
+}
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -175,3 +175,41 @@
   for (unsigned status : {200, 429, 500})
     CHECK_FALSE(timeOf(status, "2"));
 }
+
+TEST_CASE("numbers in headers of callers are read with a range") {
+  TrafficAdapter a;
+  auto withHeader = [](const char *name, const char *value) {
+    http::Request r;
+    r.Fields.add(name, value);
+    return r;
+  };
+  auto time = [&](const char *text) {
+    return a.decodeRequest(withHeader("Deadline-Ms", text)).RemainingTime;
+  };
+  CHECK(time("2500.5") == Milliseconds(2'500));
+  for (const char *it : {"1e300", "9223372036854775808", "1e18"}) {
+    INFO(it);
+    CHECK(time(it) >= std::chrono::hours(1));
+    CHECK(time(it) <= std::chrono::hours(24 * 366));
+  }
+  for (const char *it : {"nan", "-nan", "inf", "-1", "x"}) {
+    INFO(it);
+    CHECK_THROWS_AS(time(it), Error);
+  }
+  gateway::CallerRequest r = a.decodeRequest(
+      withHeader("Token-Counts", "18446744073709551615,18446744073709551615"));
+  CHECK(r.PromptTokens <= UINT32_MAX);
+  CHECK(r.MaxOutputTokens <= UINT32_MAX);
+  CHECK(r.PromptTokens > 0);
+  r = a.decodeRequest(withHeader("Prompt-Prefix", "5c:18446744073709551615"));
+  REQUIRE(r.Parts.size() == 1);
+  CHECK(r.Parts[0].Tokens <= UINT32_MAX);
+}
+
+TEST_CASE("the handle of a prefilled prompt is one header value") {
+  TrafficAdapter a;
+  http::Endpoint engine{"10.1.64.9", 8080};
+  CHECK_FALSE(a.decodeHandle(engine, R"({"kvHandleId":"3f\r\nX: 1"})"));
+  CHECK_FALSE(a.decodeHandle(engine, R"({"kvHandleId":""})"));
+  CHECK_FALSE(a.decodeHandle(engine, R"({"kvHandleId":"3f 1"})"));
+}
