Read numbers of other processes with a range

What callers saw: an entry with 1e308, -5 or slots, or with a port followed by other text, was used as a backend server.

Numbers are converted by Common/Numbers.

--- a/Source/Http/Message.cpp
+++ b/Source/Http/Message.cpp
@@ -1,24 +1,22 @@
 #include "Sardineford/Http/Message.h"
 
+#include "Sardineford/Common/Numbers.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/json.hpp>
 
-#include <charconv>
-
 namespace sardineford::http {
 
 Endpoint parseEndpoint(std::string_view text) {
   size_t colon = text.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string_view::npos) {
-    std::string_view digits = text.substr(colon + 1);
-    std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  }
-  if (port == 0 || port > UINT16_MAX)
+  std::optional<uint16_t> port;
+  if (colon != std::string_view::npos && colon > 0)
+    port = parseNumber<uint16_t>(text.substr(colon + 1));
+  if (!port || *port == 0)
     throw Error(ErrorKind::BadSettings,
                 "'" + std::string(text) + "' is not an IP address and port",
                 "use an IP address and a port, such as 127.0.0.1:8080");
-  return {std::string(text.substr(0, colon)), static_cast<uint16_t>(port)};
+  return {std::string(text.substr(0, colon)), *port};
 }
 
 std::string toString(const Endpoint &e) {
