Answer health checks at prefill engines of the stand-in

A health check carries no stage, and the stand-in rejected it with 421 at prefill engines as if it were a request for a model.

--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -192,7 +192,8 @@
   std::optional<std::string> expectedInstance =
       request.Fields.find(names::ExpectInstance);
   bool prefillOnly = request.Fields.find(names::Stage).has_value();
-  bool wrongStage = !Options.Stage.empty() &&
+  bool isHealthCheck = http::pathOf(request.Target) == HealthPath;
+  bool wrongStage = !Options.Stage.empty() && !isHealthCheck &&
                     prefillOnly != (Options.Stage == names::PrefillStage);
   if (expectedInstance.value_or("") != Options.Id || wrongStage) {
     http::Response r = makeResponse(http::StatusMisdirected, id, "");
@@ -200,7 +201,7 @@
     co_await out.send(std::move(r));
     co_return;
   }
-  if (http::pathOf(request.Target) == HealthPath) {
+  if (isHealthCheck) {
     http::Response r = makeResponse(Draining ? 503 : 200, id, "");
     r.Fields.add(std::string(names::InstanceId), Options.Id);
     co_await out.send(std::move(r));
