Log and count an odd entry once for each revision

Each read of all objects logged object_skipped again for the same entry, which floods the bounded log while it is there.

--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -5,6 +5,7 @@
 #include "Fleet/WatchDuty.h"
 #include "Sardineford/Fleet/StoreView.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,6 +29,8 @@
   MonoTime ConfirmedAt{};
   /// The last call to the store failed.
   bool Lost = false;
+  /// Versions of the objects that could not be decoded, by name.
+  std::map<std::string, uint64_t> Skipped;
   /// The last watch call returned no changes.
   bool LastWatchEmpty = false;
 };
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -457,9 +457,12 @@
                   timeSince(ServerFeed.ConfirmedAt));
   recordMissing(changes.Objects);
   publish(ServerFeed, std::move(changes));
+  std::erase_if(ServerFeed.Skipped, [&](const auto &it) {
+    return !ServerFeed.Objects.contains(it.first);
+  });
   std::vector<ServerEntry> entries;
   for (const store::Object &it : list.Objects) {
-    std::optional<ServerEntry> e = Codec.decodeServer(it);
+    std::optional<ServerEntry> e = decodeServer(it);
     if (e)
       entries.push_back(std::move(*e));
   }
@@ -467,10 +470,34 @@
   co_return list.Revision;
 }
 
+/// Decodes an object unless its version is known to be invalid, so that it is
+/// logged and counted once.
+template <class F>
+auto FleetWatch::decodeOnce(WatchedFeed &feed, const store::Object &o,
+                            F decode) {
+  auto skipped = feed.Skipped.find(o.Name);
+  bool isKnown = skipped != feed.Skipped.end() && skipped->second == o.Version;
+  decltype(decode()) out;
+  if (!isKnown)
+    out = decode();
+  if (out) {
+    feed.Skipped.erase(o.Name);
+  } else if (!isKnown) {
+    feed.Skipped[o.Name] = o.Version;
+    Metrics.count("sardineford_objects_skipped_total", {{"feed", feed.Kind}});
+  }
+  return out;
+}
+
+std::optional<ServerEntry> FleetWatch::decodeServer(const store::Object &o) {
+  return decodeOnce(ServerFeed, o, [&] { return Codec.decodeServer(o); });
+}
+
 void FleetWatch::applyConfiguration(const store::Object &o) {
   if (o.Name != Codec.configurationName() || o.Version == 0)
     return;
-  std::optional<Configuration> c = Codec.decodeConfiguration(o);
+  auto c = decodeOnce(ConfigurationFeed, o,
+                      [&] { return Codec.decodeConfiguration(o); });
   if (!c)
     return;
   uint64_t activeVersion = Routes ? Routes->config().Version : 0;
@@ -492,7 +519,9 @@
 void FleetWatch::applyServer(const store::Object &o) {
   std::optional<ServerEntry> e;
   if (o.Version != 0)
-    e = Codec.decodeServer(o);
+    e = decodeServer(o);
+  else
+    ServerFeed.Skipped.erase(o.Name);
   if (e)
     Servers.put(*e);
   else
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -84,6 +84,9 @@
   void recordMissing(const std::vector<store::Object> &changes);
   Awaitable<uint64_t> readConfiguration();
   Awaitable<uint64_t> readServers();
+  template <class F>
+  auto decodeOnce(WatchedFeed &feed, const store::Object &o, F decode);
+  std::optional<ServerEntry> decodeServer(const store::Object &o);
   void applyConfiguration(const store::Object &o);
   void applyServer(const store::Object &o);
   Awaitable<void> removeMissingLoop();
--- a/Source/Fleet/KnownObjects.h
+++ b/Source/Fleet/KnownObjects.h
@@ -24,6 +24,9 @@
   /// Returns the changes that lead to the list.
   std::vector<store::Object> changesTo(const store::ObjectList &list) const;
   void replaceAll(const store::ObjectList &list);
+  bool contains(const std::string &name) const {
+    return Versions.contains(name);
+  }
   FeedView view() const;
 
 private:
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -545,3 +545,31 @@
   }
   CHECK(t.version() == 5);
 }
+
+TEST_CASE("an odd entry is counted once for each revision and the others "
+          "are followed") {
+  Fixture t;
+  auto skipped = [&](int n) {
+    std::string line = R"(sardineford_objects_skipped_total{feed="servers"} )" +
+                       std::to_string(n) + "\n";
+    return t.Metrics.render().find(line) != std::string::npos;
+  };
+  t.Store.Lists["servers"] = {{"servers", "odd", 7, ""},
+                              {"servers", "a", 8, "model"}};
+  t.Watch.start();
+  t.runFor(Milliseconds(20));
+  CHECK(skipped(1));
+  CHECK(t.Servers.ofService("model").size() == 1);
+  // All is read again; the entries are the same.
+  t.Store.Watches["servers"].push_back({Failure::HistoryExpired, {}});
+  t.Store.Watches["servers"].push_back(
+      {std::nullopt,
+       {{"servers", "odd", 12, ""}, {"servers", "b", 13, "model"}}});
+  t.Watch.checkPeerView({{}, {1, 0}});
+  t.runFor(Milliseconds(450));
+  t.Watch.checkPeerView({{}, {1, 0}});
+  t.runFor(Milliseconds(800));
+  CHECK(t.Store.ListCalls["servers"] >= 2);
+  CHECK(t.Servers.ofService("model").size() == 2);
+  CHECK(skipped(2));
+}
