--- a/StandIns/Programs/sardineford-soak.cpp
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -17,6 +17,9 @@
     hazards, true,
     "send requests that crash engines, and let one engine name a limit; "
     "not with planned_only");
+DEFINE_bool(odd_entries, true,
+            "let another writer leave odd entries among those of the backend "
+            "servers");
 DEFINE_string(programs, "build/release", "folder with the built programs");
 DEFINE_string(folder, "out/soak", "folder for logs and histories");
 
@@ -35,6 +38,7 @@
     o.Faults = FLAGS_faults;
     o.PlannedOnly = FLAGS_planned_only;
     o.Hazards = FLAGS_hazards && !FLAGS_planned_only;
+    o.OddEntries = FLAGS_odd_entries;
     o.Daemons = FLAGS_daemons;
     o.Programs = FLAGS_programs;
     o.Folder = FLAGS_folder + "/" + std::to_string(o.Seed);
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -39,6 +39,7 @@
 constexpr const char *CrashingPath = "/status/x1";
 constexpr const char *CrashingRoute = "/status/x";
 constexpr Milliseconds CrashingPause{300};
+constexpr Milliseconds OddEntryPause{60};
 constexpr Milliseconds RestartDelay{1'000};
 constexpr NamedLimit EngineLimit{3, Milliseconds(2'000), Milliseconds(600'000)};
 /// Bounds of the platform for both.
@@ -118,6 +119,8 @@
       });
       spawn(Io, "restart", [this] { return restartEngines(); });
     }
+    if (Options.OddEntries)
+      spawn(Io, "odd-entries", [this] { return addOddEntries(); });
     MonoTime end = MonoClock::now() + Options.Length;
     while (Options.Faults && MonoClock::now() < end) {
       Fault f = pickFault();
@@ -178,6 +181,18 @@
     }
   }
 
+  /// The entries expire again.
+  Awaitable<void> addOddEntries() {
+    for (size_t i = 0;; ++i) {
+      try {
+        co_await Deployment.writeOddEntry("a-" + std::to_string(i), i);
+      } catch (const http::TransportError &e) {
+        log::info(log::Category::StandIn, "no odd entry written: {}", e.what());
+      }
+      co_await sleepFor(OddEntryPause);
+    }
+  }
+
   /// Starts engines again that have crashed. Engines that a fault has stopped
   /// are mostly started by it.
   Awaitable<void> restartEngines() {
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -22,6 +22,9 @@
   /// Sends requests beside these faults that crash each engine that begins to
   /// answer them, and lets one engine name a limit of its requests.
   bool Hazards = false;
+  /// Lets another writer leave odd entries among those of the backend servers
+  /// all the time, beside the faults.
+  bool OddEntries = false;
   unsigned Callers = 12;
   /// More than 12 form a large fleet, in which trackers know the loads and a
   /// few daemons watch the store.
