--- a/StandIns/Programs/sardineford-soak.cpp
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -20,6 +20,9 @@
 DEFINE_bool(repeated_rejections, false,
             "let all backend servers reject some requests without an id and "
             "write these rejections once more");
+DEFINE_bool(odd_entries, true,
+            "let another writer leave odd entries among those of the backend "
+            "servers");
 DEFINE_string(programs, "build/release", "folder with the built programs");
 DEFINE_string(folder, "out/soak", "folder for logs and histories");
 
@@ -39,6 +42,7 @@
     o.PlannedOnly = FLAGS_planned_only;
     o.Hazards = FLAGS_hazards && !FLAGS_planned_only;
     o.RepeatsRejections = FLAGS_repeated_rejections;
+    o.OddEntries = FLAGS_odd_entries;
     o.Daemons = FLAGS_daemons;
     o.Programs = FLAGS_programs;
     o.Folder = FLAGS_folder + "/" + std::to_string(o.Seed);
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -25,6 +25,9 @@
   /// All backend servers reject some requests, without an id, and write their
   /// rejections once more.
   bool RepeatsRejections = false;
+  /// Lets another writer leave odd entries among those of the backend servers
+  /// all the time, beside the faults.
+  bool OddEntries = false;
   unsigned Callers = 12;
   /// More than 12 form a large fleet, in which trackers know the loads and a
   /// few daemons watch the store.
