Reject a take-up if its route has moved and the stream's service is unknown

A stream that began at one service could go on at another, in the middle of its text: while a route is split, and after it was moved, an unknown stream went on at the service that was picked, if that one had a single version. The same class of fault as the recorded versions: no record is taken as a record of nothing.

The services of a route now include those of earlier configurations for as long as callers come back (fleet::RouteHistory). All are asked for the stream; one that began at a former service, or is unknown while there are several, is rejected. A process tells its peers that a service shares its streams, so that one that has just started, and does not know the earlier configurations, learns of it.

Open: if all processes die right after a route has moved, none knows.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -511,6 +511,7 @@
     return;
   Routes = std::make_shared<const RouteTable>(
       std::make_shared<const Configuration>(std::move(*c)));
+  History.record(Routes->config(), MonoClock::now());
   Metrics.count("sardineford_configurations_applied_total", {});
   if (OnConfiguration)
     OnConfiguration();
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -2,6 +2,7 @@
 
 #include "Fleet/Feed.h"
 #include "Fleet/MassExpiry.h"
+#include "Fleet/RouteHistory.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/FleetCodec.h"
 #include "Sardineford/Fleet/StoreView.h"
@@ -58,6 +59,7 @@
 
   /// Null until a configuration is applied.
   const std::shared_ptr<const RouteTable> &routes() const { return Routes; }
+  const RouteHistory &routeHistory() const { return History; }
   bool isLoaded() const { return Routes != nullptr && Servers.isLoaded(); }
   /// Time since the last answer of the store to this process or to a peer that
   /// reports it; -1 ms before the first answer.
@@ -124,6 +126,7 @@
   /// Last era of which OnRestore was told.
   uint64_t RestoredEra = 0;
   std::shared_ptr<const RouteTable> Routes;
+  RouteHistory History;
   WatchedFeed ConfigurationFeed;
   WatchedFeed ServerFeed;
   std::function<void(const PublishedChanges &)> Publish;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -126,9 +126,11 @@
 std::optional<bool> Gateway::hasSeveralVersions(uint64_t service) const {
   if (!Watch.isLoaded() || !Servers.isVersionHistoryKnown())
     return std::nullopt;
+  MonoTime now = MonoClock::now();
   for (const std::string &it : Versions.services())
     if (peers::hashOfService(it) == service)
-      return Servers.softwareVersions(it, MonoClock::now()).size() > 1;
+      return Servers.softwareVersions(it, now).size() > 1 ||
+             Watch.routeHistory().sharesStreams(it, now);
   return std::nullopt;
 }
 
@@ -200,6 +202,9 @@
 
 void Gateway::applyConfiguration() {
   applyLimits();
+  for (const std::string &it : Versions.services())
+    if (Watch.routeHistory().sharesStreams(it, MonoClock::now()))
+      Peers.origins().publishAll(it);
   Versions.setServices(fleet::resumableServices(Watch.routes()->config()));
 }
 
--- a/Source/Gateway/StreamOrigin.cpp
+++ b/Source/Gateway/StreamOrigin.cpp
@@ -25,38 +25,59 @@
 
 namespace {
 
-/// Looks for the stream at every service of the route, and continues the
-/// request at the one that knows it.
-Awaitable<peers::FoundOrigin> findAtServices(SharedState &shared,
-                                             RequestContext &context) {
-  peers::FoundOrigin found;
-  for (const fleet::Target &it : context.Route->Targets) {
-    bool peersKnowSeveral = found.PeersKnowSeveral;
-    found = co_await shared.Origins.find(it.Service, context.Request.StreamId);
-    found.PeersKnowSeveral = found.PeersKnowSeveral || peersKnowSeveral;
-    if (!found.Version)
+/// What the processes know of the begin of a stream.
+struct OriginSearch {
+  peers::FoundOrigin Origin;
+  /// Services at which it can have begun.
+  std::set<std::string> Services;
+  /// It began at a service that is no target of the route any more.
+  bool IsFormerService = false;
+};
+
+/// Looks for the stream at every service where it can have begun, and continues
+/// the request at the one that knows it.
+Awaitable<OriginSearch> findAtServices(SharedState &shared,
+                                       RequestContext &context) {
+  OriginSearch out;
+  out.Services = shared.Watch.routeHistory().services(context.Route->Name,
+                                                      MonoClock::now());
+  // The request's route may be of an earlier configuration.
+  for (const fleet::Target &it : context.Route->Targets)
+    out.Services.insert(it.Service);
+  for (const std::string &it : out.Services) {
+    bool peersKnowSeveral = out.Origin.PeersKnowSeveral;
+    out.Origin = co_await shared.Origins.find(it, context.Request.StreamId);
+    out.Origin.PeersKnowSeveral =
+        out.Origin.PeersKnowSeveral || peersKnowSeveral;
+    if (!out.Origin.Version)
       continue;
-    context.Service = it.Service;
+    const std::vector<fleet::Target> &targets = context.Route->Targets;
+    out.IsFormerService =
+        std::none_of(targets.begin(), targets.end(),
+                     [&](const auto &t) { return t.Service == it; });
+    if (!out.IsFormerService)
+      context.Service = it;
     break;
   }
-  co_return found;
+  co_return out;
 }
 
 TakeUpEvidence collectEvidence(SharedState &shared,
                                const RequestContext &context,
-                               const peers::FoundOrigin &found) {
-  MonoTime now = MonoClock::now();
+                               const OriginSearch &search) {
   TakeUpEvidence out;
-  out.Versions = shared.Servers.softwareVersions(context.Service, now);
-  out.Found = found.Version;
+  out.Versions =
+      shared.Servers.softwareVersions(context.Service, MonoClock::now());
+  if (!search.IsFormerService)
+    out.Found = search.Origin.Version;
   out.IsHistoryKnown = shared.Servers.isVersionHistoryKnown();
-  out.PeersKnowSeveral = found.PeersKnowSeveral;
-  out.HasOtherServices = context.Route->Targets.size() > 1;
+  out.PeersKnowSeveral = search.Origin.PeersKnowSeveral;
+  out.HasOtherServices = search.Services.size() > 1;
   return out;
 }
 
 void logOrigin(const RequestContext &context, const StreamProgress &progress,
-               const peers::FoundOrigin &found, const TakeUpEvidence &evidence,
+               const OriginSearch &search, const TakeUpEvidence &evidence,
                std::string_view outcome) {
   std::string version = progress.Filter.SoftwareVersion.value_or("");
   log::event(
@@ -69,8 +90,8 @@
        {"software_version", version},
        {"found", evidence.Found.has_value()},
        {"history_known", evidence.IsHistoryKnown},
-       {"not_known", found.NotKnown},
-       {"silent", found.Silent},
+       {"not_known", search.Origin.NotKnown},
+       {"silent", search.Origin.Silent},
        {"outcome", outcome}});
 }
 
@@ -80,16 +101,16 @@
                                  StreamProgress &progress) {
   if (!context.Route->Resumable || !context.Request.ResumeAfter)
     co_return true;
-  peers::FoundOrigin found = co_await findAtServices(shared, context);
-  TakeUpEvidence evidence = collectEvidence(shared, context, found);
+  OriginSearch search = co_await findAtServices(shared, context);
+  TakeUpEvidence evidence = collectEvidence(shared, context, search);
   progress.Filter.SoftwareVersion = chooseTakeUpVersion(evidence);
   bool goesOn = progress.Filter.SoftwareVersion.has_value();
-  logOrigin(context, progress, found, evidence,
+  logOrigin(context, progress, search, evidence,
             goesOn ? "goes on" : "rejected");
   if (!goesOn) {
     progress.LastCause = FailureCause::VersionUnknown;
     progress.LastDetail =
-        found.Version
+        search.Origin.Version
             ? "no server has the software version that began the stream"
             : "the software version that began the stream is not known";
   }
@@ -102,7 +123,9 @@
     return;
   size_t versions =
       shared.Servers.softwareVersions(context.Service, MonoClock::now()).size();
-  bool isAmbiguous = versions > 1 || context.Route->Targets.size() > 1;
+  bool isAmbiguous = versions > 1 || context.Route->Targets.size() > 1 ||
+                     shared.Watch.routeHistory().sharesStreams(
+                         context.Service, MonoClock::now());
   shared.Origins.record(context.Service, context.Request.StreamId,
                         server.Entry.SoftwareVersion, isAmbiguous);
 }
