--- a/Tests/Common/JsonTextTest.cpp
+++ b/Tests/Common/JsonTextTest.cpp
@@ -39,9 +39,10 @@
 }
 
 TEST_CASE("elements of any depth are separated") {
-  std::string deep(5'000'000, '[');
-  deep.append(5'000'000, ']');
-  auto items = splitJsonArray("[" + deep + ",7]");
+  std::string text = "[" + std::string(5'000'000, '[');
+  text.append(5'000'000, ']');
+  text += ",7]";
+  auto items = splitJsonArray(text);
   REQUIRE(items);
   CHECK(items->at(1) == "7");
 }
