--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -115,7 +115,7 @@
 }
 
 TEST_CASE("a repeated rejection is not read as the response to the next call") {
-  const std::string rejection =
+  std::string rejection =
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 8\r\n\r\nrejected";
   IoContext io(1);
   ScriptedServer *known = nullptr;
