--- a/Source/Peers/OriginCodec.h
+++ b/Source/Peers/OriginCodec.h
@@ -3,6 +3,8 @@
 #include "Peers/OriginTable.h"
 
 #include <span>
+#include <string>
+#include <vector>
 
 namespace sardineford::messages {
 class LoadShare;
@@ -13,11 +15,21 @@
 /// Datagrams without the name of the sender, which takes more bytes than all
 /// else in most of them.
 messages::LoadShare encodeOrigins(std::span<const OriginRecord> records);
-messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t stream);
+messages::LoadShare encodeOriginQuery(uint64_t id, uint64_t service,
+                                      uint64_t stream);
 messages::LoadShare encodeOriginAnswer(uint64_t id,
-                                       std::optional<uint32_t> version);
+                                       std::optional<uint32_t> version,
+                                       std::optional<bool> hasSeveralVersions);
 
 /// Reads the records of a datagram. Streams without a version are skipped.
 std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in);
 
+/// Asks for the records that the sender, in this failure domain, is to hold.
+messages::LoadShare encodeRecordsRequest(const std::string &failureDomain);
+messages::LoadShare encodeHandover(std::span<const KnownOrigin> records,
+                                   MonoTime now);
+/// Reads records that another holder gives; empty if the datagram has none.
+std::vector<KnownOrigin> decodeHandover(const messages::LoadShare &in,
+                                        MonoTime now);
+
 } // namespace sardineford::peers
--- a/Source/Peers/StreamOrigins.h
+++ b/Source/Peers/StreamOrigins.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Peers/OriginHandover.h"
 #include "Peers/OriginHolders.h"
 #include "Peers/OriginTable.h"
 #include "Sardineford/Common/Async.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +31,10 @@
   /// Processes that do not know the stream, and that did not answer in time.
   unsigned NotKnown = 0;
   unsigned Silent = 0;
+  /// Processes that said whether several versions may have begun streams of the
+  /// service, and whether one said so.
+  unsigned Told = 0;
+  bool PeersKnowSeveral = false;
 };
 
 /// Knowledge of the software versions that began the streams of the fleet, so
@@ -39,12 +45,21 @@
 public:
   using Send =
       std::function<void(const messages::LoadShare &, const http::Endpoint &)>;
+  /// Returns whether several versions may have begun streams of a service,
+  /// known by its hashOfService; nothing while this process cannot tell.
+  using SeveralVersions = std::function<std::optional<bool>(uint64_t service)>;
 
   StreamOrigins(IoContext &io, metrics::Metrics &metrics,
                 http::Endpoint address, Send send);
   ~StreamOrigins();
 
-  /// Sets the running processes, including this one.
+  /// Sets the source of what this process tells its peers of a service.
+  void setSeveralVersions(SeveralVersions f) {
+    HasSeveralVersions = std::move(f);
+  }
+  /// Sets the running processes, including this one. Records of those that have
+  /// gone are given to the processes that hold them now; a process that has
+  /// just started asks each of the others for the records that it is to hold.
   void setProcesses(const std::vector<RunningProcess> &processes);
   /// Records the version at which a stream begins or goes on, and sends the
   /// record at the end of this turn of the event loop. It is only kept if the
@@ -71,9 +86,11 @@
     uint64_t Stream = 0;
   };
 
-  Awaitable<void> askHolders(uint64_t stream, FoundOrigin &out);
-  Awaitable<void> ask(PendingQuery &query, uint64_t id, uint64_t stream,
+  Awaitable<void> askHolders(uint64_t service, uint64_t stream,
+                             FoundOrigin &out);
+  Awaitable<void> ask(PendingQuery &query, const messages::LoadShare &datagram,
                       std::vector<http::Endpoint> holders);
+  std::optional<bool> hasSeveralVersions(uint64_t service) const;
   void applyAnswer(const messages::LoadShare &in, const http::Endpoint &from);
   /// Queues the record of a stream for holders by their position.
   void queue(uint64_t stream, size_t firstHolder, size_t count);
@@ -83,11 +100,16 @@
   void scheduleRepetition();
   void repeatDue();
   void schedulePublishing();
+  void scheduleHandover();
+  /// Chooses records for processes that hold them now.
+  void chooseDueHandovers(MonoTime now);
+  void sendHandovers(MonoTime now);
 
   IoContext &Io;
   metrics::Metrics &Metrics;
   http::Endpoint Address;
   Send SendTo;
+  SeveralVersions HasSeveralVersions;
   std::vector<RunningProcess> Processes;
   std::vector<HashedProcess> Candidates;
   OriginTable Table;
@@ -100,6 +122,22 @@
   std::deque<uint64_t> ToPublish;
   boost::asio::steady_timer PublishTimer;
   bool PublishScheduled = false;
+  MonoTime StartedAt = MonoClock::now();
+  /// Processes that were asked for records, and that are yet to be asked.
+  std::set<http::Endpoint> Asked;
+  std::deque<http::Endpoint> ToAsk;
+  /// Processes that have gone since the records were last compared.
+  std::map<http::Endpoint, HashedProcess> Gone;
+  MonoTime GoneAt{};
+  /// Records that are being compared, and the processes before and after.
+  std::deque<KnownOrigin> ToCompare;
+  std::vector<HashedProcess> Before;
+  std::vector<HashedProcess> After;
+  /// Processes that have asked for records.
+  std::map<http::Endpoint, HashedProcess> Newcomers;
+  HandoverQueue Handovers;
+  boost::asio::steady_timer HandoverTimer;
+  bool HandoverScheduled = false;
   std::map<uint64_t, std::shared_ptr<PendingQuery>> Pending;
   uint64_t NextQuery = 0;
 };
--- a/Tests/Peers/StreamOriginsTest.cpp
+++ b/Tests/Peers/StreamOriginsTest.cpp
@@ -22,6 +22,13 @@
 constexpr MonoTime Start{std::chrono::seconds(10'000)};
 /// Records are repeated within this time.
 constexpr Milliseconds RepeatLimit{150};
+/// Records are given to new holders within this time: less than lies between
+/// two waves of deaths, in which the deaths must be noticed, too.
+constexpr Milliseconds HandoverLimit{600};
+/// Processes have asked all others for records within this time.
+constexpr Milliseconds StartLimit{200};
+/// Headers of IP and UDP.
+constexpr size_t HeaderBytes = 28;
 
 std::vector<RunningProcess> makeProcesses(size_t n, size_t domains) {
   std::vector<RunningProcess> out;
@@ -39,21 +46,54 @@
     messages::LoadShare Message;
 
     bool isRecord() const {
-      return Message.origins().query() == 0 && Message.origins().answer() == 0;
+      const messages::StreamOrigins &origins = Message.origins();
+      return origins.query() == 0 && origins.answer() == 0 &&
+             !origins.wants_records() && !isHandover();
     }
+    bool isHandover() const { return Message.origins().ages_s_size() > 0; }
+    size_t bytes() const { return Message.ByteSizeLong() + HeaderBytes; }
   };
 
   explicit Network(size_t n) : Processes(makeProcesses(n, 3)) {
-    for (const RunningProcess &it : Processes) {
-      http::Endpoint from = it.Address;
-      auto send = [this, from](const messages::LoadShare &message,
-                               const http::Endpoint &to) {
-        deliver({from, to, message});
-      };
-      Origins.push_back(
-          std::make_unique<StreamOrigins>(Io, Metrics, from, send));
-      Origins.back()->setProcesses(Processes);
+    for (const RunningProcess &it : Processes)
+      Origins.push_back(start(it.Address));
+    // Each asks all others for records.
+    while (Sent.size() < n * (n - 1)) {
+      Io.restart();
+      Io.run_one_for(StartLimit);
     }
+    Io.restart();
+    Io.poll();
+    Io.restart();
+    Sent.clear();
+  }
+
+  std::unique_ptr<StreamOrigins> start(const http::Endpoint &from) {
+    auto send = [this, from](const messages::LoadShare &message,
+                             const http::Endpoint &to) {
+      deliver({from, to, message});
+    };
+    auto out = std::make_unique<StreamOrigins>(Io, Metrics, from, send);
+    out->setProcesses(Processes);
+    return out;
+  }
+
+  /// Starts a process again under its address, without what it knew.
+  void restart(size_t i) {
+    Origins[i].reset();
+    Origins[i] = start(Processes[i].Address);
+  }
+
+  /// Ends processes. The others have noticed it.
+  void kill(const std::set<size_t> &processes) {
+    Dead.insert(processes.begin(), processes.end());
+    std::vector<RunningProcess> running;
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (!Dead.contains(i))
+        running.push_back(Processes[i]);
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (!Dead.contains(i))
+        Origins[i]->setProcesses(running);
   }
 
   void deliver(Datagram datagram) {
@@ -369,13 +409,216 @@
   f.Dead = {1, 2};
   f.IsLost = [&](const Network::Datagram &it) {
     uint64_t id = it.Message.origins().query();
-    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5), it.To);
-    f.Origins[0]->handle(encodeOriginAnswer(id, 5), {"10.0.0.9", 1});
+    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5, true), it.To);
+    f.Origins[0]->handle(encodeOriginAnswer(id, 5, true), {"10.0.0.9", 1});
     return true;
   };
   CHECK(!f.find(0, "stream").Version);
 }
 
+TEST_CASE("a process that knows one version learns of others from its peers") {
+  Network f(6);
+  for (size_t i = 0; i < 6; ++i)
+    f.Origins[i]->setSeveralVersions([i](uint64_t service) {
+      return std::optional(i != 0 && service == hashOfService("model"));
+    });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(!out.Version);
+  CHECK(out.Told == 5);
+  CHECK(out.PeersKnowSeveral);
+  f.Dead = {1, 2, 3, 4};
+  out = f.find(0, "stream");
+  CHECK(out.Told == 1);
+  CHECK(out.PeersKnowSeveral);
+}
+
+TEST_CASE("one version is the only one if all peers know no other") {
+  Network f(6);
+  for (auto &it : f.Origins)
+    it->setSeveralVersions([](uint64_t) { return std::optional(false); });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(out.Told == AskedFirst);
+  CHECK(!out.PeersKnowSeveral);
+}
+
+TEST_CASE("several versions of another service are no reason to doubt") {
+  Network f(6);
+  for (auto &it : f.Origins)
+    it->setSeveralVersions([](uint64_t service) {
+      return std::optional(service == hashOfService("other"));
+    });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(out.Told == AskedFirst);
+  CHECK(!out.PeersKnowSeveral);
+}
+
+TEST_CASE("peers that cannot tell the versions are not counted as told") {
+  Network f(4);
+  // Process 1 is an earlier build or has set no source.
+  f.Origins[2]->setSeveralVersions(
+      [](uint64_t) { return std::optional<bool>(); });
+  f.Origins[3]->setSeveralVersions(
+      [](uint64_t) { return std::optional(true); });
+  FoundOrigin out = f.find(0, "stream");
+  CHECK(out.NotKnown == 3);
+  CHECK(out.Told == 1);
+  CHECK(out.PeersKnowSeveral);
+}
+
+TEST_CASE("a question of an earlier build names no service") {
+  Network f(2);
+  f.Origins[0]->setSeveralVersions(
+      [](uint64_t) { return std::optional(true); });
+  messages::LoadShare in;
+  in.mutable_relay();
+  in.mutable_origins()->set_query(7);
+  in.mutable_origins()->add_streams(1);
+  CHECK(f.Origins[0]->handle(in, f.Processes[1].Address));
+  REQUIRE(f.Sent.size() == 1);
+  CHECK(!f.Sent[0].Message.origins().has_has_several_versions());
+}
+
+TEST_CASE("a question and its answer name service and versions") {
+  messages::LoadShare query = encodeOriginQuery(3, 4, 5);
+  CHECK(query.origins().query() == 3);
+  CHECK(query.origins().service() == 4);
+  REQUIRE(query.origins().streams_size() == 1);
+  CHECK(query.origins().streams(0) == 5);
+  messages::LoadShare answer = encodeOriginAnswer(3, 6, true);
+  CHECK(answer.origins().versions(0) == 6);
+  CHECK(answer.origins().has_several_versions());
+  answer = encodeOriginAnswer(3, std::nullopt, std::nullopt);
+  CHECK(answer.origins().versions_size() == 0);
+  CHECK(!answer.origins().has_has_several_versions());
+}
+
+TEST_CASE("the version of a stream outlives holders that die in turn") {
+  Network f(12);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  REQUIRE(f.records() == HoldersPerStream);
+  std::vector<size_t> holders = {f.receiver(0), f.receiver(1), f.receiver(2)};
+  f.kill({0, holders[0], holders[1]});
+  f.runFor(HandoverLimit);
+  f.kill({holders[2]});
+  for (size_t i = 0; i < 12; ++i)
+    if (!f.Dead.contains(i))
+      CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("the version of a stream outlives holders that restart in turn") {
+  Network f(12);
+  f.Origins[0]->record("model", "stream", "v1", true);
+  f.runFor(RepeatLimit);
+  REQUIRE(f.records() == HoldersPerStream);
+  std::vector<size_t> holders = {f.receiver(0), f.receiver(1), f.receiver(2)};
+  for (size_t it : {size_t{0}, holders[0], holders[1]})
+    f.restart(it);
+  f.runFor(HandoverLimit);
+  f.restart(holders[2]);
+  for (size_t i = 0; i < 12; ++i)
+    CHECK(f.find(i, "stream").Version == hashOfVersion("v1"));
+}
+
+TEST_CASE("a process that starts asks each other one for records once") {
+  Network f(40);
+  f.restart(0);
+  f.runFor(StartLimit * 2);
+  f.Origins[0]->setProcesses({f.Processes[0]});
+  f.Origins[0]->setProcesses(f.Processes);
+  f.runFor(StartLimit);
+  CHECK(f.Sent.size() == 39);
+}
+
+TEST_CASE("streams of a service with one version are given to nobody") {
+  Network f(6);
+  for (int i = 0; i < 100; ++i)
+    f.Origins[0]->record("model", std::to_string(i), "v1", false);
+  f.restart(1);
+  f.runFor(StartLimit);
+  f.kill({2, 3});
+  f.runFor(HandoverLimit);
+  CHECK(std::none_of(f.Sent.begin(), f.Sent.end(),
+                     [](const auto &it) { return it.isHandover(); }));
+}
+
+TEST_CASE("streams that callers no longer take up are given to nobody") {
+  OriginTable table;
+  table.putHeld({1, 7}, Start);
+  table.putHeld({2, 7}, Start + std::chrono::seconds(20));
+  MonoTime now = Start + std::chrono::seconds(31);
+  std::vector<KnownOrigin> records =
+      table.recentRecords(std::chrono::seconds(30), now);
+  REQUIRE(records.size() == 1);
+  CHECK(records[0].Record == OriginRecord{2, 7});
+  // A record keeps its age when it is given on.
+  OriginTable other;
+  for (const KnownOrigin &it :
+       decodeHandover(encodeHandover(records, now), now))
+    other.putHandedOver(it, now);
+  CHECK(other.find(2, now) == 7U);
+  now += std::chrono::seconds(20);
+  CHECK(other.recentRecords(std::chrono::seconds(30), now).empty());
+}
+
+TEST_CASE("records are given to new holders only, by those that have them") {
+  std::vector<HashedProcess> all = hashProcesses(makeProcesses(60, 5));
+  for (uint64_t stream = 0; stream < 500; ++stream) {
+    std::vector<http::Endpoint> holders = chooseHolders(stream, all, {});
+    std::vector<HashedProcess> after = all;
+    std::erase_if(after, [&](const HashedProcess &it) {
+      return it.Process.Address == holders[0];
+    });
+    KnownOrigin record{{stream, 7}, Start};
+    std::vector<Handover> out =
+        chooseHandovers({&record, 1}, all, after, holders[1]);
+    std::vector<http::Endpoint> now = chooseHolders(stream, after, {});
+    REQUIRE(out.size() >= 1);
+    for (const Handover &it : out) {
+      CHECK(std::find(holders.begin(), holders.begin() + HoldersPerStream,
+                      it.To) == holders.begin() + HoldersPerStream);
+      CHECK(std::find(now.begin(), now.begin() + HoldersPerStream, it.To) !=
+            now.begin() + HoldersPerStream);
+    }
+    CHECK(chooseHandovers({&record, 1}, all, all, holders[1]).empty());
+    for (const HashedProcess &it : all) {
+      bool holds =
+          std::find(holders.begin(), holders.begin() + HoldersPerStream,
+                    it.Process.Address) != holders.begin() + HoldersPerStream;
+      CHECK(chooseRecordsFor(it, {&record, 1}, all).size() == (holds ? 1 : 0));
+    }
+  }
+}
+
+TEST_CASE("a mass death and restarts cause no storm of records") {
+  Network f(40);
+  // Only process 0 runs.
+  for (size_t i = 1; i < 40; ++i)
+    f.Dead.insert(i);
+  for (uint32_t i = 0; i < 20'000; i += 100) {
+    std::vector<OriginRecord> records;
+    for (uint32_t k = i; k < i + 100; ++k)
+      records.push_back({k * 0x9E3779B97F4A7C15, 7});
+    f.Origins[0]->handle(encodeOrigins(records), f.Processes[1].Address);
+  }
+  std::vector<RunningProcess> running(f.Processes.begin(),
+                                      f.Processes.begin() + 16);
+  f.Origins[0]->setProcesses(running);
+  MonoTime begin = MonoClock::now();
+  for (size_t i = 1; i < 40; ++i) {
+    f.Origins[0]->handle(encodeRecordsRequest("domain-0"),
+                         f.Processes[i].Address);
+    f.runFor(Milliseconds(50));
+  }
+  double bytes = 0;
+  for (const Network::Datagram &it : f.Sent)
+    bytes += static_cast<double>(it.bytes());
+  double seconds = toSeconds(MonoClock::now() - begin);
+  CHECK(f.Sent.size() > 10);
+  // A burst of five seconds' bytes, and then the target of a process.
+  CHECK(bytes <= 7'000 * (5 + seconds) + 1'500);
+}
+
 TEST_CASE("datagrams of other kinds are left to others") {
   Network f(2);
   messages::LoadShare report;
