--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -14,10 +14,16 @@
 constexpr unsigned MomentsToBlock = 3;
 /// The same for a suspect that was sound before.
 constexpr unsigned MomentsToBlockSound = 5;
-/// Delay of the next trial, by the number of trials that a crash has followed.
+/// Delay of the next trial after one that has crashed its server, by the number
+/// of trials.
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
     std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
+/// The same for a suspect that was sound before: the trial may have failed for
+/// another reason.
+constexpr std::array<std::chrono::seconds, 4> SoundTrialDelays = {
+    std::chrono::seconds(1), std::chrono::seconds(4), std::chrono::minutes(5),
+    std::chrono::hours(1)};
 /// The same for a request without a successful response so far.
 constexpr std::array<std::chrono::seconds, 3> RequestTrialDelays = {
     std::chrono::seconds(1), std::chrono::minutes(1), std::chrono::hours(1)};
@@ -109,8 +115,10 @@
       isNews = true;
       continue;
     }
-    isNews = isNews || (it.Refuted && !known->Refuted);
+    isNews = isNews || (it.Refuted && !known->Refuted) ||
+             (it.OfTrial && !known->OfTrial);
     known->Refuted = known->Refuted || it.Refuted;
+    known->OfTrial = known->OfTrial || it.OfTrial;
     // Datagrams and busy processes only add to the age of a crash.
     known->At = std::min(known->At, it.At);
   }
@@ -174,10 +182,16 @@
 
 bool mayTry(const SuspectEvidence &e, TrialRank rank, MonoTime now) {
   // Without a crash or a successful response, the trial has shown nothing: its
-  // engine may have been cut off.
-  bool hasFailed = e.Trials > 0 && e.Crashes.back().At >= e.TriedAt;
+  // engine may have been cut off. Requests that were sent before the suspect
+  // was blocked may still crash other servers.
+  bool hasFailed = std::any_of(e.Crashes.begin(), e.Crashes.end(),
+                               [&](const CrashSighting &it) {
+                                 return it.OfTrial && it.At >= e.TriedAt;
+                               });
   std::span<const std::chrono::seconds> delays = TrialDelays;
-  if (e.IsRequest && !e.WasSound)
+  if (e.WasSound)
+    delays = SoundTrialDelays;
+  else if (e.IsRequest)
     delays = RequestTrialDelays;
   size_t n = hasFailed ? std::min<size_t>(e.Trials, delays.size() - 1) : 0;
   auto waited = now - std::max(e.Crashes.back().At, e.TriedAt) - delays[n];
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -104,9 +104,9 @@
   attemptOptions.RemainingTime = context.remainingTime();
   http::Request request =
       shared.Protocol.makeAttemptRequest(context.Request, attemptOptions);
-  bool fresh = !context.Route->mayRepeat();
   http::CallOptions options =
-      attemptCallOptions(context, fresh, context.remainingTime());
+      attemptCallOptions(context, server->Entry.Address,
+                         context.Route->mayRepeat(), context.remainingTime());
   attempt->Patience = attemptPatience(shared, context);
   attempt->Index = context.Attempts.add(server->Entry.Id);
   attempt->StartedAt = MonoClock::now();
@@ -149,12 +149,13 @@
         attempt.Received = stream.head();
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
         attempt.RequestLimit = attempt.Head.RequestLimit;
-        recordServerNotices(shared, attempt.Server->Entry, attempt.Head,
-                            attempt.StartedAt);
         done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
-        if (done.Detail.empty())
+        if (done.Detail.empty()) {
+          recordServerNotices(shared, attempt.Server->Entry, attempt.Head,
+                              attempt.StartedAt);
           continue;
+        }
         attempt.Server->Health.recordFailure(FailureKind::Broken,
                                              MonoClock::now());
         co_return done;
@@ -180,7 +181,8 @@
     done.Detail = e.what();
     recordTransportFault(context, *attempt.Server, e);
     if (!e.TimedOut && !context.CallerGone)
-      recordBrokenAnswer(shared, requestSuspect(context), attempt.Server);
+      recordBrokenAnswer(shared, context, requestSuspect(context),
+                         attempt.Server);
     co_return done;
   }
   co_return PlainAttemptResult{};
@@ -197,7 +199,7 @@
   std::vector<fleet::SuspectKey> suspects = requestSuspect(context);
   MonoTime now = MonoClock::now();
   if (shared.Findings.needsSoundAnswer(suspects, now))
-    recordShortAnswer(shared, std::move(suspects), attempt.Server,
+    recordShortAnswer(shared, context, std::move(suspects), attempt.Server,
                       attempt.StartedAt);
   else
     shared.Findings.recordSound(suspects, attempt.StartedAt, now);
@@ -283,10 +285,13 @@
   progress.Open.erase(it);
   endAttempt(shared, context, *attempt, result.Outcome, result.Detail);
   progress.Cause = FailureCause::Failed;
+  // Whatever else arrives on the connection of an unusable response belongs to
+  // no request.
+  if (result.Outcome == AttemptOutcome::Unknown)
+    attempt->Response->close();
+  else
+    settleConnection(shared, context.Request.Id, *attempt->Response);
   if (result.Outcome != AttemptOutcome::Answered) {
-    // Whatever else arrives on the connection belongs to no request.
-    if (result.Outcome == AttemptOutcome::Unknown)
-      attempt->Response->close();
     progress.Detail = std::move(result.Detail);
     co_return false;
   }
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -184,7 +184,6 @@
   co_await attempt.Response->receiveHead(http::ReadyTimeout);
   ResponseHead head = shared.Protocol.decodeHead(attempt.Response->head());
   attempt.RequestLimit = head.RequestLimit;
-  recordServerNotices(shared, server->Entry, head, attempt.StartedAt);
   std::string error =
       validateResponse(head, attempt.Response->head(), context.Request.Id);
   if (!error.empty()) {
@@ -192,6 +191,7 @@
     server->Health.recordFailure(FailureKind::Broken, MonoClock::now());
     co_return StreamAttemptResult::Broken;
   }
+  recordServerNotices(shared, server->Entry, head, attempt.StartedAt);
   if (head.NotExecuted) {
     progress.LastDetail = "rejected with status " +
                           std::to_string(attempt.Response->head().Status);
@@ -240,8 +240,9 @@
     attemptOptions.ResumeAfter = progress.Events.lastId();
   http::Request request =
       shared.Protocol.makeAttemptRequest(context.Request, attemptOptions);
-  http::CallOptions options = attemptCallOptions(
-      context, !context.Route->mayRepeat(), context.remainingTime());
+  http::CallOptions options =
+      attemptCallOptions(context, server->Entry.Address,
+                         context.Route->mayRepeat(), context.remainingTime());
   attempt->Patience = firstEventPatience(context, attempt->Plan);
   attempt->Index = context.Attempts.add(server->Entry.Id);
   attempt->StartedAt = MonoClock::now();
@@ -280,8 +281,12 @@
     recordTransportFault(context, server, e);
     isCut = !e.TimedOut && !context.CallerGone;
   }
+  if (result == StreamAttemptResult::Complete ||
+      result == StreamAttemptResult::NotExecuted)
+    settleConnection(shared, context.Request.Id, *attempt.Response);
   if (isCut && !attempt.IsSound)
-    recordBrokenAnswer(shared, suspectsOf(context), attempt.Plan.Server);
+    recordBrokenAnswer(shared, context, suspectsOf(context),
+                       attempt.Plan.Server);
   if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
     server.Health.recordSuccess(MonoClock::now());
     attempt.WasSilent = false;
@@ -292,8 +297,8 @@
                      attempt.TimeToFirstEvent);
     server.Health.recordSuccess(MonoClock::now());
     if (attempt.Forwards && !attempt.IsSound)
-      recordShortAnswer(shared, suspectsOf(context), attempt.Plan.Server,
-                        attempt.RespondedAt);
+      recordShortAnswer(shared, context, suspectsOf(context),
+                        attempt.Plan.Server, attempt.RespondedAt);
   }
   co_return result;
 }
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -39,6 +39,7 @@
 constexpr const char *CrashingPath = "/status/x1";
 constexpr const char *CrashingRoute = "/status/x";
 constexpr Milliseconds CrashingPause{300};
+constexpr Milliseconds OddEntryPause{60};
 constexpr Milliseconds RestartDelay{1'000};
 constexpr NamedLimit EngineLimit{3, Milliseconds(2'000), Milliseconds(600'000)};
 /// Bounds of the platform for both.
@@ -78,7 +79,10 @@
                  .StepTime = Milliseconds(20),
                  .CrashingPart = o.Hazards ? CrashingPart : "",
                  .CrashingPath = o.Hazards ? CrashingPath : "",
-                 .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {}
+                 .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {
+    if (o.RepeatsRejections)
+      repeatRejections();
+  }
 
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
@@ -99,6 +103,17 @@
   }
 
 private:
+  void repeatRejections() {
+    constexpr std::array<RepeatedRejection, 4> Repeats = {
+        RepeatedRejection::AtOnce, RepeatedRejection::Later,
+        RepeatedRejection::AfterNextRequest,
+        RepeatedRejection::AfterNextRequestInParts};
+    for (DeployedWorker &it : Deployment.Workers) {
+      it.Flags = {"--shed_every=20", "--shed_with_id=false"};
+      it.Link->setRepeatedRejections(Repeats[Random() % Repeats.size()]);
+    }
+  }
+
   using Fault = std::function<Awaitable<void>()>;
 
   Awaitable<void> runScenario() {
@@ -118,6 +133,8 @@
       });
       spawn(Io, "restart", [this] { return restartEngines(); });
     }
+    if (Options.OddEntries)
+      spawn(Io, "odd-entries", [this] { return addOddEntries(); });
     MonoTime end = MonoClock::now() + Options.Length;
     while (Options.Faults && MonoClock::now() < end) {
       Fault f = pickFault();
@@ -178,6 +195,18 @@
     }
   }
 
+  /// The entries expire again.
+  Awaitable<void> addOddEntries() {
+    for (size_t i = 0;; ++i) {
+      try {
+        co_await Deployment.writeOddEntry("a-" + std::to_string(i), i);
+      } catch (const http::TransportError &e) {
+        log::info(log::Category::StandIn, "no odd entry written: {}", e.what());
+      }
+      co_await sleepFor(OddEntryPause);
+    }
+  }
+
   /// Starts engines again that have crashed. Engines that a fault has stopped
   /// are mostly started by it.
   Awaitable<void> restartEngines() {
