--- a/Source/Fleet/VersionRecord.cpp
+++ b/Source/Fleet/VersionRecord.cpp
@@ -15,11 +15,11 @@
 
 /// Time until a process acts in the place of the first one, and between two
 /// such processes.
-constexpr Milliseconds AddPatience{400};
-constexpr Milliseconds AddInterval{100};
+constexpr Milliseconds FirstAddDelay{400};
+constexpr Milliseconds AddDelayPerRank{100};
 /// The same for a removal, which is not urgent.
-constexpr Milliseconds RemovePatience{2'000};
-constexpr Milliseconds RemoveInterval{500};
+constexpr Milliseconds FirstRemoveDelay{2'000};
+constexpr Milliseconds RemoveDelayPerRank{500};
 
 bool isSubset(const std::set<std::string> &part,
               const std::set<std::string> &whole) {
@@ -57,8 +57,9 @@
 Milliseconds changeDelay(RecordChange change, unsigned rank) {
   if (rank == 0 || change == RecordChange::None)
     return Milliseconds(0);
-  return change == RecordChange::Add ? AddPatience + AddInterval * rank
-                                     : RemovePatience + RemoveInterval * rank;
+  return change == RecordChange::Add
+             ? FirstAddDelay + AddDelayPerRank * rank
+             : FirstRemoveDelay + RemoveDelayPerRank * rank;
 }
 
 } // namespace sardineford::fleet
--- a/Source/Peers/OriginHandover.h
+++ b/Source/Peers/OriginHandover.h
@@ -25,15 +25,14 @@
                                       const std::vector<HashedProcess> &after,
                                       const http::Endpoint &local);
 
-/// Returns the records that a process holds which knows nothing yet.
+/// Returns the records that a process is to hold that has just started.
 std::vector<KnownOrigin>
 chooseRecordsFor(const HashedProcess &newcomer,
                  std::span<const KnownOrigin> records,
                  const std::vector<HashedProcess> &processes);
 
-/// Records to give to other processes, and how many bytes may be sent for them.
-/// A burst covers what is young after a mass death; the rate is the target of
-/// all control traffic of a process.
+/// Records to give to other processes, and how many bytes may be sent for them:
+/// a burst after many processes have ended, and a steady rate from then on.
 class HandoverQueue {
 public:
   static constexpr double BytesPerSecond = 7'000;
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -589,7 +589,6 @@
   ChangingFixture t;
   t.Peer.update({"servers", "b", 11, "model"});
   t.Store.Lists["servers"].push_back({"servers", "b", 11, "model"});
-  // A difference counts after 1.5 s; a batch of changes takes up to 1 s more.
   t.runBesidePeer(40);
   CHECK(t.Servers.ofService("model").size() == 2);
 }
--- a/Tests/Load/VersionRecordScaleTest.cpp
+++ b/Tests/Load/VersionRecordScaleTest.cpp
@@ -66,7 +66,7 @@
   }
 }
 
-TEST_CASE("the first record of a fleet that starts does not press the store") {
+TEST_CASE("a fleet that starts writes its first record about once") {
   for (size_t processes : {6, 60, 350}) {
     INFO(processes << " processes");
     RecordSimulationOptions o;
