--- a/Source/Peers/HandoverLimits.h
+++ b/Source/Peers/HandoverLimits.h
@@ -9,7 +9,7 @@
 constexpr Milliseconds HandoverInterval{20};
 /// Limits of one turn of the event loop.
 constexpr size_t ComparedAtOnce = 64;
-constexpr size_t NewcomersAtOnce = 4;
+constexpr size_t JoinedAtOnce = 4;
 constexpr size_t HandoversAtOnce = 32;
 /// Each process gets its newest records before another gets older ones.
 constexpr size_t RecordsPerHandover = 16;
--- a/Source/Peers/OriginHandover.cpp
+++ b/Source/Peers/OriginHandover.cpp
@@ -41,14 +41,14 @@
 }
 
 std::vector<KnownOrigin>
-chooseRecordsFor(const HashedProcess &newcomer,
+chooseRecordsFor(const HashedProcess &joined,
                  std::span<const KnownOrigin> records,
                  const std::vector<HashedProcess> &processes) {
   std::vector<KnownOrigin> out;
   for (const KnownOrigin &it : records)
-    if (mayHold(it.Record.Stream, newcomer, processes) &&
+    if (mayHold(it.Record.Stream, joined, processes) &&
         contains(rankedHolders(it.Record.Stream, processes),
-                 newcomer.Process.Address))
+                 joined.Process.Address))
       out.push_back(it);
   return out;
 }
--- a/Source/Peers/OriginHandover.h
+++ b/Source/Peers/OriginHandover.h
@@ -27,7 +27,7 @@
 
 /// Returns the records that a process is to hold that has just started.
 std::vector<KnownOrigin>
-chooseRecordsFor(const HashedProcess &newcomer,
+chooseRecordsFor(const HashedProcess &joined,
                  std::span<const KnownOrigin> records,
                  const std::vector<HashedProcess> &processes);
 
--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -66,16 +66,16 @@
   std::set<http::Endpoint> running;
   for (const RunningProcess &it : processes) {
     running.insert(it.Address);
-    Gone.erase(it.Address);
+    EndedPeers.erase(it.Address);
     bool isNew = now - StartedAt <= fleet::StreamMemory;
     if (isNew && it.Address != Address && Asked.insert(it.Address).second)
       ToAsk.push_back(it.Address);
   }
   for (const HashedProcess &it : Candidates)
     if (!running.contains(it.Process.Address)) {
-      if (Gone.empty())
-        GoneAt = now;
-      Gone[it.Process.Address] = it;
+      if (EndedPeers.empty())
+        EndedAt = now;
+      EndedPeers[it.Process.Address] = it;
     }
   Processes = processes;
   Candidates = hashProcesses(processes);
@@ -83,8 +83,8 @@
 }
 
 void StreamOrigins::scheduleHandover() {
-  bool isIdle = ToAsk.empty() && Gone.empty() && ToCompare.empty() &&
-                Newcomers.empty() && Handovers.empty();
+  bool isIdle = ToAsk.empty() && EndedPeers.empty() && ToCompare.empty() &&
+                JoinedPeers.empty() && Handovers.empty();
   if (isIdle || std::exchange(HandoverScheduled, true))
     return;
   HandoverTimer.expires_after(HandoverInterval);
@@ -101,26 +101,27 @@
 
 void StreamOrigins::chooseDueHandovers(MonoTime now) {
   std::vector<KnownOrigin> recent;
-  if (!Newcomers.empty())
+  if (!JoinedPeers.empty())
     recent = Table.recentRecords(fleet::StreamMemory, now);
-  for (size_t i = 0; i < NewcomersAtOnce && !Newcomers.empty(); ++i) {
-    HashedProcess newcomer = Newcomers.begin()->second;
-    Newcomers.erase(Newcomers.begin());
+  for (size_t i = 0; i < JoinedAtOnce && !JoinedPeers.empty(); ++i) {
+    HashedProcess joined = JoinedPeers.begin()->second;
+    JoinedPeers.erase(JoinedPeers.begin());
     std::vector<HashedProcess> processes = Candidates;
     std::erase_if(processes, [&](const HashedProcess &it) {
-      return it.Process.Address == newcomer.Process.Address;
+      return it.Process.Address == joined.Process.Address;
     });
-    processes.push_back(newcomer);
-    for (const KnownOrigin &it : chooseRecordsFor(newcomer, recent, processes))
-      Handovers.push(newcomer.Process.Address, it);
+    processes.push_back(joined);
+    for (const KnownOrigin &it : chooseRecordsFor(joined, recent, processes))
+      Handovers.push(joined.Process.Address, it);
   }
-  if (ToCompare.empty() && !Gone.empty() && now - GoneAt >= DeathGrouping) {
+  if (ToCompare.empty() && !EndedPeers.empty() &&
+      now - EndedAt >= DeathGrouping) {
     std::vector<KnownOrigin> records =
         Table.recentRecords(fleet::StreamMemory, now);
     ToCompare.assign(records.begin(), records.end());
     After = Candidates;
     Before = Candidates;
-    for (const auto &[endpoint, process] : std::exchange(Gone, {}))
+    for (const auto &[endpoint, process] : std::exchange(EndedPeers, {}))
       Before.push_back(process);
   }
   size_t n = std::min(ComparedAtOnce, ToCompare.size());
@@ -350,7 +351,7 @@
     return false;
   MonoTime now = MonoClock::now();
   if (in.origins().wants_records()) {
-    Newcomers[from] = hashProcess({in.failure_domain(), from});
+    JoinedPeers[from] = hashProcess({in.failure_domain(), from});
     scheduleHandover();
   } else if (in.origins().answer() != 0) {
     applyAnswer(in, from);
--- a/Source/Peers/StreamOrigins.h
+++ b/Source/Peers/StreamOrigins.h
@@ -127,14 +127,14 @@
   std::set<http::Endpoint> Asked;
   std::deque<http::Endpoint> ToAsk;
   /// Processes that have gone since the records were last compared.
-  std::map<http::Endpoint, HashedProcess> Gone;
-  MonoTime GoneAt{};
+  std::map<http::Endpoint, HashedProcess> EndedPeers;
+  MonoTime EndedAt{};
   /// Records that are being compared, and the processes before and after.
   std::deque<KnownOrigin> ToCompare;
   std::vector<HashedProcess> Before;
   std::vector<HashedProcess> After;
   /// Processes that have asked for records.
-  std::map<http::Endpoint, HashedProcess> Newcomers;
+  std::map<http::Endpoint, HashedProcess> JoinedPeers;
   HandoverQueue Handovers;
   boost::asio::steady_timer HandoverTimer;
   bool HandoverScheduled = false;
--- a/StandIns/Placement/HandoverSimulation.cpp
+++ b/StandIns/Placement/HandoverSimulation.cpp
@@ -71,7 +71,7 @@
     OriginTable Table;
     HandoverQueue Queue;
     std::deque<size_t> ToAsk;
-    std::deque<size_t> Newcomers;
+    std::deque<size_t> JoinedPeers;
     MonoTime StartsAt{};
     std::deque<std::pair<MonoTime, double>> Sent;
     double BytesInSecond = 0;
@@ -163,20 +163,20 @@
   void takeTurn(size_t i, MonoTime t) {
     Process &process = Fleet[i];
     std::vector<KnownOrigin> recent;
-    if (!process.Newcomers.empty())
+    if (!process.JoinedPeers.empty())
       recent = process.Table.recentRecords(RecordAge, t);
-    for (size_t n = 0; n < NewcomersAtOnce && !process.Newcomers.empty(); ++n) {
-      const HashedProcess &newcomer = Names[process.Newcomers.front()];
-      process.Newcomers.pop_front();
-      for (const KnownOrigin &it : chooseRecordsFor(newcomer, recent, Names))
-        process.Queue.push(newcomer.Process.Address, it);
+    for (size_t n = 0; n < JoinedAtOnce && !process.JoinedPeers.empty(); ++n) {
+      const HashedProcess &joined = Names[process.JoinedPeers.front()];
+      process.JoinedPeers.pop_front();
+      for (const KnownOrigin &it : chooseRecordsFor(joined, recent, Names))
+        process.Queue.push(joined.Process.Address, it);
     }
     for (size_t n = 0; n < HandoversAtOnce && process.Queue.maySend(t); ++n) {
       if (!process.ToAsk.empty()) {
         size_t to = process.ToAsk.front();
         process.ToAsk.pop_front();
         if (send(process, encodeRecordsRequest("domain-00"), to, t))
-          Fleet[to].Newcomers.push_back(i);
+          Fleet[to].JoinedPeers.push_back(i);
       } else if (!process.Queue.empty()) {
         auto [to, records] = process.Queue.take(RecordsPerHandover);
         messages::LoadShare datagram = encodeHandover(records, t);
