--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -19,11 +19,6 @@
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
     std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
-/// The same for a suspect that was sound before: the trial may have failed for
-/// another reason.
-constexpr std::array<std::chrono::seconds, 4> SoundTrialDelays = {
-    std::chrono::seconds(1), std::chrono::seconds(4), std::chrono::minutes(5),
-    std::chrono::hours(1)};
 /// The same for a request without a successful response so far.
 constexpr std::array<std::chrono::seconds, 3> RequestTrialDelays = {
     std::chrono::seconds(1), std::chrono::minutes(1), std::chrono::hours(1)};
@@ -189,9 +184,7 @@
                                  return it.OfTrial && it.At >= e.TriedAt;
                                });
   std::span<const std::chrono::seconds> delays = TrialDelays;
-  if (e.WasSound)
-    delays = SoundTrialDelays;
-  else if (e.IsRequest)
+  if (e.IsRequest && !e.WasSound)
     delays = RequestTrialDelays;
   size_t n = hasFailed ? std::min<size_t>(e.Trials, delays.size() - 1) : 0;
   auto waited = now - std::max(e.Crashes.back().At, e.TriedAt) - delays[n];
--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -151,9 +151,9 @@
 }
 
 // A server may end for another reason right after a trial of a sound part.
-TEST_CASE("a part that was sound is tried twice within the recovery time") {
+TEST_CASE("the second trial of a part comes within the recovery time") {
   constexpr int RecoverySeconds = 6;
-  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5, true)}};
+  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].Trials = 1;
   evidence[9].TriedAt = at(20);
   evidence[9].Crashes.push_back({99, at(20), false, true});
@@ -161,14 +161,6 @@
   CHECK_FALSE(isRejected(evidence, {9}, 0, 20 + RecoverySeconds));
 }
 
-TEST_CASE("a part that was never sound is not tried twice in short time") {
-  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
-  evidence[9].Trials = 1;
-  evidence[9].TriedAt = at(20);
-  evidence[9].Crashes.push_back({99, at(20), false, true});
-  CHECK(isRejected(evidence, {9}, 0, 29));
-}
-
 TEST_CASE("evidence is kept while requests are rejected because of it") {
   EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].LastUseAt = at(400);
