--- a/Source/Fleet/CrashEvidence.cpp
+++ b/Source/Fleet/CrashEvidence.cpp
@@ -14,8 +14,7 @@
 constexpr unsigned MomentsToBlock = 3;
 /// The same for a suspect that was sound before.
 constexpr unsigned MomentsToBlockSound = 5;
-/// Delay of the next trial after one that has crashed its server, by the number
-/// of trials.
+/// Delay of the next trial, by the number of trials that a crash has followed.
 constexpr std::array<std::chrono::seconds, 4> TrialDelays = {
     std::chrono::seconds(1), std::chrono::seconds(10), std::chrono::minutes(5),
     std::chrono::hours(1)};
@@ -110,10 +109,8 @@
       isNews = true;
       continue;
     }
-    isNews = isNews || (it.Refuted && !known->Refuted) ||
-             (it.OfTrial && !known->OfTrial);
+    isNews = isNews || (it.Refuted && !known->Refuted);
     known->Refuted = known->Refuted || it.Refuted;
-    known->OfTrial = known->OfTrial || it.OfTrial;
     // Datagrams and busy processes only add to the age of a crash.
     known->At = std::min(known->At, it.At);
   }
@@ -177,12 +174,8 @@
 
 bool mayTry(const SuspectEvidence &e, TrialRank rank, MonoTime now) {
   // Without a crash or a successful response, the trial has shown nothing: its
-  // engine may have been cut off. Requests that were sent before the suspect
-  // was blocked may still crash other servers.
-  bool hasFailed = std::any_of(e.Crashes.begin(), e.Crashes.end(),
-                               [&](const CrashSighting &it) {
-                                 return it.OfTrial && it.At >= e.TriedAt;
-                               });
+  // engine may have been cut off.
+  bool hasFailed = e.Trials > 0 && e.Crashes.back().At >= e.TriedAt;
   std::span<const std::chrono::seconds> delays = TrialDelays;
   if (e.IsRequest && !e.WasSound)
     delays = RequestTrialDelays;
--- a/Source/Gateway/CrashCheck.cpp
+++ b/Source/Gateway/CrashCheck.cpp
@@ -26,7 +26,7 @@
   BrokenServer &broken = shared.BrokenServers[incarnation];
   std::vector<fleet::SuspectKey> suspects(broken.Suspects.begin(),
                                           broken.Suspects.end());
-  shared.Findings.recordCrash(incarnation, broken.At, suspects, broken.Trials,
+  shared.Findings.recordCrash(incarnation, broken.At, suspects,
                               MonoClock::now());
 }
 
@@ -71,7 +71,6 @@
 
 Awaitable<void> judgeShortAnswer(SharedState &shared, fleet::ServerPtr server,
                                  std::vector<fleet::SuspectKey> suspects,
-                                 std::set<fleet::SuspectKey> trials,
                                  MonoTime begin) {
   co_await sleepFor(fleet::CrashAnswerTime);
   removeOld(shared);
@@ -79,7 +78,6 @@
   auto broken = shared.BrokenServers.find(incarnation);
   if (broken != shared.BrokenServers.end()) {
     broken->second.Suspects.insert(suspects.begin(), suspects.end());
-    broken->second.Trials.merge(trials);
     if (broken->second.Crashed)
       publishCrash(shared, incarnation);
     co_return;
@@ -87,7 +85,7 @@
   if (!shared.Findings.needsSoundAnswer(suspects, MonoClock::now()))
     co_return;
   shared.BrokenServers[incarnation] = {
-      MonoClock::now(), {suspects.begin(), suspects.end()}, trials, false};
+      MonoClock::now(), {suspects.begin(), suspects.end()}, false};
   if (co_await checkServer(shared, std::move(server)))
     shared.Findings.recordSound(suspects, begin, MonoClock::now());
 }
@@ -105,14 +103,13 @@
   return {fleet::keyOfRequest(context.RepeatsHash)};
 }
 
-void recordBrokenAnswer(SharedState &shared, const RequestContext &context,
+void recordBrokenAnswer(SharedState &shared,
                         const std::vector<fleet::SuspectKey> &suspects,
                         const fleet::ServerPtr &server) {
   removeOld(shared);
   uint32_t incarnation = incarnationOf(*server);
   auto [it, isFirst] = shared.BrokenServers.try_emplace(incarnation);
   it->second.Suspects.insert(suspects.begin(), suspects.end());
-  it->second.Trials.insert(context.Trials.begin(), context.Trials.end());
   if (isFirst) {
     it->second.At = MonoClock::now();
     spawn(shared.Io, "check-crash", [&shared, server]() -> Awaitable<void> {
@@ -137,13 +134,12 @@
   shared.Findings.recordSound(suspectsOf(context), begin, MonoClock::now());
 }
 
-void recordShortAnswer(SharedState &shared, const RequestContext &context,
+void recordShortAnswer(SharedState &shared,
                        std::vector<fleet::SuspectKey> suspects,
                        const fleet::ServerPtr &server, MonoTime begin) {
   spawn(shared.Io, "short-answer",
-        [&shared, server, suspects = std::move(suspects),
-         trials = context.Trials, begin] {
-          return judgeShortAnswer(shared, server, suspects, trials, begin);
+        [&shared, server, suspects = std::move(suspects), begin] {
+          return judgeShortAnswer(shared, server, suspects, begin);
         });
 }
 
@@ -160,11 +156,9 @@
                      *decision.Blocked);
 }
 
-void recordTrial(SharedState &shared, RequestContext &context) {
-  if (!context.TriedSuspect)
-    return;
-  context.Trials.insert(*context.TriedSuspect);
-  shared.Findings.recordTrial(*context.TriedSuspect, MonoClock::now());
+void recordTrial(SharedState &shared, const RequestContext &context) {
+  if (context.TriedSuspect)
+    shared.Findings.recordTrial(*context.TriedSuspect, MonoClock::now());
 }
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/CrashCheck.h
+++ b/Source/Gateway/CrashCheck.h
@@ -15,7 +15,7 @@
 /// Records that the connection of an attempt has broken before the answer
 /// showed that the suspects are sound. Finds out whether the server has
 /// crashed, and publishes what may have caused it.
-void recordBrokenAnswer(SharedState &shared, const RequestContext &context,
+void recordBrokenAnswer(SharedState &shared,
                         const std::vector<fleet::SuspectKey> &suspects,
                         const fleet::ServerPtr &server);
 
@@ -32,7 +32,7 @@
 /// sound: its server may crash after the end. Decides when a crash would be
 /// known, with a health check if other requests with the suspects need the
 /// result.
-void recordShortAnswer(SharedState &shared, const RequestContext &context,
+void recordShortAnswer(SharedState &shared,
                        std::vector<fleet::SuspectKey> suspects,
                        const fleet::ServerPtr &server, MonoTime begin);
 
@@ -43,6 +43,6 @@
                       const std::vector<fleet::SuspectKey> &suspects);
 
 /// Counts the next attempt as the trial that was noted, if one was.
-void recordTrial(SharedState &shared, RequestContext &context);
+void recordTrial(SharedState &shared, const RequestContext &context);
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -181,8 +181,7 @@
     done.Detail = e.what();
     recordTransportFault(context, *attempt.Server, e);
     if (!e.TimedOut && !context.CallerGone)
-      recordBrokenAnswer(shared, context, requestSuspect(context),
-                         attempt.Server);
+      recordBrokenAnswer(shared, requestSuspect(context), attempt.Server);
     co_return done;
   }
   co_return PlainAttemptResult{};
@@ -199,7 +198,7 @@
   std::vector<fleet::SuspectKey> suspects = requestSuspect(context);
   MonoTime now = MonoClock::now();
   if (shared.Findings.needsSoundAnswer(suspects, now))
-    recordShortAnswer(shared, context, std::move(suspects), attempt.Server,
+    recordShortAnswer(shared, std::move(suspects), attempt.Server,
                       attempt.StartedAt);
   else
     shared.Findings.recordSound(suspects, attempt.StartedAt, now);
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -51,8 +51,6 @@
   MonoTime At{};
   /// What these answers make suspects of the crash.
   std::set<fleet::SuspectKey> Suspects;
-  /// Suspects of which one of these answers was a trial.
-  std::set<fleet::SuspectKey> Trials;
   /// The server is known to have crashed.
   bool Crashed = false;
 };
@@ -109,8 +107,6 @@
   bool CallerGone = false;
   /// Blocked suspect that the next attempt tries.
   std::optional<fleet::SuspectKey> TriedSuspect;
-  /// Suspects of which some attempt was a trial.
-  std::set<fleet::SuspectKey> Trials;
   /// Status and outcome for the log.
   unsigned Status = 0;
   std::string Outcome;
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -98,7 +98,7 @@
     bool isCut = !e.TimedOut && !context.CallerGone &&
                  e.Stage != http::TransportStage::NothingSent;
     if (isCut)
-      recordBrokenAnswer(shared, context, requestSuspect(context), server);
+      recordBrokenAnswer(shared, requestSuspect(context), server);
   }
   Seconds duration = MonoClock::now() - start;
   if (handle) {
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -285,8 +285,7 @@
       result == StreamAttemptResult::NotExecuted)
     settleConnection(shared, context.Request.Id, *attempt.Response);
   if (isCut && !attempt.IsSound)
-    recordBrokenAnswer(shared, context, suspectsOf(context),
-                       attempt.Plan.Server);
+    recordBrokenAnswer(shared, suspectsOf(context), attempt.Plan.Server);
   if (result == StreamAttemptResult::Continues && attempt.WasSilent) {
     server.Health.recordSuccess(MonoClock::now());
     attempt.WasSilent = false;
@@ -297,8 +296,8 @@
                      attempt.TimeToFirstEvent);
     server.Health.recordSuccess(MonoClock::now());
     if (attempt.Forwards && !attempt.IsSound)
-      recordShortAnswer(shared, context, suspectsOf(context),
-                        attempt.Plan.Server, attempt.RespondedAt);
+      recordShortAnswer(shared, suspectsOf(context), attempt.Plan.Server,
+                        attempt.RespondedAt);
   }
   co_return result;
 }
--- a/Source/Peers/FindingCodec.cpp
+++ b/Source/Peers/FindingCodec.cpp
@@ -42,7 +42,6 @@
     crash.set_server(it.Server);
     crash.set_age_ms(ageOf(it.At, now));
     crash.set_refuted(it.Refuted);
-    crash.set_of_trial(it.OfTrial);
   }
 }
 
@@ -59,7 +58,7 @@
       e.TriedAt = timeOf(p.trial_age_ms(), now);
     for (const messages::CrashFinding &it : p.crashes())
       e.Crashes.push_back(
-          {it.server(), timeOf(it.age_ms(), now), it.refuted(), it.of_trial()});
+          {it.server(), timeOf(it.age_ms(), now), it.refuted()});
   }
   return out;
 }
--- a/Source/Peers/Findings.cpp
+++ b/Source/Peers/Findings.cpp
@@ -102,11 +102,10 @@
 
 void Findings::recordCrash(uint32_t server, MonoTime at,
                            std::span<const fleet::SuspectKey> suspects,
-                           const std::set<fleet::SuspectKey> &trials,
                            MonoTime now) {
   std::vector<fleet::SuspectKey> news;
   for (uint64_t it : suspects) {
-    fleet::CrashSighting crash{server, at, false, trials.contains(it)};
+    fleet::CrashSighting crash{server, at, false};
     if (!fleet::isRequest(it) && wasRecentlySound(it, at)) {
       Unconfirmed[it].push_back(crash);
       continue;
--- a/Source/Peers/Findings.h
+++ b/Source/Peers/Findings.h
@@ -38,11 +38,9 @@
   void setProcesses(const std::vector<RunningProcess> &processes, MonoTime now);
 
   /// Records the crash of a server at which answers with these suspects had
-  /// just begun. `server` is its hashOfIncarnation, `trials` the suspects of
-  /// which one of these answers was a trial.
+  /// just begun. `server` is its hashOfIncarnation.
   void recordCrash(uint32_t server, MonoTime at,
-                   std::span<const fleet::SuspectKey> suspects,
-                   const std::set<fleet::SuspectKey> &trials, MonoTime now);
+                   std::span<const fleet::SuspectKey> suspects, MonoTime now);
   /// Records a successful response with these suspects.
   void recordSound(std::span<const fleet::SuspectKey> suspects, MonoTime begin,
                    MonoTime now);
--- a/StandIns/Placement/CrashSimulation.cpp
+++ b/StandIns/Placement/CrashSimulation.cpp
@@ -36,7 +36,6 @@
   bool Crashes = false;
   int Attempts = 0;
   bool IsLate = false;
-  std::set<uint64_t> Trials;
 };
 
 struct Answer {
@@ -135,10 +134,8 @@
                    !Net.isDisturbed(r.Process);
     if (r.Crashes && isBound)
       ++Out.LateArrivals;
-    if (decision.Tried) {
-      r.Trials.insert(*decision.Tried);
+    if (decision.Tried)
       Net.findings(r.Process).recordTrial(*decision.Tried, Net.now());
-    }
     ++r.Attempts;
     size_t engine = running[Net.random()() % running.size()];
     uint64_t id = NextAnswer++;
@@ -199,17 +196,17 @@
       local.recordSound(keys, node.mapped().Begin, Net.now());
       return;
     }
-    Net.at(fleet::CrashAnswerTime, [this, engine,
-                                    incarnation = Engines[engine].Incarnation,
-                                    a = std::move(node.mapped())] {
-      peers::Findings &findings = Net.findings(a.Of.Process);
-      const SimulatedEngine &e = Engines[engine];
-      if (e.Incarnation != incarnation)
-        findings.recordCrash(serverOf(engine, incarnation + 1), e.CrashedAt,
-                             a.Of.Parts, a.Of.Trials, Net.now());
-      else if (findings.needsSoundAnswer(a.Of.Parts, Net.now()))
-        findings.recordSound(a.Of.Parts, a.Begin, Net.now());
-    });
+    Net.at(fleet::CrashAnswerTime,
+           [this, engine, incarnation = Engines[engine].Incarnation,
+            a = std::move(node.mapped())] {
+             peers::Findings &findings = Net.findings(a.Of.Process);
+             const SimulatedEngine &e = Engines[engine];
+             if (e.Incarnation != incarnation)
+               findings.recordCrash(serverOf(engine, incarnation + 1),
+                                    e.CrashedAt, a.Of.Parts, Net.now());
+             else if (findings.needsSoundAnswer(a.Of.Parts, Net.now()))
+               findings.recordSound(a.Of.Parts, a.Begin, Net.now());
+           });
   }
 
   static uint32_t serverOf(size_t engine, unsigned incarnation) {
@@ -225,27 +222,23 @@
     ++e.Incarnation;
     e.CrashedAt = Net.now();
     std::map<size_t, std::set<uint64_t>> suspects;
-    std::map<size_t, std::set<uint64_t>> trials;
     std::vector<Request> toRepeat;
     for (auto &[id, it] : std::exchange(e.Answers, {})) {
       bool isSound =
           it.HasBegun && Net.now() - it.Begin >= fleet::CrashAnswerTime;
-      if (!isSound) {
+      if (!isSound)
         suspects[it.Of.Process].insert(it.Of.Parts.begin(), it.Of.Parts.end());
-        trials[it.Of.Process].insert(it.Of.Trials.begin(), it.Of.Trials.end());
-      }
       if (it.Of.Attempts < MaxAttempts)
         toRepeat.push_back(it.Of);
     }
     uint32_t server = serverOf(engine, e.Incarnation);
     for (const auto &it : suspects)
-      Net.at(CheckTime,
-             [this, server, crashedAt = Net.now(), process = it.first,
-              parts = std::vector<uint64_t>(it.second.begin(), it.second.end()),
-              tried = trials[it.first]] {
-               Net.findings(process).recordCrash(server, crashedAt, parts,
-                                                 tried, Net.now());
-             });
+      Net.at(CheckTime, [this, server, crashedAt = Net.now(),
+                         process = it.first,
+                         parts = std::vector<uint64_t>(it.second.begin(),
+                                                       it.second.end())] {
+        Net.findings(process).recordCrash(server, crashedAt, parts, Net.now());
+      });
     for (Request &it : toRepeat)
       Net.at(Milliseconds(1), [this, it] { begin(it); });
     Net.at(Options.RestartTime,
--- a/Tests/Fleet/CrashEvidenceTest.cpp
+++ b/Tests/Fleet/CrashEvidenceTest.cpp
@@ -105,7 +105,7 @@
   EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].Trials = 2;
   evidence[9].TriedAt = at(20);
-  evidence[9].Crashes.push_back({99, at(20), false, true});
+  evidence[9].Crashes.push_back({99, at(20), false});
   CHECK(isRejected(evidence, {9}, 0, 300));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 321));
 }
@@ -116,30 +116,11 @@
   evidence[9].TriedAt = at(20);
   CHECK(isRejected(evidence, {9}, 0, 20));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 21));
-  evidence[9].Crashes.push_back({99, at(20), false, true});
+  evidence[9].Crashes.push_back({99, at(20), false});
   CHECK(isRejected(evidence, {9}, 0, 29));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 30));
 }
 
-TEST_CASE("a trial that waits for long before it crashes its engine counts") {
-  EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
-  evidence[9].Trials = 2;
-  evidence[9].TriedAt = at(20);
-  evidence[9].Crashes.push_back({99, at(28), false, true});
-  CHECK(isRejected(evidence, {9}, 0, 300));
-}
-
-TEST_CASE("that a crash was under a trial is merged with what peers know") {
-  SuspectEvidence known = crashesFrom(1, 3);
-  SuspectEvidence ofTrial = known;
-  ofTrial.Crashes.back().OfTrial = true;
-  SuspectEvidence reversed = ofTrial;
-  CHECK(mergeEvidence(known, ofTrial));
-  CHECK_FALSE(mergeEvidence(reversed, crashesFrom(1, 3)));
-  CHECK(known.Crashes == reversed.Crashes);
-  CHECK(known.Crashes.back().OfTrial);
-}
-
 // A request that was sent before its part was blocked may crash later.
 TEST_CASE("a crash that is not of the trial does not delay the next one") {
   EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
@@ -156,7 +137,7 @@
   EvidenceBySuspect evidence = {{9, crashesFrom(1, 5)}};
   evidence[9].Trials = 1;
   evidence[9].TriedAt = at(20);
-  evidence[9].Crashes.push_back({99, at(20), false, true});
+  evidence[9].Crashes.push_back({99, at(20), false});
   CHECK(isRejected(evidence, {9}, 0, 22));
   CHECK_FALSE(isRejected(evidence, {9}, 0, 20 + RecoverySeconds));
 }
--- a/include/Sardineford/Fleet/CrashEvidence.h
+++ b/include/Sardineford/Fleet/CrashEvidence.h
@@ -33,8 +33,6 @@
   MonoTime At;
   /// A response with the suspect began later and was successful.
   bool Refuted = false;
-  /// The answer that broke was that of a trial of the suspect.
-  bool OfTrial = false;
 
   bool operator==(const CrashSighting &) const = default;
 };
@@ -103,8 +101,8 @@
                          std::span<const SuspectKey> suspects);
 
 /// Returns whether a process may send a request with a blocked suspect to find
-/// out whether that is sound. Trials become rarer with each that has crashed
-/// its server; the longer one is due, the more processes may make it.
+/// out whether that is sound. Trials become rarer with each that was followed
+/// by a crash; the longer one is due, the more processes may make it.
 bool mayTry(const SuspectEvidence &e, TrialRank rank, MonoTime now);
 
 /// Returns whether the server of some trial may still crash under it.
