Log how many calls of a request count against the retry budget

The line of a request named the runs that were sent. AttemptRecord records prefills by the rule of the platform: each call that may have reached a server counts, except the first prefill that was executed. No decision uses the number yet.

--- a/Source/Gateway/AttemptRecord.cpp
+++ b/Source/Gateway/AttemptRecord.cpp
@@ -3,6 +3,7 @@
 #include "Sardineford/Http/Status.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sardineford::gateway {
 
@@ -61,6 +62,15 @@
       }));
 }
 
+bool AttemptRecord::recordPrefill(AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::NeverSent)
+    return false;
+  if (outcome == AttemptOutcome::Answered && !std::exchange(IsPrefilled, true))
+    return false;
+  ++CountedPrefills;
+  return true;
+}
+
 unsigned finalStatus(const AttemptRecord &record, FailureCause cause) {
   if (record.noneExecuted())
     return http::StatusUnavailable;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -400,6 +400,7 @@
               {"took_ms", context.elapsed().count()},
               {"left_ms", context.remainingTime().count()},
               {"sends", attempts},
+              {"counted_calls", context.Attempts.countedCalls()},
               {"most_attempts", context.Route->MaxAttempts},
               {"not_repeated", context.NoRetryReason},
               {"passed_over", context.PassedOver},
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -61,8 +61,9 @@
     awaited.push_back(response.get());
     http::ResponseStream *ready = co_await http::waitForAny(awaited, timeout);
     if (ready && ready != response.get()) {
+      context.Attempts.recordPrefill(outcome);
       logAttempt(context, *server,
-                 {"prefill", AttemptOutcome::Unknown, estimate, timeout,
+                 {"prefill", outcome, estimate, timeout,
                   toMilliseconds(MonoClock::now() - start),
                   "the silent engine has responded", tokens, queuedTokens});
       co_return std::nullopt;
@@ -93,6 +94,8 @@
   } catch (const http::TransportError &e) {
     detail = e.what();
     recordTransportFault(context, *server, e);
+    if (e.Stage == http::TransportStage::NothingSent)
+      outcome = AttemptOutcome::NeverSent;
     if (e.Refused)
       recordRefusedConnection(shared, server);
     bool isCut = !e.TimedOut && !context.CallerGone &&
@@ -100,6 +103,7 @@
     if (isCut)
       recordBrokenAnswer(shared, requestSuspect(context), server);
   }
+  context.Attempts.recordPrefill(outcome);
   Seconds duration = MonoClock::now() - start;
   if (handle) {
     server->Health.recordSuccess(MonoClock::now());
--- a/include/Sardineford/Gateway/AttemptRecord.h
+++ b/include/Sardineford/Gateway/AttemptRecord.h
@@ -41,10 +41,19 @@
   /// Returns the number of attempts that reached a server or may have reached
   /// one.
   size_t sentCount() const;
+  /// Records a separate prefill, which is no attempt. Returns whether it counts
+  /// against the limit on further attempts.
+  bool recordPrefill(AttemptOutcome outcome);
+  /// Returns the number of calls that may have reached a server. The first
+  /// prefill that was executed does not count. Each call beyond the first one
+  /// counts against the limit on further attempts.
+  size_t countedCalls() const { return sentCount() + CountedPrefills; }
   const std::vector<Attempt> &all() const { return Attempts; }
 
 private:
   std::vector<Attempt> Attempts;
+  size_t CountedPrefills = 0;
+  bool IsPrefilled = false;
 };
 
 /// Reason for a failed request.
