Charge rejected prefills, and the runs after them, to the retry budget

Cause: planAttempt charged a prefill only if an earlier one was made, and the run after it counted as the first attempt, so that a request whose first prefill was rejected went on for free. The platform excuses only the first prefill that an engine accepts.

Now each call of a request but the first one is charged before it is sent, by one count for all kinds of calls (AttemptRecord::countedCalls). The charge of a prefill that turns out to be the first executed one is given back. A request whose prefill was rejected ends at once when the budget is used up. So that a rejected prefill does not leave nothing for the run, a prompt goes straight to a decode engine while no retry is left and prefills have failed within the window (retry::mayPrefillSeparately); without failed prefills nothing changes.

--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -100,7 +100,7 @@
     return "the request may have been executed and its route is not repeatable";
   if (possiblyExecuted >= context.Route->MaxAttempts)
     return "the route allows no further attempts";
-  if (context.Attempts.sentCount() > 0 &&
+  if (context.Attempts.countedCalls() > 0 &&
       shared.service(context.Service).RetryBudget.remaining(MonoClock::now()) <
           1)
     return BudgetExhausted;
@@ -110,7 +110,7 @@
 bool acquireRetry(SharedState &shared, RequestContext &context) {
   context.NoRetryReason = findRetryObstacle(shared, context);
   bool allowed = context.NoRetryReason.empty();
-  if (context.Attempts.sentCount() == 0)
+  if (context.Attempts.countedCalls() == 0)
     return allowed;
   if (allowed)
     shared.service(context.Service).RetryBudget.withdraw(MonoClock::now());
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -35,6 +35,8 @@
   /// Exponential moving average of the time from the first event of a stream to
   /// its last.
   Seconds MeanStreamDuration{1.0};
+  /// Time of the last separate prefill that was not executed.
+  std::optional<MonoTime> PrefillFailedAt;
 };
 
 /// Observed values of one route.
@@ -189,8 +191,9 @@
 std::string_view findRetryObstacle(SharedState &shared,
                                    const RequestContext &context);
 
-/// Returns whether the request may be attempted at another backend server.
-/// Withdraws a retry from the budget if an attempt was already sent.
+/// Returns whether the request may be sent to a backend server, also for a
+/// separate prefill. Withdraws a retry from the budget if a call was already
+/// sent that counts.
 bool acquireRetry(SharedState &shared, RequestContext &context);
 
 /// Returns an empty string if the response may be used, else the error.
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -140,8 +140,11 @@
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
                                  StreamProgress &progress,
                                  std::vector<OpenStreamAttemptPtr> &open) {
-  bool isFirst = context.Attempts.all().empty();
-  if (!isFirst && !findRetryObstacle(shared, context).empty())
+  auto isFurther = [&context] {
+    return !context.Attempts.all().empty() ||
+           context.Attempts.countedCalls() > 0;
+  };
+  if (isFurther() && !findRetryObstacle(shared, context).empty())
     co_return acquireRetry(shared, context);
   if (checkBlocked(shared, context, progress)) {
     progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
@@ -162,7 +165,7 @@
   bool mustStop = context.CallerGone || checkTimedOut(context, progress) ||
                   progress.hasOpenResponse() ||
                   (!isTrial && checkBlocked(shared, context, progress));
-  if (!next || mustStop || (!isFirst && !acquireRetry(shared, context))) {
+  if (!next || mustStop || (isFurther() && !acquireRetry(shared, context))) {
     if (next && next->Handle)
       freeHandle(shared, *next->Handle);
     progress.NextMoveAt = MonoClock::now() + NoEngineDelay;
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -6,6 +6,7 @@
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Gateway/ConnectionReuse.h"
 #include "Sardineford/Http/Status.h"
+#include "Sardineford/Retry/PrefillRisk.h"
 
 #include <algorithm>
 #include <array>
@@ -118,6 +119,44 @@
   co_return handle;
 }
 
+/// Charges a separate prefill to the retry budget and sends it. The charge is
+/// given back if the prefill turns out not to count. Returns nothing if the
+/// budget is exhausted or the prefill fails.
+Awaitable<std::optional<KvHandle>>
+chargeAndPrefill(SharedState &shared, RequestContext &context,
+                 StreamProgress &progress, ServerPtr server, double tokens,
+                 Seconds estimate) {
+  MonoTime start = MonoClock::now();
+  size_t countedBefore = context.Attempts.countedCalls();
+  if (!acquireRetry(shared, context))
+    co_return std::nullopt;
+  std::optional<KvHandle> handle = co_await prefill(
+      shared, context, progress, std::move(server), tokens, estimate);
+  ServiceState &service = shared.service(context.Service);
+  bool counts = context.Attempts.countedCalls() > countedBefore;
+  if (counts)
+    service.PrefillFailedAt = MonoClock::now();
+  else if (countedBefore > 0)
+    service.RetryBudget.refund(start);
+  co_return handle;
+}
+
+/// Returns whether the prompt may be prefilled at an engine of its own.
+bool maySendPrefill(SharedState &shared, const RequestContext &context,
+                    const StreamProgress &progress) {
+  if (progress.PrefillAttempts >= MaxPrefillAttempts)
+    return false;
+  ServiceState &service = shared.service(context.Service);
+  MonoTime now = MonoClock::now();
+  retry::PrefillRisk risk;
+  risk.IsFirstCall = context.Attempts.countedCalls() == 0;
+  risk.BudgetLeft = service.RetryBudget.remaining(now);
+  risk.Window = shared.RetryBounds.Window;
+  if (service.PrefillFailedAt)
+    risk.FailedAgo = toMilliseconds(now - *service.PrefillFailedAt);
+  return retry::mayPrefillSeparately(risk);
+}
+
 routing::RequestProfile requestProfile(SharedState &shared,
                                        const RequestContext &context) {
   return {context.Request.PromptTokens, Seconds(context.Route->GapObjective),
@@ -140,7 +179,7 @@
       collectEngines(shared, context, priority, progress.Filter, probed),
       std::nullopt};
   EngineView &view = out.Engines;
-  if (progress.PrefillAttempts >= MaxPrefillAttempts)
+  if (!maySendPrefill(shared, context, progress))
     for (size_t i = view.Servers.size(); i-- > 0;)
       if (view.Candidates[i].Role == routing::EngineRole::Prefill) {
         view.Servers.erase(view.Servers.begin() + static_cast<ptrdiff_t>(i));
@@ -246,21 +285,14 @@
           tokensToPrefill(view.Candidates[decodeIndex], context.Request),
           choice.TimeToFirstEvent};
     }
-    // The first prefill is not a retry; each later one is.
-    bool allowed =
-        progress.PrefillAttempts == 0 ||
-        shared.service(context.Service).RetryBudget.withdraw(MonoClock::now());
     ++progress.PrefillAttempts;
-    if (!allowed) {
-      progress.PrefillAttempts = MaxPrefillAttempts;
-      continue;
-    }
     size_t prefillIndex = *choice.Prefill;
     double tokens =
         tokensToPrefill(view.Candidates[prefillIndex], context.Request);
     std::optional<KvHandle> handle =
-        co_await prefill(shared, context, progress, view.Servers[prefillIndex],
-                         tokens, choice.TimeToFirstEvent);
+        co_await chargeAndPrefill(shared, context, progress,
+                                  view.Servers[prefillIndex], tokens,
+                                  choice.TimeToFirstEvent);
     if (context.CallerGone) {
       if (handle)
         freeHandle(shared, *handle);
@@ -275,6 +307,10 @@
       bool isBlocked = !findBlock(shared, context, suspectsOf(context)).empty();
       if (isBlocked || context.TriedSuspect)
         co_return std::nullopt;
+      progress.LastCause = FailureCause::Failed;
+      context.NoRetryReason = findRetryObstacle(shared, context);
+      if (!context.NoRetryReason.empty())
+        co_return std::nullopt;
       continue;
     }
     EngineFilter decodeFilter = progress.Filter;
--- a/Source/Retry/WindowBudget.cpp
+++ b/Source/Retry/WindowBudget.cpp
@@ -42,4 +42,10 @@
   return true;
 }
 
+void WindowBudget::refund(MonoTime withdrawnFrom) {
+  auto it = std::lower_bound(Attempts.begin(), Attempts.end(), withdrawnFrom);
+  if (it != Attempts.end())
+    Attempts.erase(it);
+}
+
 } // namespace sardineford::retry
--- a/Tests/Gateway/AttemptRecordTest.cpp
+++ b/Tests/Gateway/AttemptRecordTest.cpp
@@ -36,3 +36,22 @@
     RC_ASSERT((finalStatus(r, FailureCause::Failed) == 503) == !mayBeExecuted);
   });
 }
+
+TEST_CASE("a rejected prefill counts as a call and an executed one does not") {
+  AttemptRecord r;
+  CHECK_FALSE(r.recordPrefill(AttemptOutcome::NeverSent));
+  CHECK(r.recordPrefill(AttemptOutcome::NotExecuted));
+  CHECK(r.countedCalls() == 1);
+  CHECK_FALSE(r.recordPrefill(AttemptOutcome::Answered));
+  CHECK(r.countedCalls() == 1);
+  r.add("a");
+  CHECK(r.countedCalls() == 2);
+}
+
+TEST_CASE("only the first executed prefill does not count") {
+  AttemptRecord r;
+  CHECK_FALSE(r.recordPrefill(AttemptOutcome::Answered));
+  CHECK(r.recordPrefill(AttemptOutcome::Answered));
+  CHECK(r.recordPrefill(AttemptOutcome::Unknown));
+  CHECK(r.countedCalls() == 2);
+}
--- a/Tests/Retry/WindowBudgetTest.cpp
+++ b/Tests/Retry/WindowBudgetTest.cpp
@@ -37,3 +37,15 @@
   t += std::chrono::seconds(10);
   CHECK(b.withdraw(t));
 }
+
+TEST_CASE("a refunded attempt can be made again") {
+  MonoTime t{std::chrono::seconds(100)};
+  WindowBudget b({0, 10, Milliseconds(10'000)}, t);
+  int attempts = 0;
+  while (b.withdraw(t))
+    ++attempts;
+  b.refund(t);
+  CHECK(b.withdraw(t));
+  CHECK_FALSE(b.withdraw(t));
+  CHECK(attempts == 7);
+}
--- a/include/Sardineford/Retry/WindowBudget.h
+++ b/include/Sardineford/Retry/WindowBudget.h
@@ -32,6 +32,9 @@
   void recordRequest(MonoTime now);
   /// Consumes one further attempt; returns false when the budget is used up.
   bool withdraw(MonoTime now);
+  /// Gives back the first attempt that was withdrawn at this time or later,
+  /// since it does not count.
+  void refund(MonoTime withdrawnFrom);
   /// Further attempts that the budget allows now; negative when more were made
   /// than the current bounds allow.
   double remaining(MonoTime now);
