Share the slack of the retry budget by the list of processes

Causes: the slack was shared among the processes that were heard lately, one at the start, so that each process that started or was cut off took all of it, and those that lived on took the shares of the dead; and a process that starts anew has forgotten what the one before it used, also of the ratio. What is heard lately was read as what exists.

Now the slack is shared by all members: those that are listed in the store or have reported, silent ones too; nothing of it is used until the list is read; a lower number counts a window later. For one window after its start a process uses no slack and 0.3 of the ratio instead of 0.7. Way weighed: a report of the use by peers (bytes, and unknown after the death of all).

No message, no call and no timer is added; memory: one address for each member.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -74,7 +74,8 @@
              randomGenerator(),
              settings.get(node::FailureDomain),
              retryBoundsOf(settings),
-             1,
+             MonoClock::now(),
+             0,
              [this](const std::string &server, uint64_t part, uint64_t tokens) {
                Peers.publishPart(server, part, tokens);
              },
@@ -86,7 +87,7 @@
   Watch.expectPosition();
   Watch.onConfiguration([this] { applyConfiguration(); });
   Peers.onPeersChanged([this] {
-    Shared.Processes = Peers.processes();
+    Shared.Processes = Peers.members().value_or(0);
     if (std::optional<fleet::FleetPosition> position = Peers.position())
       Watch.setPosition(*position);
     Versions.setPosition(Peers.position());
@@ -406,6 +407,7 @@
               {"passed_over", context.PassedOver},
               {"budget_left",
                Shared.service(context.Service).RetryBudget.remaining(now)},
+              {"budget_processes", Shared.Processes},
               {"configuration_version", context.Routes->config().Version},
               {"servers_age_ms", Watch.serversAge().count()}});
   Metrics.count(
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -37,8 +37,8 @@
 ServiceState &SharedState::service(const std::string &name) {
   auto it = Services.find(name);
   if (it == Services.end())
-    it = Services.emplace(name, ServiceState(RetryBounds)).first;
-  it->second.RetryBudget.setProcesses(Processes);
+    it = Services.emplace(name, ServiceState(RetryBounds, StartedAt)).first;
+  it->second.RetryBudget.setProcesses(Processes, MonoClock::now());
   return it->second;
 }
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -24,8 +24,8 @@
 
 /// Retry budget and observed durations of one service.
 struct ServiceState {
-  explicit ServiceState(retry::BudgetBounds bounds)
-      : RetryBudget(bounds, MonoClock::now()),
+  ServiceState(retry::BudgetBounds bounds, MonoTime processStart)
+      : RetryBudget(bounds, processStart),
         SpeedModels(routing::initialSpeedModels()) {}
 
   retry::WindowBudget RetryBudget;
@@ -69,7 +69,9 @@
   std::mt19937_64 &Random;
   std::string FailureDomain;
   retry::BudgetBounds RetryBounds;
-  unsigned Processes = 1;
+  MonoTime StartedAt;
+  /// Number of processes that may exist; 0 while it is not known.
+  unsigned Processes = 0;
   /// Reports to the peers that a server has cached a prompt part.
   std::function<void(const std::string &server, uint64_t part, uint64_t tokens)>
       PublishCachedPart;
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -289,10 +289,9 @@
     size_t prefillIndex = *choice.Prefill;
     double tokens =
         tokensToPrefill(view.Candidates[prefillIndex], context.Request);
-    std::optional<KvHandle> handle =
-        co_await chargeAndPrefill(shared, context, progress,
-                                  view.Servers[prefillIndex], tokens,
-                                  choice.TimeToFirstEvent);
+    std::optional<KvHandle> handle = co_await chargeAndPrefill(
+        shared, context, progress, view.Servers[prefillIndex], tokens,
+        choice.TimeToFirstEvent);
     if (context.CallerGone) {
       if (handle)
         freeHandle(shared, *handle);
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -108,6 +108,11 @@
   return static_cast<unsigned>(n);
 }
 
+std::optional<unsigned> LoadExchange::members() const {
+  std::optional<size_t> n = Peers.members();
+  return n ? std::make_optional(static_cast<unsigned>(*n)) : std::nullopt;
+}
+
 Milliseconds LoadExchange::sendInterval(const PeerSet::Recipients &to) const {
   // Only changes of the store are sent sooner than the repetitions.
   if (Tracking.isActive())
@@ -151,18 +156,18 @@
 
 Awaitable<void> LoadExchange::readMembers() {
   store::ObjectList list = co_await Store.list(MemberKind);
-  MonoTime now = MonoClock::now();
+  std::vector<http::Endpoint> listed;
   for (const store::Object &it : list.Objects) {
     try {
       json::value v = json::parse(it.Value);
-      http::Endpoint peer =
-          http::parseEndpoint(json::value_to<std::string>(v.at("address")));
-      Peers.addListed(peer, now);
+      listed.push_back(
+          http::parseEndpoint(json::value_to<std::string>(v.at("address"))));
     } catch (const std::exception &e) {
       log::event(Category::Peers, log::Level::Warning, "member_skipped",
                  {{"name", it.Name}, {"error", std::string_view(e.what())}});
     }
   }
+  Peers.applyList(listed, MonoClock::now());
 }
 
 Milliseconds LoadExchange::listInterval() const {
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -49,6 +49,9 @@
   void stop();
   /// Returns the number of processes in the exchange, including this one.
   unsigned processes() const;
+  /// Returns the number of processes that may exist, also silent ones; nothing
+  /// until the list of processes has been read.
+  std::optional<unsigned> members() const;
   /// Publishes that a prompt part is now cached at a server.
   void publishPart(const std::string &server, uint64_t part, uint64_t tokens);
   LoadTracking &tracking() { return Tracking; }
--- a/Source/Peers/PeerSet.cpp
+++ b/Source/Peers/PeerSet.cpp
@@ -29,6 +29,22 @@
     Peers.try_emplace(endpoint, Peer{now});
 }
 
+void PeerSet::applyList(const std::vector<http::Endpoint> &listed,
+                        MonoTime now) {
+  Members = {Local.Address};
+  for (const http::Endpoint &it : listed) {
+    addListed(it, now);
+    Members.insert(it);
+  }
+  for (const auto &[endpoint, peer] : Peers)
+    Members.insert(endpoint);
+  IsListKnown = true;
+}
+
+std::optional<size_t> PeerSet::members() const {
+  return IsListKnown ? std::make_optional(Members.size()) : std::nullopt;
+}
+
 void PeerSet::recordReport(const RunningProcess &process, MonoTime now) {
   if (process.Address == Local.Address)
     return;
@@ -36,6 +52,7 @@
   peer.FailureDomain = process.FailureDomain;
   peer.LastSeen = now;
   peer.HasReported = true;
+  Members.insert(process.Address);
 }
 
 std::vector<http::Endpoint> PeerSet::expectedProcesses(MonoTime now) const {
--- a/Source/Peers/PeerSet.h
+++ b/Source/Peers/PeerSet.h
@@ -4,6 +4,7 @@
 #include "Sardineford/Common/Time.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -16,6 +17,13 @@
 
   /// Adds a peer from the platform's list.
   void addListed(const http::Endpoint &endpoint, MonoTime now);
+  /// Adds all peers of the platform's list. Those that are neither listed nor
+  /// known to run stop being members.
+  void applyList(const std::vector<http::Endpoint> &listed, MonoTime now);
+  /// Returns the number of processes that may exist, with the local one: a
+  /// silent peer is a member until it leaves the list. Nothing before the list
+  /// is known.
+  std::optional<size_t> members() const;
   /// Records that a peer runs, by its report or a relay.
   void recordReport(const RunningProcess &process, MonoTime now);
 
@@ -57,6 +65,8 @@
   std::map<http::Endpoint, Peer> Peers;
   std::set<http::Endpoint> LocalGroup;
   std::vector<RunningProcess> Active;
+  std::set<http::Endpoint> Members;
+  bool IsListKnown = false;
 };
 
 } // namespace sardineford::peers
--- a/Source/Retry/WindowBudget.cpp
+++ b/Source/Retry/WindowBudget.cpp
@@ -23,6 +23,22 @@
   removeBefore(Attempts, now - Bounds.Window);
 }
 
+void WindowBudget::setProcesses(unsigned n, MonoTime now) {
+  if (n < Processes && now - ProcessesAt < Bounds.Window)
+    return;
+  Processes = n;
+  ProcessesAt = now;
+}
+
+double WindowBudget::usableAttempts(MonoTime now) const {
+  double ofRequests = Bounds.Ratio * static_cast<double>(Requests.size());
+  // The process before this one may have used its part.
+  if (now - ProcessStart < Bounds.Window)
+    return (1 - UsableRatio) * ofRequests;
+  double ofSlack = Processes == 0 ? 0 : Bounds.Slack / Processes;
+  return UsableRatio * (ofRequests + ofSlack);
+}
+
 void WindowBudget::recordRequest(MonoTime now) {
   Requests.push_back(now);
   removeExpired(now);
@@ -30,9 +46,7 @@
 
 double WindowBudget::remaining(MonoTime now) {
   removeExpired(now);
-  double allowed = Bounds.Ratio * static_cast<double>(Requests.size()) +
-                   Bounds.Slack / Processes;
-  return UsableRatio * allowed - static_cast<double>(Attempts.size());
+  return usableAttempts(now) - static_cast<double>(Attempts.size());
 }
 
 bool WindowBudget::withdraw(MonoTime now) {
--- a/Tests/Peers/PeerSetTest.cpp
+++ b/Tests/Peers/PeerSetTest.cpp
@@ -114,3 +114,20 @@
   CHECK_FALSE(
       peers.selectRecipients(start + Milliseconds(3'500)).AreRelaysInDoubt);
 }
+
+TEST_CASE("a silent peer stays a member until it leaves the list") {
+  PeerSet s(process(1));
+  MonoTime now{std::chrono::seconds(100)};
+  CHECK_FALSE(s.members());
+  s.recordReport(process(2), now);
+  CHECK_FALSE(s.members());
+  s.applyList({endpoint(1), endpoint(3)}, now);
+  CHECK(s.members() == 3);
+  now += std::chrono::seconds(100);
+  s.selectRecipients(now);
+  CHECK(s.members() == 3);
+  s.recordReport(process(4), now);
+  CHECK(s.members() == 4);
+  s.applyList({endpoint(1)}, now);
+  CHECK(s.members() == 2);
+}
--- a/Tests/Retry/WindowBudgetTest.cpp
+++ b/Tests/Retry/WindowBudgetTest.cpp
@@ -9,12 +9,13 @@
     "all processes together stay within the limit without communication") {
   constexpr unsigned Processes = 6;
   BudgetBounds bounds{0.2, 52, Milliseconds(10'000)};
+  MonoTime start{std::chrono::seconds(80)};
   MonoTime now{std::chrono::seconds(100)};
-  std::vector<WindowBudget> all(Processes, WindowBudget(bounds, now));
+  std::vector<WindowBudget> all(Processes, WindowBudget(bounds, start));
   int requests = 0;
   int attempts = 0;
   for (WindowBudget &it : all) {
-    it.setProcesses(Processes);
+    it.setProcesses(Processes, now);
     for (int i = 0; i < 50; ++i) {
       it.recordRequest(now);
       ++requests;
@@ -28,8 +29,9 @@
 
 TEST_CASE("the limit applies to every sliding window") {
   WindowBudget b({0, 10, Milliseconds(10'000)},
-                 MonoTime(std::chrono::seconds(100)));
+                 MonoTime(std::chrono::seconds(80)));
   MonoTime t{std::chrono::seconds(100)};
+  b.setProcesses(1, t);
   int attempts = 0;
   for (int i = 0; i < 100; ++i, t += Milliseconds(100))
     attempts += b.withdraw(t) ? 1 : 0;
@@ -40,7 +42,9 @@
 
 TEST_CASE("a refunded attempt can be made again") {
   MonoTime t{std::chrono::seconds(100)};
-  WindowBudget b({0, 10, Milliseconds(10'000)}, t);
+  WindowBudget b({0, 10, Milliseconds(10'000)},
+                 MonoTime(std::chrono::seconds(80)));
+  b.setProcesses(1, t);
   int attempts = 0;
   while (b.withdraw(t))
     ++attempts;
@@ -49,3 +53,37 @@
   CHECK_FALSE(b.withdraw(t));
   CHECK(attempts == 7);
 }
+
+TEST_CASE("a restarted process does not use what the one before it may have "
+          "used") {
+  constexpr Milliseconds Window{10'000};
+  MonoTime t{std::chrono::seconds(100)};
+  WindowBudget b({0.2, 10, Window}, t);
+  b.setProcesses(1, t);
+  CHECK_FALSE(b.withdraw(t));
+  for (int i = 0; i < 20; ++i)
+    b.recordRequest(t);
+  CHECK(b.withdraw(t));
+  CHECK_FALSE(b.withdraw(t));
+  CHECK(b.remaining(t + Window + Milliseconds(1)) == Approx(7));
+}
+
+TEST_CASE("the slack is not used before the number of processes is known") {
+  MonoTime t{std::chrono::seconds(100)};
+  WindowBudget b({0, 10, Milliseconds(10'000)},
+                 MonoTime(std::chrono::seconds(50)));
+  CHECK_FALSE(b.withdraw(t));
+  b.setProcesses(2, t);
+  CHECK(b.remaining(t) == Approx(3.5));
+}
+
+TEST_CASE("a lower number of processes applies a window later") {
+  constexpr Milliseconds Window{10'000};
+  MonoTime t{std::chrono::seconds(100)};
+  WindowBudget b({0, 60, Window}, MonoTime(std::chrono::seconds(50)));
+  b.setProcesses(6, t);
+  b.setProcesses(2, t + Milliseconds(100));
+  CHECK(b.remaining(t + Milliseconds(100)) == Approx(7));
+  b.setProcesses(2, t + Window);
+  CHECK(b.remaining(t + Window) == Approx(21));
+}
--- a/include/Sardineford/Retry/WindowBudget.h
+++ b/include/Sardineford/Retry/WindowBudget.h
@@ -21,13 +21,18 @@
 /// communication between the processes: each process may use the ratio of its
 /// local requests and an equal part of the slack. Callers retry as well, and
 /// the retries of both must not multiply the load on failing servers.
+///
+/// The part of the slack is zero while the number of processes is not known.
+/// For one window after the start of the process it is zero as well, and a
+/// smaller ratio applies, since the process before it may have used its part.
 class WindowBudget {
 public:
-  WindowBudget(BudgetBounds bounds, MonoTime now)
-      : Bounds(bounds), Start(now) {}
+  WindowBudget(BudgetBounds bounds, MonoTime processStart)
+      : Bounds(bounds), ProcessStart(processStart) {}
 
-  /// Sets the number of processes that share the slack.
-  void setProcesses(unsigned n) { Processes = n == 0 ? 1 : n; }
+  /// Sets the number of processes that share the slack: all that may exist,
+  /// also those that are silent. A lower number applies a window later.
+  void setProcesses(unsigned n, MonoTime now);
   void setBounds(BudgetBounds bounds) { Bounds = bounds; }
   void recordRequest(MonoTime now);
   /// Consumes one further attempt; returns false when the budget is used up.
@@ -41,10 +46,15 @@
 
 private:
   void removeExpired(MonoTime now);
+  /// Attempts that this process may make in the window that ends now.
+  double usableAttempts(MonoTime now) const;
 
   BudgetBounds Bounds;
-  MonoTime Start;
-  unsigned Processes = 1;
+  MonoTime ProcessStart;
+  /// 0 while it is not known.
+  unsigned Processes = 0;
+  /// Time at which Processes was last confirmed.
+  MonoTime ProcessesAt{};
   std::deque<MonoTime> Requests;
   std::deque<MonoTime> Attempts;
 };
