--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -69,6 +69,20 @@
   }
 }
 
+void PlatformDeployment::separateLinks(DeployedDaemon &d, size_t index) {
+  // The store tells the daemon another address of each server, of the same
+  // length.
+  std::string host = "127.0.0." + std::to_string(index + 2);
+  for (const DeployedWorker &it : Workers) {
+    http::Endpoint address{host, it.Advertise.Port};
+    d.Links.push_back(
+        std::make_unique<Relay>(Io, address, it.Listen, freeEndpoint()));
+    d.Links.back()->start();
+    d.StoreLink->replaceFromTarget(http::toString(it.Advertise),
+                                   http::toString(address));
+  }
+}
+
 void PlatformDeployment::start() {
   StoreProcess = std::make_unique<Process>(
       ProcessSpec{"store",
@@ -87,6 +101,8 @@
     d.Metrics = freeEndpoint();
     http::Endpoint toStore = freeEndpoint();
     d.StoreLink = std::make_unique<Relay>(Io, toStore, Store, freeEndpoint());
+    if (Options.SeparateLinks)
+      separateLinks(d, i);
     d.StoreLink->start();
     std::string name = "node-" + std::to_string(i);
     std::string file = Options.Folder + "/" + name + ".json";
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -38,6 +38,9 @@
   std::string CrashingPath;
   /// Named by the last decode engine.
   NamedLimit Limit;
+  /// Each pair of daemon and backend server has a relay of its own
+  /// (DeployedDaemon::Links); eight daemons at most.
+  bool SeparateLinks = false;
 };
 
 /// Maximum time from SIGTERM to the exit of a daemon.
@@ -58,6 +61,9 @@
 struct DeployedDaemon {
   std::unique_ptr<Process> ChildProcess;
   std::unique_ptr<Relay> StoreLink;
+  /// Relays to the backend servers, in the order of
+  /// PlatformDeployment::Workers.
+  std::vector<std::unique_ptr<Relay>> Links;
   http::Endpoint HttpListen;
   http::Endpoint Readiness;
   http::Endpoint Metrics;
@@ -106,6 +112,9 @@
   std::vector<DeployedWorker> Workers;
 
 private:
+  /// Makes a daemon reach the backend servers through relays of its own, at
+  /// another address of this machine.
+  void separateLinks(DeployedDaemon &d, size_t index);
   void addWorkers(unsigned n, const std::string &service,
                   const std::string &stage,
                   const std::vector<std::string> &versions);
--- a/StandIns/Relay/Relay.cpp
+++ b/StandIns/Relay/Relay.cpp
@@ -22,6 +22,9 @@
 /// Delay of a rejection that is repeated later, and between its two parts.
 constexpr Milliseconds RepeatDelay{50};
 constexpr Milliseconds PartDelay{3};
+/// Interval at which a relay that refuses connections looks whether it accepts
+/// them again.
+constexpr Milliseconds ListenPollInterval{5};
 
 tcp::endpoint toNative(const http::Endpoint &e) {
   return {asio::ip::make_address(e.Host), e.Port};
@@ -73,17 +76,25 @@
               return handle(request, out);
             }) {}
 
-void Relay::start() {
+void Relay::listen() {
   Acceptor.open(tcp::v4());
   Acceptor.set_option(tcp::acceptor::reuse_address(true));
   Acceptor.bind(toNative(Listen));
   Acceptor.listen();
+}
+
+void Relay::start() {
+  listen();
   Admin.start();
   spawn(Io, "relay", [this] { return acceptLoop(); });
 }
 
 Awaitable<void> Relay::acceptLoop() {
   for (;;) {
+    if (!Acceptor.is_open()) {
+      co_await sleepFor(ListenPollInterval);
+      continue;
+    }
     auto [ec, socket] =
         co_await Acceptor.async_accept(asio::as_tuple(use_awaitable));
     if (ec || Mode == LinkMode::Disconnect)
@@ -125,6 +136,8 @@
                    (toTarget && Mode == LinkMode::BlackholeToTarget);
     if (discard)
       continue;
+    if (!toTarget)
+      replaceTexts({buf.data(), n});
     auto [failed, written] = co_await asio::async_write(
         out, asio::buffer(buf.data(), n), asio::as_tuple(use_awaitable));
     if (failed)
@@ -140,6 +153,19 @@
     link->close();
 }
 
+void Relay::replaceFromTarget(std::string text, std::string replacement) {
+  Replacements.emplace_back(std::move(text), std::move(replacement));
+}
+
+void Relay::replaceTexts(std::span<char> bytes) const {
+  std::string_view view(bytes.data(), bytes.size());
+  for (const auto &[text, replacement] : Replacements)
+    for (size_t i = view.find(text); i != std::string_view::npos;
+         i = view.find(text, i + text.size()))
+      std::copy(replacement.begin(), replacement.end(),
+                bytes.begin() + static_cast<ptrdiff_t>(i));
+}
+
 void Relay::recordRejection(const LinkPtr &link, std::string_view bytes) {
   if (Repeated == RepeatedRejection::Never || !isRejection(bytes))
     return;
@@ -173,6 +199,11 @@
 
 void Relay::setMode(LinkMode mode) {
   Mode = mode;
+  boost::system::error_code ec;
+  if (mode == LinkMode::RefuseNew)
+    Acceptor.close(ec);
+  else if (!Acceptor.is_open())
+    listen();
   for (const std::weak_ptr<Link> &it : Links) {
     LinkPtr link = it.lock();
     if (link && mode == LinkMode::Disconnect)
--- a/StandIns/Relay/Relay.h
+++ b/StandIns/Relay/Relay.h
@@ -6,6 +6,10 @@
 
 #include <list>
 #include <memory>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace sardineford::standins {
 
@@ -21,6 +25,8 @@
   BlackholeOpen,
   /// Discards the bytes to the target and forwards the bytes from the target.
   BlackholeToTarget,
+  /// Refuses new connections. Those that are open live on.
+  RefuseNew,
 };
 
 /// When a relay writes the last rejection of a connection once more.
@@ -49,6 +55,9 @@
   void setDelay(Milliseconds d) { Delay = d; }
   /// Repeats rejections without a body, as a faulty server does.
   void setRepeatedRejections(RepeatedRejection when) { Repeated = when; }
+  /// Replaces a text in what the target sends by another one of the same
+  /// length.
+  void replaceFromTarget(std::string text, std::string replacement);
   /// Number of connections that were accepted.
   size_t connections() const { return NumConnections; }
   /// Closes the connections that are open now; later connections work.
@@ -58,9 +67,11 @@
   struct Link;
   using LinkPtr = std::shared_ptr<Link>;
 
+  void listen();
   Awaitable<void> acceptLoop();
   Awaitable<void> openLink(boost::asio::ip::tcp::socket from);
   Awaitable<void> copyBytes(LinkPtr link, bool toTarget);
+  void replaceTexts(std::span<char> bytes) const;
   /// Keeps a rejection that was forwarded to the caller.
   void recordRejection(const LinkPtr &link, std::string_view bytes);
   /// Writes the last rejection of the connection to the caller again.
@@ -77,6 +88,7 @@
   RepeatedRejection Repeated = RepeatedRejection::Never;
   size_t NumConnections = 0;
   std::list<std::weak_ptr<Link>> Links;
+  std::vector<std::pair<std::string, std::string>> Replacements;
 };
 
 } // namespace sardineford::standins
