Keep a server out of use that says it leaves while its entry is missing

Operators saw requests at a server that had said it leaves (DRAIN, 1,127 cases at 195 instances on real processes). Cause found by reading: a notice was applied only to servers in the directory. One whose entry had lapsed still runs streams; its notice was dropped, and when the entry came back a health check that is answered with 200, or an answer that was on its way, brought the server back into use at each instance that had passed the notice on.

Unit tests failed before: the missing server was asked for readmission after its notice, and was readmitted although the answer of the health check said that it leaves. A later incarnation under the same id is not held back.

--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -128,8 +128,17 @@
 void Directory::markLeaving(const std::string &id, int64_t startedMs,
                             std::string_view reason, MonoTime now) {
   auto it = ById.find(id);
-  if (it == ById.end() || it->second->Entry.StartedMs != startedMs ||
-      it->second->Leaving)
+  if (it == ById.end()) {
+    // Its entry is missing, and streams still run there. The entry may
+    // reappear.
+    Departure &departure = Departures[id];
+    if (startedMs < departure.StartedMs)
+      return;
+    departure = {startedMs, false};
+    AwaitingReadmission.erase(id);
+    return;
+  }
+  if (it->second->Entry.StartedMs != startedMs || it->second->Leaving)
     return;
   it->second->Leaving = true;
   it->second->LeavingSaidAt = now;
--- a/Tests/Fleet/DirectoryTest.cpp
+++ b/Tests/Fleet/DirectoryTest.cpp
@@ -262,3 +262,31 @@
   CHECK(d.isRecorded("model", "v1.1"));
   CHECK_FALSE(d.isRecorded("model", "v2"));
 }
+
+TEST_CASE("a server that says it leaves while its entry is missing is not "
+          "readmitted") {
+  Directory d = makeDirectory();
+  std::vector<ServerEntry> reappeared;
+  d.onReappearance([&](const ServerEntry &it) { reappeared.push_back(it); });
+  d.put(entry("a"));
+  d.remove("a", NoGracePeriod, Start);
+  d.markLeaving("a", entry("a").StartedMs, "said that it leaves", Start);
+  d.put(entry("a"));
+  CHECK(reappeared.empty());
+  CHECK(d.ofService("model").empty());
+  // A restart under the same id is another incarnation.
+  d.put(entry("a", entry("a").StartedMs + 1));
+  CHECK(d.ofService("model").size() == 1);
+}
+
+TEST_CASE("a server that says it leaves during its health check is not "
+          "readmitted") {
+  Directory d = makeDirectory();
+  d.put(entry("a"));
+  d.remove("a", NoGracePeriod, Start);
+  d.put(entry("a"));
+  CHECK(d.awaitsReadmission(entry("a")));
+  d.markLeaving("a", entry("a").StartedMs, "said that it leaves", Start);
+  CHECK_FALSE(d.readmit(entry("a")));
+  CHECK(d.ofService("model").empty());
+}
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -110,8 +110,8 @@
   void removeMissing(MonoTime now);
   /// Extends the grace periods of the missing servers.
   void keepMissing(MonoTime graceEnd);
-  /// Marks an incarnation as leaving, as the server itself has said. The store
-  /// may not know yet, or never.
+  /// Marks an incarnation as leaving, as the server itself has said, also while
+  /// its entry is missing. The store may not know yet, or never.
   void markLeaving(const std::string &id, int64_t startedMs,
                    std::string_view reason, MonoTime now);
   /// Removes a server when another server answers at its address. The
