Reject take-ups at a process that is out of step

Cause: the one version that a process sees was taken for the only one if no peer said otherwise, also when no peer said anything and the process had not read the list of servers lately.

Now a stream of unknown origin goes on at the only version known if a peer confirms that, if the list is younger than a second, or if there are no other processes. Unit test: failed before by reading (the fields are new); opposite harm: with some peers silent, and for a fleet of one process, such a stream goes on. Open: processes that are cut off together confirm each other.

--- a/Source/Gateway/StreamOrigin.cpp
+++ b/Source/Gateway/StreamOrigin.cpp
@@ -9,11 +9,27 @@
 
 namespace sardineford::gateway {
 
+namespace {
+
+/// A stream cannot have begun at a server that joined later than this and have
+/// been broken and taken up already.
+constexpr Milliseconds MaxViewAge{1'000};
+
+/// Returns whether the process may have missed that a version has joined: it
+/// hears no peer, and has not read the list of servers lately.
+bool isOutOfStep(const TakeUpEvidence &evidence) {
+  return evidence.MayHavePeers && evidence.PeersTold == 0 &&
+         evidence.ViewAge > MaxViewAge;
+}
+
+} // namespace
+
 std::optional<std::string> chooseTakeUpVersion(const TakeUpEvidence &evidence) {
   const std::set<std::string> &versions = evidence.Versions;
   if (!evidence.Found) {
     bool isOnlyOne = versions.size() == 1 && evidence.IsHistoryKnown &&
-                     !evidence.PeersKnowSeveral && !evidence.HasOtherServices;
+                     !evidence.PeersKnowSeveral && !evidence.HasOtherServices &&
+                     !isOutOfStep(evidence);
     return isOnlyOne ? std::make_optional(*versions.begin()) : std::nullopt;
   }
   auto it =
@@ -73,6 +89,9 @@
   out.IsHistoryKnown = shared.Servers.isVersionHistoryKnown();
   out.PeersKnowSeveral = search.Origin.PeersKnowSeveral;
   out.HasOtherServices = search.Services.size() > 1;
+  out.PeersTold = search.Origin.Told;
+  out.MayHavePeers = shared.Processes != 1;
+  out.ViewAge = shared.Watch.serversAge();
   return out;
 }
 
@@ -92,6 +111,8 @@
        {"history_known", evidence.IsHistoryKnown},
        {"not_known", search.Origin.NotKnown},
        {"silent", search.Origin.Silent},
+       {"told", evidence.PeersTold},
+       {"servers_age_ms", evidence.ViewAge.count()},
        {"outcome", outcome}});
 }
 
--- a/Source/Gateway/StreamOrigin.h
+++ b/Source/Gateway/StreamOrigin.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Sardineford/Common/Time.h"
+
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -19,6 +21,12 @@
   bool PeersKnowSeveral = false;
   /// It may have begun at a service that the request does not go to.
   bool HasOtherServices = false;
+  /// Processes that said whether they know of more versions, and whether there
+  /// may be any other process.
+  unsigned PeersTold = 0;
+  bool MayHavePeers = false;
+  /// Age of what this process knows of the servers.
+  Milliseconds ViewAge{0};
 };
 
 /// Chooses the software version at which a stream that is taken up goes on.
--- a/Tests/Gateway/StreamOriginTest.cpp
+++ b/Tests/Gateway/StreamOriginTest.cpp
@@ -66,3 +66,28 @@
   e.Found = peers::hashOfVersion("v1");
   CHECK(chooseTakeUpVersion(e) == "v1");
 }
+
+TEST_CASE("a stream of an unknown version does not go on at a process that is "
+          "out of step while a version joins") {
+  TakeUpEvidence e = evidence({"v1"});
+  e.MayHavePeers = true;
+  e.ViewAge = Milliseconds(3'000);
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.Found = peers::hashOfVersion("v1");
+  CHECK(chooseTakeUpVersion(e) == "v1");
+}
+
+TEST_CASE("a stream of the only version goes on while some peers are silent, "
+          "and at a process without peers") {
+  TakeUpEvidence e = evidence({"v1"});
+  e.MayHavePeers = true;
+  e.ViewAge = Milliseconds(20'000);
+  e.PeersTold = 1;
+  CHECK(chooseTakeUpVersion(e) == "v1");
+  e.PeersTold = 0;
+  e.ViewAge = Milliseconds(200);
+  CHECK(chooseTakeUpVersion(e) == "v1");
+  e.MayHavePeers = false;
+  e.ViewAge = Milliseconds(20'000);
+  CHECK(chooseTakeUpVersion(e) == "v1");
+}
