End an attempt whose stream holds bytes that are not its next event

An error response of the next server was already not forwarded (beginResponse). What remained: bytes within an event stream were forwarded as events whatever they were, so that a second head on a connection without length, an event that comes twice or one of another stream reached the caller.

EventSplitter returns events up to the first one that has no id although others have, or whose id does not increase; the attempt counts as broken, and the stream goes on elsewhere or is broken off. Comments, and streams without ids, pass. Unit tests failed before (the head was returned). The own interface counts tokens by index and total (ModelCall), so that it has no such case.

--- a/Source/Gateway/EventSplitter.h
+++ b/Source/Gateway/EventSplitter.h
@@ -11,8 +11,13 @@
 /// part of an event that another server may send again.
 class EventSplitter {
 public:
-  /// Appends bytes and returns those of all complete events.
+  /// Appends bytes and returns those of all complete events, up to the first
+  /// one that does not belong to the stream.
   std::string push(std::string_view bytes);
+  /// Returns whether something was received that is not the next event of the
+  /// stream: without an id although others have one, or with one that does not
+  /// increase. Nothing after it is returned until dropPending().
+  bool isForeign() const { return Foreign; }
   /// Number of bytes of the last, incomplete event.
   size_t pending() const { return Buffer.size(); }
   /// Id of the last complete event that has one.
@@ -20,13 +25,18 @@
   /// Number of complete events.
   uint64_t events() const { return Events; }
   /// Discards the incomplete event of an interrupted stream.
-  void dropPending() { Buffer.clear(); }
+  void dropPending() {
+    Buffer.clear();
+    Foreign = false;
+  }
 
 private:
-  /// Counts the events and records the last id.
-  void recordEvents(std::string_view text);
+  /// Counts an event and records its id. Returns false if it does not belong to
+  /// the stream.
+  bool recordEvent(std::string_view event);
 
   std::string Buffer;
+  bool Foreign = false;
   std::optional<uint64_t> LastId;
   uint64_t Events = 0;
 };
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -64,6 +64,12 @@
     recordContact(shared, *attempt.Plan.Server);
     recordProgress(shared, context, attempt, now);
     std::string completeEvents = progress.Events.push(chunk);
+    bool isForeign = progress.Events.isForeign();
+    if (isForeign)
+      progress.LastDetail =
+          "the stream holds bytes that are not its next event";
+    if (completeEvents.empty() && isForeign)
+      co_return StreamAttemptResult::Broken;
     if (completeEvents.empty())
       continue;
     context.EventCount = progress.Events.events();
@@ -80,6 +86,8 @@
           std::string("writing to the caller failed: ") + e.what();
       co_return StreamAttemptResult::CallerGone;
     }
+    if (isForeign)
+      co_return StreamAttemptResult::Broken;
   }
   co_return StreamAttemptResult::Continues;
 }
--- a/Tests/Gateway/EventSplitterTest.cpp
+++ b/Tests/Gateway/EventSplitterTest.cpp
@@ -35,3 +35,32 @@
     RC_ASSERT(s.lastId() == 20);
   });
 }
+
+TEST_CASE("an error response within a stream is not returned as events") {
+  EventSplitter s;
+  CHECK(s.push("id: 1\ndata: a\n\nHTTP/1.1 500 Internal Server Error\r\n"
+               "Content-Type: application/json\r\n\r\n{\"error\":\"x\"}") ==
+        "id: 1\ndata: a\n\n");
+  CHECK(s.isForeign());
+  CHECK(s.push("\n\nid: 2\ndata: b\n\n").empty());
+  s.dropPending();
+  CHECK_FALSE(s.isForeign());
+  CHECK(s.push("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+}
+
+TEST_CASE("an event that comes again or belongs to another stream is not "
+          "returned") {
+  EventSplitter s;
+  CHECK_FALSE(s.push("id: 7\ndata: a\n\n").empty());
+  CHECK(s.push("id: 7\ndata: a\n\n").empty());
+  CHECK(s.isForeign());
+}
+
+TEST_CASE("comments and streams without ids are returned") {
+  EventSplitter s;
+  CHECK(s.push(": ping\n\nid: 3\ndata: a\n\n: ping\n\n") ==
+        ": ping\n\nid: 3\ndata: a\n\n: ping\n\n");
+  EventSplitter plain;
+  CHECK(plain.push("data: a\n\ndata: b\n\n") == "data: a\n\ndata: b\n\n");
+  CHECK(plain.events() == 2);
+}
