--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -131,7 +131,8 @@
 Awaitable<void> PlatformWorker::heartbeat() {
   for (;;) {
     try {
-      co_await writeEntry();
+      if (!isWithin(Options.NoHeartbeatFrom, Options.NoHeartbeatLength))
+        co_await writeEntry();
     } catch (const Error &) {
       // The store is unavailable; the next heartbeat retries.
       recordEvent("", "heartbeat failed");
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -72,6 +72,10 @@
   /// begun to execute them, before it answers; empty for none.
   std::string CrashingPath;
   NamedLimit Limit;
+  /// Time from the start of the server in which it writes no heartbeats, and
+  /// how long.
+  Milliseconds NoHeartbeatFrom{0};
+  Milliseconds NoHeartbeatLength{0};
   /// Time from the start of the server after which its responses, and not its
   /// entry in the store, say that it leaves; negative for never.
   Milliseconds LeavesAfter{-1};
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -28,6 +28,9 @@
               "limit of requests a second to name; negative for none");
 DEFINE_int32(limit_from_ms, 0, "time from the start until the limit, ms");
 DEFINE_int32(limit_ms, 0, "time for which the limit is named, ms");
+DEFINE_int32(no_heartbeat_from_ms, 0,
+             "time from the start until no heartbeats are written, ms");
+DEFINE_int32(no_heartbeat_ms, 0, "time without heartbeats, ms");
 DEFINE_int32(leaves_after_ms, -1,
              "time from the start after which responses say that the server "
              "leaves, ms; negative for never");
@@ -65,6 +68,8 @@
   o.CrashingPath = FLAGS_crashing_path;
   o.Limit = {FLAGS_limit, Milliseconds(FLAGS_limit_from_ms),
              Milliseconds(FLAGS_limit_ms)};
+  o.NoHeartbeatFrom = Milliseconds(FLAGS_no_heartbeat_from_ms);
+  o.NoHeartbeatLength = Milliseconds(FLAGS_no_heartbeat_ms);
   o.LeavesAfter = Milliseconds(FLAGS_leaves_after_ms);
   o.Rejects = {FLAGS_retry_after, Milliseconds(FLAGS_reject_from_ms),
                Milliseconds(FLAGS_reject_ms)};
--- a/Tests/Process/LeavingServerTest.cpp
+++ b/Tests/Process/LeavingServerTest.cpp
@@ -38,8 +38,9 @@
 /// engines have additional flags.
 class NoticeCase {
 public:
-  NoticeCase(std::vector<std::string> flags, size_t engines)
-      : Deployment(Io, options()), Client(Io), NumEngines(engines) {
+  NoticeCase(std::vector<std::string> flags, size_t engines,
+             Milliseconds workTime = Milliseconds(10))
+      : Deployment(Io, options(workTime)), Client(Io), NumEngines(engines) {
     for (DeployedWorker *it : noticed())
       it->Flags = flags;
   }
@@ -116,12 +117,13 @@
   std::vector<std::string> Metrics;
 
 private:
-  static PlatformDeploymentOptions options() {
+  static PlatformDeploymentOptions options(Milliseconds workTime) {
     PlatformDeploymentOptions o;
     o.Programs = SARDINEFORD_PROGRAMS;
     o.Folder = makeTemporaryFolder();
     o.Daemons = Daemons;
     o.RetrySlack = 100;
+    o.WorkTime = workTime;
     return o;
   }
 
@@ -195,3 +197,22 @@
   });
   CHECK(c.arrivals(server.Id, restartedAt, Milliseconds::max()) > 0);
 }
+
+TEST_CASE("a server that says it leaves while its entry is missing is not used "
+          "when the entry returns",
+          "[process]") {
+  // Requests of the time before the entry is missing are answered after the
+  // notice.
+  constexpr Milliseconds WorkTime{1'600};
+  constexpr Milliseconds EntryReturns{12'000};
+  NoticeCase c({"--leaves_after_ms=" + std::to_string(NoticeAfter.count()),
+                "--no_heartbeat_from_ms=4800", "--no_heartbeat_ms=7200"},
+               0, WorkTime);
+  c.run(Milliseconds(14'000));
+  const std::string &server = c.plainServer().Id;
+  CHECK(c.arrivals(server, Milliseconds(0), NoticeAfter) > 0);
+  CHECK(c.arrivals(server, NoticeAfter + HeardBy + DrainTime,
+                   Milliseconds::max()) == 0);
+  CHECK(c.arrivals(c.Deployment.Workers[1].Id, EntryReturns,
+                   Milliseconds::max()) > 0);
+}
