--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -76,7 +76,7 @@
   for (const DeployedWorker &it : Workers) {
     http::Endpoint address{host, it.Advertise.Port};
     d.Links.push_back(
-        std::make_unique<Relay>(Io, address, it.Listen, freeEndpoint()));
+        std::make_unique<Relay>(Io, address, it.Advertise, freeEndpoint()));
     d.Links.back()->start();
     d.StoreLink->replaceFromTarget(http::toString(it.Advertise),
                                    http::toString(address));
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -39,10 +39,13 @@
   /// Named by the last decode engine.
   NamedLimit Limit;
   /// Each pair of daemon and backend server has a relay of its own
-  /// (DeployedDaemon::Links); eight daemons at most.
+  /// (DeployedDaemon::Links) before that of the server; MaxSeparateDaemons.
   bool SeparateLinks = false;
 };
 
+/// Most daemons of a deployment with SeparateLinks.
+inline constexpr unsigned MaxSeparateDaemons = 8;
+
 /// Maximum time from SIGTERM to the exit of a daemon.
 inline constexpr std::chrono::seconds StopGrace{6};
 
--- a/StandIns/Programs/sardineford-soak.cpp
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -20,6 +20,8 @@
 DEFINE_bool(repeated_rejections, false,
             "let all backend servers reject some requests without an id and "
             "write these rejections once more");
+DEFINE_bool(cut_daemons, true,
+            "cut daemons off from all backend servers; with up to eight");
 DEFINE_bool(odd_entries, true,
             "let another writer leave odd entries among those of the backend "
             "servers");
@@ -43,6 +45,7 @@
     o.Hazards = FLAGS_hazards && !FLAGS_planned_only;
     o.RepeatsRejections = FLAGS_repeated_rejections;
     o.OddEntries = FLAGS_odd_entries;
+    o.CutsDaemons = FLAGS_cut_daemons;
     o.Daemons = FLAGS_daemons;
     o.Programs = FLAGS_programs;
     o.Folder = FLAGS_folder + "/" + std::to_string(o.Seed);
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -79,7 +79,8 @@
                  .StepTime = Milliseconds(20),
                  .CrashingPart = o.Hazards ? CrashingPart : "",
                  .CrashingPath = o.Hazards ? CrashingPath : "",
-                 .Limit = o.Hazards ? EngineLimit : NamedLimit{}}) {
+                 .Limit = o.Hazards ? EngineLimit : NamedLimit{},
+                 .SeparateLinks = cutsDaemons(o)}) {
     if (o.RepeatsRejections)
       repeatRejections();
   }
@@ -103,6 +104,10 @@
   }
 
 private:
+  static bool cutsDaemons(const SoakOptions &o) {
+    return o.CutsDaemons && o.Daemons <= MaxSeparateDaemons;
+  }
+
   void repeatRejections() {
     constexpr std::array<RepeatedRejection, 4> Repeats = {
         RepeatedRejection::AtOnce, RepeatedRejection::Later,
@@ -330,7 +335,11 @@
     DeployedWorker &w = pickRandom(Deployment.Workers);
     Milliseconds duration = randomDuration(200, 1'800);
     bool keepId = Random() % 2 == 0;
-    switch (Random() % 13) {
+    switch (Random() % (cutsDaemons(Options) ? 14 : 13)) {
+    case 13:
+      return [this, &d, duration, cutsOthers = Random() % 2 == 0] {
+        return cutDaemons(d, duration, cutsOthers);
+      };
     case 12:
       return [this, &w, duration, keepId] {
         return startWithNotice(w, duration, keepId);
@@ -373,6 +382,23 @@
     }
   }
 
+  /// Cuts a daemon, or all others, off from all backend servers.
+  Awaitable<void> cutDaemons(DeployedDaemon &d, Milliseconds duration,
+                             bool cutsOthers) {
+    constexpr std::array<LinkMode, 3> Modes = {
+        LinkMode::Disconnect, LinkMode::Blackhole, LinkMode::RefuseNew};
+    LinkMode mode = Modes[Random() % Modes.size()];
+    auto setAll = [&](LinkMode m) {
+      for (DeployedDaemon &it : Deployment.Daemons)
+        for (const std::unique_ptr<Relay> &link : it.Links)
+          if ((&it == &d) != cutsOthers)
+            link->setMode(m);
+    };
+    setAll(mode);
+    co_await sleepFor(duration * 2);
+    setAll(LinkMode::Forward);
+  }
+
   static Awaitable<void> pause(Process &p, Milliseconds duration) {
     p.pause();
     co_await sleepFor(duration);
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -28,6 +28,9 @@
   /// Lets another writer leave odd entries among those of the backend servers
   /// all the time, beside the faults.
   bool OddEntries = false;
+  /// Injects cuts of a daemon, or of all but one, from all backend servers;
+  /// only with as many daemons as can have links of their own.
+  bool CutsDaemons = false;
   unsigned Callers = 12;
   /// More than 12 form a large fleet, in which trackers know the loads and a
   /// few daemons watch the store.
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -92,6 +92,18 @@
   }
 }
 
+TEST_CASE("the daemon's invariants hold while daemons are cut off from all "
+          "servers",
+          "[process]") {
+  for (uint64_t seed : {8101, 8102}) {
+    SoakOptions o = optionsFor(seed);
+    o.CutsDaemons = true;
+    o.Length = std::chrono::seconds(6);
+    INFO("seed " << seed << ", folder " << o.Folder);
+    check(runSoak(o));
+  }
+}
+
 TEST_CASE("the daemon's invariants hold under faults in a large fleet",
           "[process]") {
   SoakOptions o = optionsFor(1);
