Notice a cut after kept connections have lived on, and keep peers after a broken response

A server that failed again after another one had responded kept the time of its first failure, so that the process did not count as cut off when the kept connections ended as well (new unit test, failed before by reading). A response that breaks off after its begin, or a caller that leaves, is not held against the peer. Size fairness counts a request as served by a peer only if it was. The header of a passed-on request was not read by anybody and would have reached the server: removed.

--- a/Source/Gateway/PassOn.cpp
+++ b/Source/Gateway/PassOn.cpp
@@ -18,6 +18,7 @@
 /// probe them if the servers are down and the links are not.
 constexpr Milliseconds InitialProbeDelay{200};
 constexpr Milliseconds MaxProbeDelay{1'500};
+
 PassOnState stateOf(SharedState &shared, RequestContext &context,
                     bool isLastChance) {
   ServiceReach &reach = shared.service(context.Service).Reach;
@@ -85,9 +86,11 @@
 
 void recordHop(SharedState &shared, const RequestContext &context,
                const http::Endpoint &peer, HopResult result) {
-  if (result == HopResult::Forwarded)
+  // A response that breaks off after its begin says nothing against the peer.
+  bool isServed = result == HopResult::Forwarded || context.Out.started();
+  if (isServed)
     shared.PeersToAsk.recordServed(peer, MonoClock::now());
-  else
+  else if (!context.CallerGone)
     shared.PeersToAsk.recordRefusal(peer, MonoClock::now());
   shared.Metrics.count("sardineford_passed_on_total",
                        {{"service", context.Service},
@@ -133,7 +136,6 @@
                              http::Endpoint peer) {
   http::Request request = shared.Protocol.makePassedOnRequest(
       context.Request, context.remainingTime());
-  request.Fields.add(std::string(PassedOnHeader), "1");
   http::CallOptions options = attemptCallOptions(
       context, peer, context.Route->mayRepeat(), context.remainingTime());
   try {
--- a/Source/Gateway/PassOn.h
+++ b/Source/Gateway/PassOn.h
@@ -4,8 +4,6 @@
 
 namespace sardineford::gateway {
 
-/// Header of a request that a peer has passed on.
-inline constexpr std::string_view PassedOnHeader = "Sardineford-Passed-On";
 /// Header of the rejection of a passed-on request that another process may
 /// serve.
 inline constexpr std::string_view TryOtherPeerHeader =
--- a/Source/Gateway/Reach.cpp
+++ b/Source/Gateway/Reach.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 void ServiceReach::recordUnreachable(const std::string &server, MonoTime now) {
-  Unreachable.try_emplace(server, now);
+  Unreachable[server] = now;
 }
 
 void ServiceReach::recordContact(const std::string &server, MonoTime now) {
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -3,6 +3,7 @@
 #include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Status.h"
 #include "Sardineford/Retry/Silence.h"
 
 #include <algorithm>
@@ -293,10 +294,12 @@
   std::optional<StreamAttemptResult> result;
   if (co_await findStreamOrigin(shared, context, progress))
     result = co_await serveOnEngines(shared, context, progress);
+  bool isServed = result == StreamAttemptResult::Complete ||
+                  (result == StreamAttemptResult::PassedOn &&
+                   context.Status == http::StatusOk);
   if (result || progress.LastCause != FailureCause::Blocked)
     shared.RouteStates[context.Route->Name].Fairness.record(
-        fairnessSize(context), result == StreamAttemptResult::Complete ||
-                                   result == StreamAttemptResult::PassedOn);
+        fairnessSize(context), isServed);
   if (result == StreamAttemptResult::Complete) {
     context.Outcome = "answered";
     shared.Origins.forget(context.Service, context.Request.StreamId);
--- a/Tests/Gateway/ReachTest.cpp
+++ b/Tests/Gateway/ReachTest.cpp
@@ -25,6 +25,19 @@
   CHECK(r.unreachableServers() == 2);
 }
 
+TEST_CASE("a process is cut off when its kept connections end after its new "
+          "ones have failed") {
+  ServiceReach r;
+  r.recordUnreachable("a", at(10));
+  r.recordUnreachable("b", at(20));
+  r.recordContact("c", at(500));
+  CHECK_FALSE(r.isCutOff());
+  r.recordUnreachable("a", at(600));
+  CHECK_FALSE(r.isCutOff());
+  r.recordUnreachable("b", at(700));
+  CHECK(r.isCutOff());
+}
+
 TEST_CASE("one silent or crashed server is no cut") {
   ServiceReach r;
   for (int i = 0; i < 20; ++i)
--- a/include/Sardineford/Gateway/Reach.h
+++ b/include/Sardineford/Gateway/Reach.h
@@ -27,7 +27,7 @@
   bool IsProbed = false;
 
 private:
-  /// Time since which each server has been unreachable.
+  /// Time of the last failure of each server that has sent nothing since.
   std::map<std::string, MonoTime> Unreachable;
   MonoTime LastContact{};
 };
