Let the first process of an instance use its part of the retry budget

Now only a process whose instance has an entry in the store, or that could not read it, is bound; the first one of an instance uses its ratio at once and its slack after 1 s, when processes that start together have heard of each other.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -77,6 +77,7 @@
              retryBoundsOf(settings),
              MonoClock::now(),
              0,
+             false,
              [this](const std::string &server, uint64_t part, uint64_t tokens) {
                Peers.publishPart(server, part, tokens);
              },
@@ -89,6 +90,7 @@
   Watch.onConfiguration([this] { applyConfiguration(); });
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.members().value_or(0);
+    Shared.IsFirstStart = Peers.isFirstStart();
     if (std::optional<fleet::FleetPosition> position = Peers.position())
       Watch.setPosition(*position);
     Versions.setPosition(Peers.position());
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -41,6 +41,7 @@
   if (it == Services.end())
     it = Services.emplace(name, ServiceState(RetryBounds, StartedAt)).first;
   it->second.RetryBudget.setProcesses(Processes, MonoClock::now());
+  it->second.RetryBudget.setFirstStart(IsFirstStart);
   return it->second;
 }
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -75,6 +75,8 @@
   MonoTime StartedAt;
   /// Number of processes that may exist; 0 while it is not known.
   unsigned Processes = 0;
+  /// No process has run on this instance before.
+  bool IsFirstStart = false;
   /// Reports to the peers that a server has cached a prompt part.
   std::function<void(const std::string &server, uint64_t part, uint64_t tokens)>
       PublishCachedPart;
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -134,6 +134,8 @@
   std::string value =
       json::serialize(json::object{{"address", http::toString(Local.Address)}});
   std::optional<store::Object> found = co_await Store.get(MemberKind, Node);
+  if (!HadEntry)
+    HadEntry = found.has_value();
   if (!found || found->Value != value)
     co_await Store.put(MemberKind, Node, value, found ? found->Version : 0);
   Registered = true;
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -49,6 +49,9 @@
   void stop();
   /// Returns the number of processes in the exchange, including this one.
   unsigned processes() const;
+  /// Returns whether the store is known to have held no entry of this instance
+  /// when the process started.
+  bool isFirstStart() const { return HadEntry == false; }
   /// Returns the addresses of the other processes that run.
   std::vector<http::Endpoint> runningPeers() const;
   /// Returns the number of processes that may exist, also silent ones; nothing
@@ -131,6 +134,9 @@
   std::string Node;
   std::string Incarnation;
   RunningProcess Local;
+  /// An earlier process of this instance has written its entry; empty while
+  /// that is not known.
+  std::optional<bool> HadEntry;
   fleet::Directory &Servers;
   metrics::Metrics &Metrics;
   boost::asio::ip::udp::socket Socket;
--- a/Source/Retry/WindowBudget.cpp
+++ b/Source/Retry/WindowBudget.cpp
@@ -10,6 +10,8 @@
 /// differences between processes, and attempts in flight, which arrive after
 /// they are counted.
 constexpr double UsableRatio = 0.7;
+/// Processes that start together have heard of each other after this time.
+constexpr Milliseconds SettleTime{1'000};
 
 void removeBefore(std::deque<MonoTime> &times, MonoTime oldest) {
   while (!times.empty() && times.front() < oldest)
@@ -33,9 +35,10 @@
 double WindowBudget::usableAttempts(MonoTime now) const {
   double ofRequests = Bounds.Ratio * static_cast<double>(Requests.size());
   // The process before this one may have used its part.
-  if (now - ProcessStart < Bounds.Window)
+  if (!IsFirstStart && now - ProcessStart < Bounds.Window)
     return (1 - UsableRatio) * ofRequests;
-  double ofSlack = Processes == 0 ? 0 : Bounds.Slack / Processes;
+  bool areProcessesKnown = Processes > 0 && now - ProcessStart >= SettleTime;
+  double ofSlack = areProcessesKnown ? Bounds.Slack / Processes : 0;
   return UsableRatio * (ofRequests + ofSlack);
 }
 
--- a/StandIns/Placement/RetrySimulation.cpp
+++ b/StandIns/Placement/RetrySimulation.cpp
@@ -90,6 +90,7 @@
       for (size_t j = 0; j < Processes.size(); ++j)
         all.push_back(addressOf(j));
       p.Peers->applyList(all, now());
+      p.Budget->setFirstStart(start == 1);
     });
   }
 
--- a/Tests/Retry/WindowBudgetTest.cpp
+++ b/Tests/Retry/WindowBudgetTest.cpp
@@ -87,3 +87,13 @@
   b.setProcesses(2, t + Window);
   CHECK(b.remaining(t + Window) == Approx(21));
 }
+
+TEST_CASE("the first process of an instance uses its part soon after its "
+          "start") {
+  MonoTime t{std::chrono::seconds(100)};
+  WindowBudget b({0.2, 60, Milliseconds(10'000)}, t);
+  b.setProcesses(6, t);
+  b.setFirstStart(true);
+  CHECK_FALSE(b.withdraw(t));
+  CHECK(b.remaining(t + Milliseconds(1'000)) == Approx(7));
+}
--- a/include/Sardineford/Retry/WindowBudget.h
+++ b/include/Sardineford/Retry/WindowBudget.h
@@ -23,8 +23,9 @@
 /// the retries of both must not multiply the load on failing servers.
 ///
 /// The part of the slack is zero while the number of processes is not known.
-/// For one window after the start of the process it is zero as well, and a
-/// smaller ratio applies, since the process before it may have used its part.
+/// For one window after a restart it is zero as well, and a smaller ratio
+/// applies, since the process before this one may have used its part. A process
+/// counts as restarted until it is known to be the first of its instance.
 class WindowBudget {
 public:
   WindowBudget(BudgetBounds bounds, MonoTime processStart)
@@ -33,6 +34,8 @@
   /// Sets the number of processes that share the slack: all that may exist,
   /// also those that are silent. A lower number applies a window later.
   void setProcesses(unsigned n, MonoTime now);
+  /// Sets whether no process has run on this instance before.
+  void setFirstStart(bool isFirst) { IsFirstStart = isFirst; }
   void setBounds(BudgetBounds bounds) { Bounds = bounds; }
   void recordRequest(MonoTime now);
   /// Consumes one further attempt; returns false when the budget is used up.
@@ -51,6 +54,7 @@
 
   BudgetBounds Bounds;
   MonoTime ProcessStart;
+  bool IsFirstStart = false;
   /// 0 while it is not known.
   unsigned Processes = 0;
   /// Time at which Processes was last confirmed.
