--- a/Source/Gateway/PassOn.cpp
+++ b/Source/Gateway/PassOn.cpp
@@ -106,30 +106,43 @@
               {"outcome", toString(result)}});
 }
 
-/// Forwards the body of a response whose head has been received.
-Awaitable<void> forwardBody(SharedState &shared, RequestContext &context,
-                            http::ResponseStream &response) {
-  http::Response head = response.head();
-  context.Status = head.Status;
-  bool isStream = shared.Protocol.decodeHead(head).IsEventStream;
-  http::Response out = shared.Protocol.makeCallerResponse(std::move(head));
-  context.TimeToFirstByte = context.elapsed();
-  if (isStream)
-    co_await context.Out.startStream(std::move(out));
+/// Forwards a stream whose head has been received.
+Awaitable<void> forwardStream(RequestContext &context, http::Response head,
+                              http::ResponseStream &response) {
+  co_await context.Out.startStream(std::move(head));
   for (;;) {
     std::string part = co_await response.read(
         std::max(context.remainingTime(), Milliseconds(1)));
     if (part.empty())
       break;
-    if (isStream)
-      co_await context.Out.write(std::move(part));
-    else
-      out.Body += part;
+    co_await context.Out.write(std::move(part));
   }
+  co_await context.Out.finish();
+}
+
+/// Forwards another response when it is complete.
+Awaitable<void> forwardWhole(RequestContext &context, http::Response head,
+                             http::ResponseStream &response) {
+  for (;;) {
+    std::string part = co_await response.read(
+        std::max(context.remainingTime(), Milliseconds(1)));
+    if (part.empty())
+      break;
+    head.Body += part;
+  }
+  co_await context.Out.send(std::move(head));
+}
+
+Awaitable<void> forwardResponse(SharedState &shared, RequestContext &context,
+                                http::ResponseStream &response) {
+  bool isStream = shared.Protocol.decodeHead(response.head()).IsEventStream;
+  http::Response head = shared.Protocol.makeCallerResponse(response.head());
+  context.Status = head.Status;
+  context.TimeToFirstByte = context.elapsed();
   if (isStream)
-    co_await context.Out.finish();
+    co_await forwardStream(context, std::move(head), response);
   else
-    co_await context.Out.send(std::move(out));
+    co_await forwardWhole(context, std::move(head), response);
 }
 
 Awaitable<HopResult> askPeer(SharedState &shared, RequestContext &context,
@@ -156,7 +169,7 @@
     }
     bool isRejection =
         !head.Signed && response->head().Status == http::StatusUnavailable;
-    co_await forwardBody(shared, context, *response);
+    co_await forwardResponse(shared, context, *response);
     context.Outcome =
         isRejection ? "rejected by a peer" : "answered through a peer";
     co_return HopResult::Forwarded;
