Count a further attempt with a separate prefill once in the metrics

Cause: since the charge of a further prefill went through acquireRetry, which counts sardineford_further_attempts_total, and the run after it counted again. The charge itself is as before.

--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -129,8 +129,12 @@
                  Seconds estimate) {
   MonoTime start = MonoClock::now();
   size_t countedBefore = context.Attempts.countedCalls();
-  if (!acquireRetry(shared, context))
+  context.NoRetryReason = findRetryObstacle(shared, context);
+  if (!context.NoRetryReason.empty())
     co_return std::nullopt;
+  // The run after it counts as the further attempt in the metrics.
+  if (countedBefore > 0)
+    shared.service(context.Service).RetryBudget.withdraw(start);
   std::optional<KvHandle> handle = co_await prefill(
       shared, context, progress, std::move(server), tokens, estimate);
   ServiceState &service = shared.service(context.Service);
