--- a/review/common/FaultyEngine.cc
+++ b/review/common/FaultyEngine.cc
@@ -2,6 +2,7 @@
 
 #include "platform/Names.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -88,8 +89,11 @@
 Awaitable<void> FaultyEngine::serve(Socket socket) {
   std::string in;
   for (;;) {
-    size_t n = co_await asio::async_read_until(
-        socket, asio::dynamic_buffer(in), "\r\n\r\n", use_awaitable);
+    auto [ec, n] = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(in), "\r\n\r\n",
+        asio::as_tuple(use_awaitable));
+    if (ec)
+      co_return;
     std::string head = in.substr(0, n);
     // The requests of this case have no body.
     in.erase(0, n);
