--- a/review/common/Case.cc
+++ b/review/Case.cc
@@ -27,7 +27,7 @@
 
 PlatformDeploymentOptions withFolders(PlatformDeploymentOptions o,
                                       const std::string &folder) {
-  o.Programs = "review/target/bin";
+  o.Programs = "target/review/bin";
   o.Folder = folder;
   return o;
 }
