Return to the event loop while a response keeps arriving

A peer that sends faster than its bytes are used is ready for ever; deadlines, other requests and health checks wait.

Now a response receives 64 KB at most before it counts as not ready. The wait that follows is the return to the event loop; it ends at once if more has arrived.

Test "the event loop runs while a server sends a body without an end" (1,048,576 bytes allowed between two turns): failed on with 16,800,000 (body), 7,899,777 (event) and 2,800,224 (chunks of one byte); passes now.

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -26,6 +26,8 @@
 
 constexpr size_t MaxIdlePerEndpoint = 64;
 constexpr size_t ReadBufferBytes = size_t{16} * 1024;
+/// Bytes that a response receives before the event loop runs again.
+constexpr size_t MaxBytesPerTurn = size_t{64} * 1024;
 constexpr uint64_t MaxResponseBytes = 64ull * 1024 * 1024;
 /// The kernel closes a connection with bytes unacknowledged for this long. The
 /// limit is well above the round trip time of a loaded link and well below the
@@ -203,6 +205,8 @@
 /// outlive the response.
 struct Readiness {
   bool Waiting = false;
+  /// Bytes received since the last wait.
+  size_t Received = 0;
   std::function<void()> Notify;
 };
 
@@ -238,6 +242,10 @@
     for (;;) {
       if (parse() || AtEnd || Error)
         return true;
+      // A peer that sends faster than its bytes are used would keep the event
+      // loop from everything else.
+      if (Ready->Received >= MaxBytesPerTurn)
+        return false;
       receive();
       if (Blocked)
         return false;
@@ -252,6 +260,7 @@
         tcp::socket::wait_read,
         [ready = Ready, c = Conn](beast::error_code /*ec*/) {
           ready->Waiting = false;
+          ready->Received = 0;
           if (ready->Notify)
             std::exchange(ready->Notify, nullptr)();
         });
@@ -324,6 +333,7 @@
       return;
     if (!ec) {
       Conn->Buffer.commit(n);
+      Ready->Received += n;
       return;
     }
     if (ec != asio::error::eof || !ResponseParser.got_some()) {
--- a/StandIns/Platform/PlatformCaller.cpp
+++ b/StandIns/Platform/PlatformCaller.cpp
@@ -18,6 +18,8 @@
 
 /// Pause of a caller that found no daemon at an address.
 constexpr Milliseconds ReconnectDelay{20};
+/// Time after its deadline for which a caller reads a response.
+constexpr Milliseconds LateResponseTime{4'000};
 
 /// Number of prompts that requests share. Each prefers another engine.
 constexpr uint64_t SharedPrompts = 8;
@@ -81,7 +83,7 @@
 exchange(http::Client &client, http::Endpoint daemon, http::Request request,
          http::CallOptions options, CallResult &out,
          std::function<void(const std::string &)> receive) {
-  Milliseconds timeout = options.Timeout;
+  MonoTime end = MonoClock::now() + options.Timeout + LateResponseTime;
   std::optional<Milliseconds> retryAfter;
   out.Status = 0;
   out.HasRetryAfter = false;
@@ -98,7 +100,8 @@
       retryAfter =
           toMilliseconds(fromSeconds(std::strtod(seconds->c_str(), nullptr)));
     for (;;) {
-      std::string chunk = co_await response->read(timeout);
+      std::string chunk =
+          co_await response->read(toMilliseconds(end - MonoClock::now()));
       if (chunk.empty())
         break;
       if (out.Status == http::StatusOk)
--- a/StandIns/Relay/Relay.cpp
+++ b/StandIns/Relay/Relay.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 namespace sardineford::standins {
@@ -25,6 +26,10 @@
 /// Interval at which a relay that refuses connections looks whether it accepts
 /// them again.
 constexpr Milliseconds ListenPollInterval{5};
+/// Pause between two blocks of a response without an end, so that it arrives at
+/// 200 Mbit/s.
+constexpr Milliseconds EndlessPause{1};
+constexpr std::string_view SuccessStart = "HTTP/1.1 200 ";
 
 tcp::endpoint toNative(const http::Endpoint &e) {
   return {asio::ip::make_address(e.Host), e.Port};
@@ -136,6 +141,11 @@
                    (toTarget && Mode == LinkMode::BlackholeToTarget);
     if (discard)
       continue;
+    std::string_view received(buf.data(), n);
+    if (!toTarget && Endless && received.starts_with(SuccessStart)) {
+      co_await sendEndless(link, std::string(received));
+      break;
+    }
     if (!toTarget)
       replaceTexts({buf.data(), n});
     auto [failed, written] = co_await asio::async_write(
@@ -153,6 +163,19 @@
     link->close();
 }
 
+Awaitable<void> Relay::sendEndless(LinkPtr link, std::string head) {
+  ++NumEndless;
+  EndlessBytes response = makeEndless(*Endless, head);
+  auto [ec, n] = co_await asio::async_write(
+      link->From, asio::buffer(response.Begin), asio::as_tuple(use_awaitable));
+  while (!ec) {
+    std::tie(ec, n) =
+        co_await asio::async_write(link->From, asio::buffer(response.Block),
+                                   asio::as_tuple(use_awaitable));
+    co_await sleepFor(EndlessPause);
+  }
+}
+
 void Relay::replaceFromTarget(std::string text, std::string replacement) {
   Replacements.emplace_back(std::move(text), std::move(replacement));
 }
--- a/StandIns/Relay/Relay.h
+++ b/StandIns/Relay/Relay.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "Sardineford/Http/Server.h"
+#include "StandIns/Relay/EndlessResponse.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -55,6 +57,11 @@
   void setDelay(Milliseconds d) { Delay = d; }
   /// Repeats rejections without a body, as a faulty server does.
   void setRepeatedRejections(RepeatedRejection when) { Repeated = when; }
+  /// Replaces the responses with status 200 that begin from now on by ones
+  /// without an end; none for sound ones.
+  void setEndless(std::optional<EndlessForm> form) { Endless = form; }
+  /// Number of responses without an end.
+  size_t endlessResponses() const { return NumEndless; }
   /// Replaces a text in what the target sends by another one of the same
   /// length.
   void replaceFromTarget(std::string text, std::string replacement);
@@ -72,6 +79,9 @@
   Awaitable<void> openLink(boost::asio::ip::tcp::socket from);
   Awaitable<void> copyBytes(LinkPtr link, bool toTarget);
   void replaceTexts(std::span<char> bytes) const;
+  /// Sends a response without an end to the caller until it closes the
+  /// connection. `head` begins with that of the target's response.
+  Awaitable<void> sendEndless(LinkPtr link, std::string head);
   /// Keeps a rejection that was forwarded to the caller.
   void recordRejection(const LinkPtr &link, std::string_view bytes);
   /// Writes the last rejection of the connection to the caller again.
@@ -86,7 +96,9 @@
   LinkMode Mode = LinkMode::Forward;
   Milliseconds Delay{0};
   RepeatedRejection Repeated = RepeatedRejection::Never;
+  std::optional<EndlessForm> Endless;
   size_t NumConnections = 0;
+  size_t NumEndless = 0;
   std::list<std::weak_ptr<Link>> Links;
   std::vector<std::pair<std::string, std::string>> Replacements;
 };
--- /dev/null
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -0,0 +1,126 @@
+#include "StandIns/Relay/EndlessResponse.h"
+#include "Sardineford/Http/Client.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace sardineford;
+using namespace sardineford::standins;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr const char *SoundHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+/// Bytes after which the server stops. Far more than a caller may take.
+constexpr size_t MostBytes = size_t{128} * 1024 * 1024;
+constexpr Milliseconds CallTimeout{10'000};
+
+/// Sends a response without an end on each connection, from a thread of its
+/// own, until the caller closes the connection.
+class EndlessServer {
+public:
+  explicit EndlessServer(EndlessForm form, size_t limit = MostBytes)
+      : Response(makeEndless(form, SoundHead)), Limit(limit),
+        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this] { run(); }) {}
+
+  ~EndlessServer() {
+    Stops = true;
+    // Wakes the thread if it waits for a connection.
+    tcp::socket socket(Io);
+    boost::system::error_code ec;
+    socket.connect(Acceptor.local_endpoint(), ec);
+    socket.close(ec);
+    Thread.join();
+  }
+
+  http::Endpoint at() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+  /// Returns whether a caller has taken all bytes of a response.
+  bool isExhausted() const { return Exhausted; }
+
+private:
+  void run() {
+    while (!Stops) {
+      boost::system::error_code ec;
+      tcp::socket socket = Acceptor.accept(ec);
+      std::string request;
+      if (!ec)
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                                "\r\n\r\n", ec);
+      if (!ec)
+        send(socket);
+    }
+  }
+
+  void send(tcp::socket &socket) {
+    boost::system::error_code ec;
+    boost::asio::write(socket, boost::asio::buffer(Response.Begin), ec);
+    size_t sent = 0;
+    while (!ec && !Stops && sent < Limit)
+      sent +=
+          boost::asio::write(socket, boost::asio::buffer(Response.Block), ec);
+    Exhausted = Exhausted || sent >= Limit;
+  }
+
+  EndlessBytes Response;
+  size_t Limit;
+  IoContext Io;
+  tcp::acceptor Acceptor;
+  std::atomic<bool> Stops = false;
+  std::atomic<bool> Exhausted = false;
+  std::thread Thread;
+};
+
+} // namespace
+
+TEST_CASE("the event loop runs while a server sends a body without an end") {
+  // A sixteenth of what the server sends.
+  constexpr size_t MostBytesInATurn = size_t{1} * 1024 * 1024;
+  constexpr size_t Limit = 16 * MostBytesInATurn;
+  for (EndlessForm form :
+       {EndlessForm::Body, EndlessForm::Event, EndlessForm::OneByteChunks}) {
+    INFO(toString(form));
+    EndlessServer server(form, Limit);
+    IoContext io(1);
+    http::Client client(io);
+    size_t inTurn = 0;
+    size_t mostInTurn = 0;
+    bool done = false;
+    spawn(io, "turns", [&]() -> Awaitable<void> {
+      while (!done) {
+        inTurn = 0;
+        co_await sleepFor(Milliseconds(0));
+      }
+    });
+    spawn(io, "reader", [&]() -> Awaitable<void> {
+      http::Endpoint to = server.at();
+      http::Request request;
+      http::CallOptions options;
+      std::unique_ptr<http::ResponseStream> response =
+          co_await client.open(to, request, options);
+      try {
+        for (std::string part = co_await response->read(CallTimeout);
+             !part.empty(); part = co_await response->read(CallTimeout)) {
+          inTurn += part.size();
+          mostInTurn = std::max(mostInTurn, inTurn);
+        }
+      } catch (const http::TransportError &) {
+        // The server stops within a chunk.
+        done = true;
+      }
+      done = true;
+    });
+    io.run();
+    CHECK(server.isExhausted());
+    CHECK(mostInTurn <= MostBytesInATurn);
+  }
+}
