Read each byte of an event stream once, and bound an event

At some MB one search takes longer than the next part takes to arrive. Events that are complete do not help if they are small: the search for the end with CR LF ran to the end of the buffer for each of them.

The splitter now remembers where its search ended, and an event of more than 256 KB breaks the attempt, as other bytes do that are not the next event. A further attempt follows where the route allows it.

Opposite harm: an event of 64 KB in single bytes, empty lines before events.

--- a/Source/Gateway/EventSplitter.cpp
+++ b/Source/Gateway/EventSplitter.cpp
@@ -10,16 +10,6 @@
 
 constexpr std::string_view IdField = "id:";
 
-/// Returns the end of the first complete event in the text, 0 if there is none.
-/// An event ends with an empty line; lines end with LF or CR LF.
-size_t endOfEvent(std::string_view text) {
-  size_t lf = text.find("\n\n");
-  size_t crlf = text.find("\n\r\n");
-  if (lf == std::string_view::npos && crlf == std::string_view::npos)
-    return 0;
-  return lf < crlf ? lf + 2 : crlf + 3;
-}
-
 /// Returns the lines of an event without their ends.
 std::vector<std::string_view> linesOf(std::string_view event) {
   std::vector<std::string_view> out;
@@ -48,19 +38,38 @@
 
 } // namespace
 
+size_t EventSplitter::findEnd(size_t eventStart) {
+  for (;;) {
+    size_t eol = Buffer.find('\n', Searched);
+    if (eol == std::string::npos) {
+      Searched = Buffer.size();
+      return 0;
+    }
+    bool isEmpty =
+        eol == LineStart || (eol == LineStart + 1 && Buffer[LineStart] == '\r');
+    bool isFirst = LineStart == eventStart;
+    LineStart = eol + 1;
+    Searched = LineStart;
+    if (isEmpty && !isFirst)
+      return LineStart;
+  }
+}
+
 std::string EventSplitter::push(std::string_view bytes) {
   Buffer.append(bytes);
   size_t accepted = 0;
   while (!Foreign) {
-    std::string_view rest = std::string_view(Buffer).substr(accepted);
-    size_t end = endOfEvent(rest);
+    size_t end = findEnd(accepted);
     if (end == 0)
       break;
-    Foreign = !recordEvent(rest.substr(0, end));
-    accepted += Foreign ? 0 : end;
+    Foreign =
+        !recordEvent(std::string_view(Buffer).substr(accepted, end - accepted));
+    accepted = Foreign ? accepted : end;
   }
   std::string completeEvents = Buffer.substr(0, accepted);
   Buffer.erase(0, accepted);
+  LineStart -= std::min(LineStart, accepted);
+  Searched -= std::min(Searched, accepted);
   return completeEvents;
 }
 
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -45,6 +45,17 @@
   recordSoundAnswer(shared, context, attempt.RespondedAt);
 }
 
+/// Returns why nothing further of the stream can be forwarded, or an empty
+/// string.
+std::string findStreamFault(const StreamProgress &progress) {
+  if (progress.Events.isForeign())
+    return "the stream holds bytes that are not its next event";
+  if (progress.Events.isTooLong())
+    return "an event of the stream exceeds " + std::to_string(MaxEventBytes) +
+           " bytes";
+  return "";
+}
+
 /// Forwards the events that have arrived.
 Awaitable<StreamAttemptResult> forwardEvents(SharedState &shared,
                                              RequestContext &context,
@@ -64,11 +75,11 @@
     recordContact(shared, *attempt.Plan.Server);
     recordProgress(shared, context, attempt, now);
     std::string completeEvents = progress.Events.push(chunk);
-    bool isForeign = progress.Events.isForeign();
-    if (isForeign)
-      progress.LastDetail =
-          "the stream holds bytes that are not its next event";
-    if (completeEvents.empty() && isForeign)
+    std::string fault = findStreamFault(progress);
+    bool isFaulty = !fault.empty();
+    if (isFaulty)
+      progress.LastDetail = std::move(fault);
+    if (completeEvents.empty() && isFaulty)
       co_return StreamAttemptResult::Broken;
     if (completeEvents.empty())
       continue;
@@ -86,7 +97,7 @@
           std::string("writing to the caller failed: ") + e.what();
       co_return StreamAttemptResult::CallerGone;
     }
-    if (isForeign)
+    if (isFaulty)
       co_return StreamAttemptResult::Broken;
   }
   co_return StreamAttemptResult::Continues;
--- a/Tests/Gateway/EventSplitterTest.cpp
+++ b/Tests/Gateway/EventSplitterTest.cpp
@@ -64,3 +64,37 @@
   CHECK(plain.push("data: a\n\ndata: b\n\n") == "data: a\n\ndata: b\n\n");
   CHECK(plain.events() == 2);
 }
+
+TEST_CASE("an event without an end is not collected without a limit") {
+  EventSplitter s;
+  const std::string part(size_t{16} * 1024, 'a');
+  size_t pushed = 0;
+  CHECK(s.push("id: 1\ndata: ").empty());
+  for (; !s.isTooLong() && pushed <= 2 * MaxEventBytes; pushed += part.size())
+    CHECK(s.push(part).empty());
+  CHECK(s.isTooLong());
+  CHECK(pushed <= MaxEventBytes + part.size());
+  s.dropPending();
+  CHECK_FALSE(s.isTooLong());
+  CHECK(s.push("id: 1\ndata: b\n\n") == "id: 1\ndata: b\n\n");
+}
+
+TEST_CASE("a long event that arrives in single bytes is returned") {
+  const std::string event =
+      "id: 1\ndata: " + std::string(size_t{64} * 1024, 'a') + "\r\n\r\n";
+  EventSplitter s;
+  std::string out;
+  for (char it : event)
+    out += s.push(std::string_view(&it, 1));
+  CHECK(out == event);
+  CHECK(s.events() == 1);
+  CHECK(s.pending() == 0);
+}
+
+TEST_CASE("empty lines before an event belong to it") {
+  EventSplitter s;
+  CHECK(s.push("\nid: 1\ndata: a\n\n") == "\nid: 1\ndata: a\n\n");
+  CHECK(s.push("\n\n") == "\n\n");
+  CHECK(s.push("id: 2\n\r\n\n") == "id: 2\n\r\n");
+  CHECK(s.pending() == 1);
+}
