Bound what a response needs to be received as a whole, and parse it once

A body in chunks of one byte cost a string of 16 KB for each byte.

The buffer of a connection now has a size. A part of a response that is not complete after 16 KB breaks the response, whatever it is; the head keeps the parser's limit. One string takes all that the buffer holds of a body. Ruled out: the quadratic search of the parser itself (it remembers where its search ended).

Opposite harm: "chunk extensions, trailers and small chunks of ordinary size are accepted".

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -28,6 +28,9 @@
 constexpr size_t ReadBufferBytes = size_t{16} * 1024;
 /// Bytes that a response receives before the event loop runs again.
 constexpr size_t MaxBytesPerTurn = size_t{64} * 1024;
+/// Longest chunk header, trailer or other part of a response that has to be
+/// received as a whole. The parser limits the head by itself.
+constexpr size_t MaxElementBytes = size_t{16} * 1024;
 constexpr uint64_t MaxResponseBytes = 64ull * 1024 * 1024;
 /// The kernel closes a connection with bytes unacknowledged for this long. The
 /// limit is well above the round trip time of a loaded link and well below the
@@ -43,7 +46,7 @@
   explicit Connection(tcp::socket s) : Stream(std::move(s)) {}
 
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxElementBytes + ReadBufferBytes};
   bool Reused = false;
   MonoTime IdleSince{};
   /// Idle time after which the peer closes the connection, as announced in its
@@ -297,30 +300,44 @@
       fail(beast::error::timeout);
   }
 
+  bool hasNews() const {
+    return HeadReceived ? !Part.empty() || ResponseParser.is_done()
+                        : ResponseParser.is_header_done();
+  }
+
   /// Parses the buffered bytes. Returns true if the head, a part of the body or
   /// its end can be delivered.
   bool parse() {
-    for (;;) {
-      bool hasNews = HeadReceived ? !Part.empty() || ResponseParser.is_done()
-                                  : ResponseParser.is_header_done();
-      if (hasNews)
-        return true;
-      if (Error || Conn->Buffer.size() == 0)
-        return false;
-      // The parser copies at most the buffered bytes.
-      std::string part(Conn->Buffer.size(), '\0');
-      ResponseParser.get().body().data = part.data();
-      ResponseParser.get().body().size = part.size();
-      ResponseParser.get().body().more = true;
-      beast::error_code ec;
-      Conn->Buffer.consume(ResponseParser.put(Conn->Buffer.data(), ec));
-      if (ec == bhttp::error::need_more)
-        return false;
-      if (ec && ec != bhttp::error::need_buffer)
-        Error = ec;
-      part.resize(part.size() - ResponseParser.get().body().size);
-      Part = std::move(part);
+    while (!hasNews() && !Error && Conn->Buffer.size() > 0) {
+      size_t before = Conn->Buffer.size();
+      parseBuffer();
+      if (!hasNews() && Conn->Buffer.size() == before)
+        break;
     }
+    return hasNews();
+  }
+
+  /// Parses the head, or what the buffer holds of the body.
+  void parseBuffer() {
+    auto &body = ResponseParser.get().body();
+    std::string part;
+    if (HeadReceived)
+      part.resize(Conn->Buffer.size());
+    body.data = part.data();
+    body.size = part.size();
+    body.more = true;
+    beast::error_code ec;
+    do
+      Conn->Buffer.consume(ResponseParser.put(Conn->Buffer.data(), ec));
+    while (!ec && HeadReceived && !ResponseParser.is_done() &&
+           Conn->Buffer.size() > 0);
+    part.resize(part.size() - body.size);
+    Part = std::move(part);
+    bool isIncomplete = ec == bhttp::error::need_more;
+    if (isIncomplete && Conn->Buffer.size() >= MaxElementBytes)
+      Error = bhttp::error::buffer_overflow;
+    else if (ec && !isIncomplete && ec != bhttp::error::need_buffer)
+      Error = ec;
   }
 
   /// Receives what has arrived, without waiting.
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -210,3 +210,23 @@
   CHECK(body == "firstsecond");
   CHECK(fruitlessWaits == static_cast<int>(pieces.size()));
 }
+
+TEST_CASE("chunk extensions, trailers and small chunks of ordinary size are "
+          "accepted") {
+  std::string tail = "0\r\nChecksum: " + std::string(500, 'c') + "\r\n\r\n";
+  std::string chunks;
+  std::string body;
+  for (int i = 0; i < 5'000; ++i) {
+    chunks += i % 3 == 0
+                  ? "1;name=" + std::string(1 + i % 200, 'v') + "\r\nx\r\n"
+                  : "1\r\nx\r\n";
+    body += 'x';
+  }
+  IoContext io(1);
+  ScriptedServer server(io, [&](int) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks +
+           tail;
+  });
+  CHECK(callAll(io, server.at(), 2) == std::vector<std::string>{body, body});
+  CHECK(server.Connections == 1);
+}
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -80,6 +80,27 @@
   std::thread Thread;
 };
 
+/// Returns the error of a call, or "complete".
+std::string callOnce(http::Endpoint to, Milliseconds timeout) {
+  IoContext io(1);
+  http::Client client(io);
+  std::string out;
+  spawn(io, "call", [&]() -> Awaitable<void> {
+    try {
+      http::CallOptions o;
+      o.Timeout = timeout;
+      http::Request request;
+      co_await client.call(to, request, o);
+      out = "complete";
+    } catch (const http::TransportError &e) {
+      out = e.TimedOut ? "timed out" : "broken";
+    }
+    io.stop();
+  });
+  io.run();
+  return out;
+}
+
 } // namespace
 
 TEST_CASE("the event loop runs while a server sends a body without an end") {
@@ -124,3 +145,13 @@
     CHECK(mostInTurn <= MostBytesInATurn);
   }
 }
+
+TEST_CASE("bytes without an end outside a body break the response") {
+  for (EndlessForm form : {EndlessForm::Header, EndlessForm::ChunkSize,
+                           EndlessForm::ChunkExtension, EndlessForm::Trailer}) {
+    INFO(toString(form));
+    EndlessServer server(form, size_t{8} * 1024 * 1024);
+    CHECK(callOnce(server.at(), CallTimeout) == "broken");
+    CHECK_FALSE(server.isExhausted());
+  }
+}
--- a/Tests/Process/EndlessResponseTest.cpp
+++ b/Tests/Process/EndlessResponseTest.cpp
@@ -133,3 +133,13 @@
                          EndlessForm::Comments, EndlessForm::OneByteChunks})
     checkOthersAreServed(it, StreamRoute, FewCalls);
 }
+
+TEST_CASE("callers of another service are served while heads, chunk headers "
+          "or trailers do not end",
+          "[process]") {
+  for (EndlessForm it : {EndlessForm::Header, EndlessForm::ChunkSize,
+                         EndlessForm::ChunkExtension, EndlessForm::Trailer})
+    checkOthersAreServed(it, StreamRoute, FewCalls);
+  for (EndlessForm it : {EndlessForm::ChunkSize, EndlessForm::Trailer})
+    checkOthersAreServed(it, OnceRoute, FewCalls);
+}
