Reject a request whose chunk header or trailer does not end

The buffer now has the size of the largest head or chunk header; past it the caller gets 400 and the connection is closed. Bodies keep their own limit.

Unit tests failed before (no response in 250 ms and the request still open, three forms of three) and pass now; a request with 2,000 extensions and a trailer is served.

--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace sardineford::http {
@@ -55,6 +56,11 @@
     return make(431, ErrorKind::TooLarge,
                 "the request headers exceed the size limit",
                 "send fewer or shorter headers");
+  if (ec == bhttp::error::buffer_overflow)
+    return make(400, ErrorKind::TooLarge,
+                "a chunk header or trailer of the request exceeds the size "
+                "limit",
+                "send shorter chunk extensions and fewer trailers");
   if (ec == beast::error::timeout)
     return make(408, ErrorKind::BadRequest,
                 "the request was not received within the read timeout",
@@ -69,6 +75,9 @@
 
 using Parser = bhttp::request_parser<bhttp::string_body>;
 
+/// Longest chunk header or trailer of a request.
+constexpr size_t MaxChunkHeaderBytes = size_t{16} * 1024;
+
 /// Buffer size of the first read of a request; large enough for most request
 /// heads.
 constexpr size_t FirstReadBytes = 2048;
@@ -322,6 +331,10 @@
     if (!co_await waitForRequest(stream, buf))
       co_return false;
     OpenRequest open(OpenRequests);
+    // The limits may have become smaller than what has arrived.
+    buf.max_size(
+        std::max({Options.MaxHeaderBytes, MaxChunkHeaderBytes, buf.size()}) +
+        FirstReadBytes);
     Parser parser;
     parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
     parser.body_limit(Options.MaxBodyBytes);
--- a/Tests/Http/ServerTest.cpp
+++ b/Tests/Http/ServerTest.cpp
@@ -126,3 +126,30 @@
   c.runFor(ShortTime);
   CHECK(c.Server.openRequests() == 0);
 }
+
+TEST_CASE("a request with a chunk header or trailer without an end is "
+          "rejected") {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char *begin : {"", "1;", "1\r\nx\r\n0\r\nX: "}) {
+    INFO(begin);
+    WaitingConnection c;
+    c.send(head + begin + std::string(size_t{64} * 1024, 'a'));
+    c.runFor(ShortTime);
+    CHECK(c.hasResponse());
+    CHECK(c.Server.openRequests() == 0);
+  }
+}
+
+TEST_CASE("a request with chunk extensions and trailers of ordinary size is "
+          "served") {
+  WaitingConnection c;
+  c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  std::string chunks;
+  for (int i = 0; i < 2'000; ++i)
+    chunks += "1;name=value\r\nx\r\n";
+  c.send(chunks + "0\r\nChecksum: " + std::string(500, 'c') + "\r\n\r\n");
+  c.runFor(ShortTime);
+  CHECK(c.hasResponse());
+  CHECK(c.Server.openRequests() == 0);
+}
