Bound the parts of all responses that a process holds

The process would be killed, and with it all of its callers.

All that is held until it can be used or forwarded now counts against one limit of the client, 16 MB: bodies that are collected and incomplete events. Past it the largest one is given up and its attempt fails like one of a broken connection, so that small responses of sound servers go on. One body is limited to 8 MB; streams no longer have a limit in length. Ways weighed: a limit for each body alone (does not bound all), giving up the newest (sound callers pay).

--- a/Source/Gateway/PassOn.cpp
+++ b/Source/Gateway/PassOn.cpp
@@ -121,15 +121,11 @@
 }
 
 /// Forwards another response when it is complete.
-Awaitable<void> forwardWhole(RequestContext &context, http::Response head,
+Awaitable<void> forwardWhole(SharedState &shared, RequestContext &context,
+                             http::Response head,
                              http::ResponseStream &response) {
-  for (;;) {
-    std::string part = co_await response.read(
-        std::max(context.remainingTime(), Milliseconds(1)));
-    if (part.empty())
-      break;
-    head.Body += part;
-  }
+  head.Body = co_await http::readBody(response, shared.Client.receiveMemory(),
+                                      context.Deadline);
   co_await context.Out.send(std::move(head));
 }
 
@@ -142,7 +138,7 @@
   if (isStream)
     co_await forwardStream(context, std::move(head), response);
   else
-    co_await forwardWhole(context, std::move(head), response);
+    co_await forwardWhole(shared, context, std::move(head), response);
 }
 
 Awaitable<HopResult> askPeer(SharedState &shared, RequestContext &context,
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -33,8 +33,9 @@
   Reservation InFlight;
   bool HeadReceived = false;
   ResponseHead Head;
-  /// What has been received so far.
+  /// What has been received so far; the body once it is complete.
   http::Response Received;
+  std::optional<http::BodyCollector> Body;
 };
 
 using OpenPlainAttemptPtr = std::unique_ptr<OpenPlainAttempt>;
@@ -149,6 +150,7 @@
         recordContact(shared, *attempt.Server);
         attempt.RespondedAt = attempt.LastByteAt;
         attempt.Received = stream.head();
+        attempt.Body.emplace(shared.Client.receiveMemory(), stream);
         attempt.Head = shared.Protocol.decodeHead(attempt.Received);
         attempt.RequestLimit = attempt.Head.RequestLimit;
         done.Detail = validateResponse(attempt.Head, attempt.Received,
@@ -164,9 +166,10 @@
       }
       std::string chunk = co_await stream.read(http::ReadyTimeout);
       if (!chunk.empty()) {
-        attempt.Received.Body += chunk;
+        attempt.Body->append(chunk);
         continue;
       }
+      attempt.Received.Body = attempt.Body->take();
       done.Outcome = AttemptOutcome::Answered;
       unsigned status = attempt.Received.Status;
       if (attempt.Head.NotExecuted) {
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -160,14 +160,8 @@
   std::unique_ptr<http::ResponseStream> response = co_await shared.Client.open(
       std::move(to), std::move(request), std::move(options));
   http::Response out = response->head();
-  for (;;) {
-    Milliseconds remaining = toMilliseconds(deadline - MonoClock::now());
-    std::string part =
-        co_await response->read(std::max(remaining, Milliseconds(1)));
-    if (part.empty())
-      break;
-    out.Body += part;
-  }
+  out.Body = co_await http::readBody(*response, shared.Client.receiveMemory(),
+                                     deadline);
   settleConnection(shared, "", *response);
   // Without an id, a copy could be taken for the response of a later request,
   // which needs one only if it is a success.
--- a/Source/Gateway/Stream.h
+++ b/Source/Gateway/Stream.h
@@ -5,6 +5,7 @@
 #include "Gateway/State.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace sardineford::gateway {
 
@@ -33,6 +34,8 @@
 /// Progress of one caller's stream over all its attempts.
 struct StreamProgress {
   EventSplitter Events;
+  /// Of the incomplete event. Set while an attempt forwards events.
+  std::optional<http::MemoryShare> PendingBytes;
   /// Time at which the last events were forwarded.
   MonoTime LastEventAt{};
   EngineFilter Filter;
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -229,8 +229,10 @@
   // no request.
   if (result == StreamAttemptResult::Broken)
     attempt.Response->close();
-  if (attempt.Forwards)
+  if (attempt.Forwards) {
     progress.Events.dropPending();
+    progress.PendingBytes.reset();
+  }
   progress.LastCause = FailureCause::Failed;
   progress.NextMoveAt = {};
   open.erase(std::find_if(open.begin(), open.end(), [&](const auto &other) {
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -20,16 +20,15 @@
 /// Maximum number of separate prefills of one request.
 constexpr int MaxPrefillAttempts = 2;
 
-Awaitable<http::Response> readWhole(http::ResponseStream &response,
+Awaitable<http::Response> readWhole(SharedState &shared,
+                                    http::ResponseStream &response,
                                     Milliseconds timeout) {
+  MonoTime deadline = MonoClock::now() + timeout;
   co_await response.receiveHead(timeout);
   http::Response out = response.head();
-  for (;;) {
-    std::string part = co_await response.read(timeout);
-    if (part.empty())
-      co_return out;
-    out.Body += part;
-  }
+  out.Body = co_await http::readBody(response, shared.Client.receiveMemory(),
+                                     deadline);
+  co_return out;
 }
 
 /// Prefills the prompt at an engine. Returns nothing if the prefill fails, or
@@ -69,8 +68,8 @@
                   "the silent engine has responded", tokens, queuedTokens});
       co_return std::nullopt;
     }
-    http::Response r =
-        co_await readWhole(*response, ready ? timeout : http::ReadyTimeout);
+    http::Response r = co_await readWhole(shared, *response,
+                                          ready ? timeout : http::ReadyTimeout);
     recordContact(shared, *server);
     ResponseHead head = shared.Protocol.decodeHead(r);
     settleConnection(shared, context.Request.Id, *response);
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -48,6 +48,8 @@
 /// Returns why nothing further of the stream can be forwarded, or an empty
 /// string.
 std::string findStreamFault(const StreamProgress &progress) {
+  if (progress.PendingBytes->isGivenUp())
+    return http::MemoryExceeded;
   if (progress.Events.isForeign())
     return "the stream holds bytes that are not its next event";
   if (progress.Events.isTooLong())
@@ -74,7 +76,10 @@
     MonoTime now = MonoClock::now();
     recordContact(shared, *attempt.Plan.Server);
     recordProgress(shared, context, attempt, now);
-    std::string completeEvents = progress.Events.push(chunk);
+    std::string completeEvents;
+    if (!progress.PendingBytes->isGivenUp())
+      completeEvents = progress.Events.push(chunk);
+    progress.PendingBytes->resize(progress.Events.pending());
     std::string fault = findStreamFault(progress);
     bool isFaulty = !fault.empty();
     if (isFaulty)
@@ -109,13 +114,8 @@
 forwardWholeResponse(SharedState &shared, RequestContext &context,
                      http::ResponseStream &stream) {
   http::Response backendResponse = stream.head();
-  for (;;) {
-    std::string chunk = co_await stream.read(
-        std::max(context.remainingTime(), Milliseconds(1)));
-    if (chunk.empty())
-      break;
-    backendResponse.Body += chunk;
-  }
+  backendResponse.Body = co_await http::readBody(
+      stream, shared.Client.receiveMemory(), context.Deadline);
   context.Status = backendResponse.Status;
   http::Response callerResponse =
       shared.Protocol.makeCallerResponse(std::move(backendResponse));
@@ -189,6 +189,8 @@
   }
   // An incomplete event of an earlier attempt is sent again by this one.
   progress.Events.dropPending();
+  progress.PendingBytes.emplace(shared.Client.receiveMemory(),
+                                [&progress] { progress.Events.dropPending(); });
   attempt.Forwards = true;
   progress.Filter.SoftwareVersion = attempt.Plan.Server->Entry.SoftwareVersion;
   attempt.Patience = eventGapPatience(*context.Route);
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -31,7 +31,6 @@
 /// Longest chunk header, trailer or other part of a response that has to be
 /// received as a whole. The parser limits the head by itself.
 constexpr size_t MaxElementBytes = size_t{16} * 1024;
-constexpr uint64_t MaxResponseBytes = 64ull * 1024 * 1024;
 /// The kernel closes a connection with bytes unacknowledged for this long. The
 /// limit is well above the round trip time of a loaded link and well below the
 /// deadlines of long responses.
@@ -138,6 +137,7 @@
   explicit Impl(IoContext &io) : Io(io) {}
 
   IoContext &Io;
+  ReceiveMemory Memory{MaxReceiveMemory};
   std::map<Endpoint, std::vector<ConnectionPtr>> Idle;
 
   ConnectionPtr acquireIdle(const Endpoint &to, Milliseconds maxIdle) {
@@ -220,7 +220,7 @@
          std::shared_ptr<AbortHandle> abort)
       : Owner(std::move(owner)), To(std::move(to)), Conn(std::move(c)),
         Outgoing(std::move(out)), Abort(std::move(abort)) {
-    ResponseParser.body_limit(MaxResponseBytes);
+    ResponseParser.body_limit(boost::none);
   }
 
   ~Stream() override {
@@ -243,6 +243,8 @@
 
   bool isReady() override {
     for (;;) {
+      if (!GivenUpReason.empty())
+        return true;
       if (parse() || AtEnd || Error)
         return true;
       // A peer that sends faster than its bytes are used would keep the event
@@ -282,6 +284,10 @@
 
   Awaitable<std::string> read(Milliseconds timeout) override {
     co_await waitUntilReady(timeout);
+    if (!GivenUpReason.empty())
+      throw TransportError(TransportStage::Sent, false,
+                           "response from " + toString(To) + ": " +
+                               GivenUpReason);
     if (Part.empty() && !ResponseParser.is_done())
       fail(Error);
     co_return std::exchange(Part, {});
@@ -293,6 +299,11 @@
     Conn->Stream.socket().close(ec);
   }
 
+  void giveUp(std::string reason) override {
+    GivenUpReason = std::move(reason);
+    close();
+  }
+
 private:
   Awaitable<void> waitUntilReady(Milliseconds timeout) {
     std::vector<ResponseStream *> self = {this};
@@ -391,6 +402,8 @@
   bool AtEnd = false;
   beast::error_code Error;
   bool Closed = false;
+  /// Empty unless the response was given up.
+  std::string GivenUpReason;
 };
 
 } // namespace
@@ -466,6 +479,42 @@
   }
 }
 
+BodyCollector::BodyCollector(ReceiveMemory &memory, ResponseStream &response)
+    : Response(response), Share(memory, [this] {
+        Body = {};
+        Response.giveUp(MemoryExceeded);
+      }) {}
+
+void BodyCollector::append(std::string_view part) {
+  if (Body.size() + part.size() > MaxBodyBytes) {
+    take();
+    Response.giveUp("the body exceeds " + std::to_string(MaxBodyBytes) +
+                    " bytes");
+  }
+  if (Share.isGivenUp())
+    return;
+  Body += part;
+  Share.resize(Body.size());
+}
+
+std::string BodyCollector::take() {
+  Share.resize(0);
+  return std::exchange(Body, {});
+}
+
+Awaitable<std::string> readBody(ResponseStream &response, ReceiveMemory &memory,
+                                MonoTime deadline) {
+  BodyCollector body(memory, response);
+  for (;;) {
+    Milliseconds remaining = toMilliseconds(deadline - MonoClock::now());
+    std::string part =
+        co_await response.read(std::max(remaining, Milliseconds(1)));
+    if (part.empty())
+      co_return body.take();
+    body.append(part);
+  }
+}
+
 Client::Client(IoContext &io) : Shared(std::make_shared<Impl>(io)) {}
 
 Client::~Client() = default;
@@ -476,6 +525,8 @@
   return Shared->send(std::move(to), std::move(message), std::move(options));
 }
 
+ReceiveMemory &Client::receiveMemory() { return Shared->Memory; }
+
 void Client::closeIdle(const Endpoint &to) { Shared->Idle.erase(to); }
 
 Awaitable<std::unique_ptr<ResponseStream>>
@@ -489,14 +540,7 @@
   std::unique_ptr<ResponseStream> stream =
       co_await Shared->open(std::move(to), std::move(request), options);
   Response r = stream->head();
-  for (;;) {
-    Milliseconds remaining = toMilliseconds(deadline - MonoClock::now());
-    std::string piece =
-        co_await stream->read(std::max(remaining, Milliseconds(1)));
-    if (piece.empty())
-      break;
-    r.Body += piece;
-  }
+  r.Body = co_await readBody(*stream, Shared->Memory, deadline);
   // The response has no id that would tell it from a copy for the next call.
   if (isRejection(r.Status))
     stream->close();
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -230,3 +230,10 @@
   CHECK(callAll(io, server.at(), 2) == std::vector<std::string>{body, body});
   CHECK(server.Connections == 1);
 }
+
+TEST_CASE("a large body is received whole") {
+  std::string body(http::MaxBodyBytes, 'x');
+  IoContext io(1);
+  ScriptedServer server(io, [&](int) { return okResponse(body); });
+  CHECK(callAll(io, server.at(), 2) == std::vector<std::string>{body, body});
+}
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -147,11 +147,18 @@
 }
 
 TEST_CASE("bytes without an end outside a body break the response") {
-  for (EndlessForm form : {EndlessForm::Header, EndlessForm::ChunkSize,
-                           EndlessForm::ChunkExtension, EndlessForm::Trailer}) {
+  for (EndlessForm form :
+       {EndlessForm::Header,  EndlessForm::ChunkSize,
+        EndlessForm::ChunkExtension, EndlessForm::Trailer}) {
     INFO(toString(form));
     EndlessServer server(form, size_t{8} * 1024 * 1024);
     CHECK(callOnce(server.at(), CallTimeout) == "broken");
     CHECK_FALSE(server.isExhausted());
   }
 }
+
+TEST_CASE("a call fails at the size limit of a body without an end") {
+  EndlessServer server(EndlessForm::Body);
+  CHECK(callOnce(server.at(), CallTimeout) == "broken");
+  CHECK_FALSE(server.isExhausted());
+}
--- a/Tests/Process/EndlessResponseTest.cpp
+++ b/Tests/Process/EndlessResponseTest.cpp
@@ -124,6 +124,7 @@
 }
 
 constexpr size_t FewCalls = 4;
+constexpr size_t ManyCalls = 24;
 
 } // namespace
 
@@ -143,3 +144,11 @@
   for (EndlessForm it : {EndlessForm::ChunkSize, EndlessForm::Trailer})
     checkOthersAreServed(it, OnceRoute, FewCalls);
 }
+
+TEST_CASE("many bodies without an end stay within the memory of an instance",
+          "[process]") {
+  for (EndlessForm it : {EndlessForm::Body, EndlessForm::ErrorBody}) {
+    checkOthersAreServed(it, StreamRoute, ManyCalls);
+    checkOthersAreServed(it, RepeatableRoute, ManyCalls);
+  }
+}
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -2,9 +2,12 @@
 
 #include "Sardineford/Common/Async.h"
 #include "Sardineford/Http/Message.h"
+#include "Sardineford/Http/ReceiveMemory.h"
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -90,6 +93,8 @@
   virtual Awaitable<std::string> read(Milliseconds timeout) = 0;
   /// Closes the connection. A pending read fails.
   virtual void close() = 0;
+  /// The same; the reads fail with the reason.
+  virtual void giveUp(std::string reason) = 0;
 };
 
 /// Timeout of an operation on a response that is ready.
@@ -101,6 +106,33 @@
 waitForAny(const std::vector<ResponseStream *> &responses,
            Milliseconds timeout);
 
+/// Longest body that is collected, in bytes. Streams are not limited.
+inline constexpr size_t MaxBodyBytes = size_t{8} * 1024 * 1024;
+/// Limit of the parts of responses that a client holds, in bytes.
+inline constexpr size_t MaxReceiveMemory = size_t{16} * 1024 * 1024;
+
+/// Collects the body of a response that is needed as a whole.
+class BodyCollector {
+public:
+  BodyCollector(ReceiveMemory &memory, ResponseStream &response);
+
+  /// Gives the response up if its body exceeds MaxBodyBytes: the next read
+  /// fails.
+  void append(std::string_view part);
+  /// Returns the body and frees its memory.
+  std::string take();
+
+private:
+  ResponseStream &Response;
+  std::string Body;
+  MemoryShare Share;
+};
+
+/// Reads the rest of a body. Throws TransportError when the deadline passes,
+/// the connection fails or the body is too long.
+Awaitable<std::string> readBody(ResponseStream &response, ReceiveMemory &memory,
+                                MonoTime deadline);
+
 /// An HTTP/1.1 client that keeps idle connections per endpoint. Runs on one
 /// thread.
 class Client {
@@ -118,6 +150,8 @@
   /// received. The request is never sent again on another connection.
   Awaitable<std::unique_ptr<ResponseStream>> send(Endpoint to, Request request,
                                                   CallOptions options);
+  /// Memory for the parts of all responses that cannot be used yet.
+  ReceiveMemory &receiveMemory();
   /// Closes the idle connections to an endpoint, which may be dead as well when
   /// one of them is.
   void closeIdle(const Endpoint &to);
