End a response at its deadline while it keeps arriving

A call, a response that is collected, and a stream that a peer forwards outlived their deadlines as long as bytes came: with no time left each read still had a millisecond, and one that is ready does not wait, so none of them failed. Now a read without time left takes what has arrived in this turn of the event loop and fails when it would have to wait. Responses that are ready in time are delivered as before.

--- a/Source/Gateway/PassOn.cpp
+++ b/Source/Gateway/PassOn.cpp
@@ -111,8 +111,7 @@
                               http::ResponseStream &response) {
   co_await context.Out.startStream(std::move(head));
   for (;;) {
-    std::string part = co_await response.read(
-        std::max(context.remainingTime(), Milliseconds(1)));
+    std::string part = co_await response.read(context.remainingTime());
     if (part.empty())
       break;
     co_await context.Out.write(std::move(part));
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -465,6 +465,8 @@
   MonoTime end = MonoClock::now() + timeout;
   if (ResponseStream *it = readyOne())
     co_return it;
+  if (MonoClock::now() >= end)
+    co_return nullptr;
   auto wake = std::make_shared<asio::steady_timer>(
       co_await asio::this_coro::executor, end);
   for (;;) {
@@ -506,9 +508,8 @@
                                 MonoTime deadline) {
   BodyCollector body(memory, response);
   for (;;) {
-    Milliseconds remaining = toMilliseconds(deadline - MonoClock::now());
     std::string part =
-        co_await response.read(std::max(remaining, Milliseconds(1)));
+        co_await response.read(toMilliseconds(deadline - MonoClock::now()));
     if (part.empty())
       co_return body.take();
     body.append(part);
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -162,3 +162,9 @@
   CHECK(callOnce(server.at(), CallTimeout) == "broken");
   CHECK_FALSE(server.isExhausted());
 }
+
+TEST_CASE("a call fails at its deadline while a body without an end arrives") {
+  EndlessServer server(EndlessForm::OneByteChunks);
+  CHECK(callOnce(server.at(), Milliseconds(20)) == "timed out");
+  CHECK_FALSE(server.isExhausted());
+}
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -101,7 +101,8 @@
 inline constexpr Milliseconds ReadyTimeout{1};
 
 /// Waits until one of the responses is ready. Returns nullptr if none is within
-/// the time; all of them can still be received later.
+/// the time; all of them can still be received later. Without time left, a
+/// response that keeps arriving is not waited for.
 Awaitable<ResponseStream *>
 waitForAny(const std::vector<ResponseStream *> &responses,
            Milliseconds timeout);
