Skip informational responses before the final one

Found while the forms of responses without an end were tried: a response with status 100 or 103 was taken for the final one, so that a sound answer after it counted as broken (no seal) and, for calls of the store, as an error. RFC 9110 lets a server send them at any time. They are skipped now, up to 16 before one response.

Unit tests "informational responses before the final one are skipped" and the form "informational" of "bytes without an end outside a body break the response" failed before (the latter got "complete"), pass now.

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 
 namespace sardineford::http {
 
@@ -31,6 +32,9 @@
 /// Longest chunk header, trailer or other part of a response that has to be
 /// received as a whole. The parser limits the head by itself.
 constexpr size_t MaxElementBytes = size_t{16} * 1024;
+/// Most informational responses before the final one.
+constexpr int MaxInformational = 16;
+constexpr unsigned StatusSwitchingProtocols = 101;
 /// The kernel closes a connection with bytes unacknowledged for this long. The
 /// limit is well above the round trip time of a loaded link and well below the
 /// deadlines of long responses.
@@ -131,6 +135,11 @@
 
 using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
+/// Returns whether the final response follows on the connection.
+bool isInformational(unsigned status) {
+  return status / 100 == 1 && status != StatusSwitchingProtocols;
+}
+
 } // namespace
 
 struct Client::Impl : std::enable_shared_from_this<Client::Impl> {
@@ -220,7 +229,7 @@
          std::shared_ptr<AbortHandle> abort)
       : Owner(std::move(owner)), To(std::move(to)), Conn(std::move(c)),
         Outgoing(std::move(out)), Abort(std::move(abort)) {
-    ResponseParser.body_limit(boost::none);
+    startParser();
   }
 
   ~Stream() override {
@@ -232,7 +241,7 @@
     // reused.
     bool clean = Conn->Buffer.size() == 0 && Outgoing->Done &&
                  !Outgoing->Error && !Ready->Waiting;
-    if (ResponseParser.is_done() && ResponseParser.get().keep_alive() &&
+    if (ResponseParser->is_done() && ResponseParser->get().keep_alive() &&
         clean && !Closed) {
       Conn->PeerIdleLimit = peerIdleLimit(Head.Fields);
       Owner->releaseIdle(To, std::move(Conn));
@@ -273,9 +282,9 @@
 
   Awaitable<void> receiveHead(Milliseconds timeout) override {
     co_await waitUntilReady(timeout);
-    if (!ResponseParser.is_header_done())
+    if (!ResponseParser->is_header_done())
       fail(Error);
-    Head = headOf(ResponseParser.get());
+    Head = headOf(ResponseParser->get());
     HeadReceived = true;
   }
 
@@ -288,7 +297,7 @@
       throw TransportError(TransportStage::Sent, false,
                            "response from " + toString(To) + ": " +
                                GivenUpReason);
-    if (Part.empty() && !ResponseParser.is_done())
+    if (Part.empty() && !ResponseParser->is_done())
       fail(Error);
     co_return std::exchange(Part, {});
   }
@@ -311,9 +320,24 @@
       fail(beast::error::timeout);
   }
 
+  void startParser() {
+    ResponseParser.emplace();
+    ResponseParser->body_limit(boost::none);
+  }
+
+  /// Discards an informational response, so that the final one can be parsed.
+  void skipInformational() {
+    if (HeadReceived || !ResponseParser->is_header_done() ||
+        !isInformational(ResponseParser->get().result_int()))
+      return;
+    startParser();
+    if (++NumInformational > MaxInformational)
+      Error = bhttp::error::header_limit;
+  }
+
   bool hasNews() const {
-    return HeadReceived ? !Part.empty() || ResponseParser.is_done()
-                        : ResponseParser.is_header_done();
+    return HeadReceived ? !Part.empty() || ResponseParser->is_done()
+                        : ResponseParser->is_header_done();
   }
 
   /// Parses the buffered bytes. Returns true if the head, a part of the body or
@@ -330,7 +354,7 @@
 
   /// Parses the head, or what the buffer holds of the body.
   void parseBuffer() {
-    auto &body = ResponseParser.get().body();
+    auto &body = ResponseParser->get().body();
     std::string part;
     if (HeadReceived)
       part.resize(Conn->Buffer.size());
@@ -339,8 +363,8 @@
     body.more = true;
     beast::error_code ec;
     do
-      Conn->Buffer.consume(ResponseParser.put(Conn->Buffer.data(), ec));
-    while (!ec && HeadReceived && !ResponseParser.is_done() &&
+      Conn->Buffer.consume(ResponseParser->put(Conn->Buffer.data(), ec));
+    while (!ec && HeadReceived && !ResponseParser->is_done() &&
            Conn->Buffer.size() > 0);
     part.resize(part.size() - body.size);
     Part = std::move(part);
@@ -349,6 +373,7 @@
       Error = bhttp::error::buffer_overflow;
     else if (ec && !isIncomplete && ec != bhttp::error::need_buffer)
       Error = ec;
+    skipInformational();
   }
 
   /// Receives what has arrived, without waiting.
@@ -364,12 +389,12 @@
       Ready->Received += n;
       return;
     }
-    if (ec != asio::error::eof || !ResponseParser.got_some()) {
+    if (ec != asio::error::eof || !ResponseParser->got_some()) {
       Error = ec == asio::error::eof ? bhttp::error::end_of_stream : ec;
       return;
     }
     AtEnd = true;
-    ResponseParser.put_eof(ec);
+    ResponseParser->put_eof(ec);
     Error = ec;
   }
 
@@ -391,7 +416,8 @@
   std::shared_ptr<OutgoingRequest> Outgoing;
   std::shared_ptr<AbortHandle> Abort;
   std::shared_ptr<Readiness> Ready = std::make_shared<Readiness>();
-  Parser ResponseParser;
+  std::optional<Parser> ResponseParser;
+  int NumInformational = 0;
   Response Head;
   bool HeadReceived = false;
   /// Part of the body that is parsed but not delivered yet.
--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -237,3 +237,15 @@
   ScriptedServer server(io, [&](int) { return okResponse(body); });
   CHECK(callAll(io, server.at(), 2) == std::vector<std::string>{body, body});
 }
+
+TEST_CASE("informational responses before the final one are skipped") {
+  const std::string informational =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+      "Link: </x>\r\n\r\n";
+  IoContext io(1);
+  ScriptedServer server(
+      io, [&](int) { return informational + okResponse("final"); });
+  CHECK(callAll(io, server.at(), 2) ==
+        std::vector<std::string>{"final", "final"});
+  CHECK(server.Connections == 1);
+}
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -148,7 +148,7 @@
 
 TEST_CASE("bytes without an end outside a body break the response") {
   for (EndlessForm form :
-       {EndlessForm::Header,  EndlessForm::ChunkSize,
+       {EndlessForm::Header, EndlessForm::Informational, EndlessForm::ChunkSize,
         EndlessForm::ChunkExtension, EndlessForm::Trailer}) {
     INFO(toString(form));
     EndlessServer server(form, size_t{8} * 1024 * 1024);
