Bound a line of the own interface's engine streams

It now searches new bytes only, and a line of more than 256 KB fails the attempt. Test "a line without an end breaks the stream of an engine".

--- a/Source/Engine/HttpEngineClient.cpp
+++ b/Source/Engine/HttpEngineClient.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace sardineford::engine {
@@ -14,6 +15,8 @@
 
 constexpr Milliseconds ConnectTimeout{500};
 constexpr Milliseconds CancelTimeout{1'000};
+/// Longest line of a stream.
+constexpr size_t MaxLineBytes = size_t{256} * 1024;
 
 json::object encodeAttempt(const Attempt &a) {
   json::object o = {{"request", a.RequestId},    {"attempt", a.Id},
@@ -81,16 +84,22 @@
     if (piece.empty())
       throw EngineError(EngineFailure::MayHaveExecuted,
                         "the stream ended before the response was complete");
+    // The line that is pending does not end before the new bytes.
+    size_t searched = Pending.size();
     Pending += piece;
     size_t start = 0;
     for (;;) {
-      size_t end = Pending.find('\n', start);
+      size_t end = Pending.find('\n', std::max(start, searched));
       if (end == std::string::npos)
         break;
       parseLine(std::string_view(Pending).substr(start, end - start), out);
       start = end + 1;
     }
     Pending.erase(0, start);
+    if (Pending.size() > MaxLineBytes)
+      throw EngineError(EngineFailure::MayHaveExecuted,
+                        "a line of the stream exceeds " +
+                            std::to_string(MaxLineBytes) + " bytes");
     if (out.TotalTokens)
       co_await readLastChunk(timeout);
     co_return out;
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -1,4 +1,5 @@
 #include "StandIns/Relay/EndlessResponse.h"
+#include "Sardineford/Engine/HttpEngineClient.h"
 #include "Sardineford/Http/Client.h"
 
 #include <boost/asio/buffer.hpp>
@@ -168,3 +169,27 @@
   CHECK(callOnce(server.at(), Milliseconds(20)) == "timed out");
   CHECK_FALSE(server.isExhausted());
 }
+
+TEST_CASE("a line without an end breaks the stream of an engine") {
+  EndlessServer server(EndlessForm::Body, size_t{16} * 1024 * 1024);
+  IoContext io(1);
+  http::Client client(io);
+  engine::HttpEngineClient engineClient(io, client);
+  bool failed = false;
+  spawn(io, "reader", [&]() -> Awaitable<void> {
+    engine::Attempt attempt;
+    http::Endpoint to = server.at();
+    std::unique_ptr<engine::TokenStream> stream =
+        co_await engineClient.generate(to, attempt, CallTimeout);
+    try {
+      for (;;)
+        co_await stream->read(CallTimeout);
+    } catch (const engine::EngineError &) {
+      failed = true;
+    }
+    io.stop();
+  });
+  io.run();
+  CHECK(failed);
+  CHECK_FALSE(server.isExhausted());
+}
