Answer all open requests before a stopping process exits

It can happen here: in the first 2.8 s of a stop all requests are accepted, and when the time was over the event loop ended with them. A caller of a request that may not be repeated then does not know that it may have been executed. A grace time below 2.8 s was not kept at all, since the process waited for the load balancer first.

200 ms before the exit all open requests now time out: their attempts are ended and each caller gets 504, or 503 with Retry-After if nothing was executed; what has been received in part gets 503. While the load balancer still sends requests, one is rejected at once if responses on its route usually take more than a third of what is left. Ways weighed: reject all whose timeout does not fit (rejects all long streams for 2.8 s, most of which end in time); shorten deadlines only (a wait that has begun keeps its old one).

No message, header or record changes.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/PassOn.h"
 #include "Gateway/ReturnCheck.h"
 #include "Gateway/StateGauges.h"
+#include "Gateway/StopDecision.h"
 #include "Gateway/StreamTiming.h"
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
@@ -24,11 +25,6 @@
 
 using log::Category;
 
-/// A stopping process accepts connections until two readiness checks of the
-/// load balancer, one second apart, have failed, plus a margin.
-constexpr Milliseconds BalancerNoticeTime{2'800};
-/// Part of the stop grace time that is reserved for the exit of the process.
-constexpr Milliseconds ExitReserve{400};
 constexpr Milliseconds DrainPollInterval{20};
 /// The process exits when no request has been open for this time. A request of
 /// a connection that was accepted last may still be on its way.
@@ -42,6 +38,29 @@
           toMilliseconds(Seconds(settings.get(RetryWindow)))};
 }
 
+/// Closes the connections of a request to the backend servers.
+void abortAttempts(const RequestContext &context) {
+  for (const std::weak_ptr<http::AbortHandle> &it : context.Guards)
+    if (std::shared_ptr<http::AbortHandle> guard = it.lock())
+      guard->abort();
+}
+
+/// Lists a request while it is served.
+class OpenContext {
+public:
+  OpenContext(std::set<RequestContext *> &all, RequestContext &context)
+      : All(all), Context(&context) {
+    All.insert(Context);
+  }
+  ~OpenContext() { All.erase(Context); }
+  OpenContext(const OpenContext &) = delete;
+  OpenContext &operator=(const OpenContext &) = delete;
+
+private:
+  std::set<RequestContext *> &All;
+  RequestContext *Context;
+};
+
 /// Returns the ids of the prompt parts that other requests may share.
 std::string sharedPartNames(const CallerRequest &request) {
   std::string out;
@@ -228,11 +247,34 @@
   return toMilliseconds(Seconds(Options.get(StopGrace)));
 }
 
-bool Gateway::stopsBeforeTimeout(const fleet::Route &route) const {
-  MonoTime now = MonoClock::now();
-  if (!Stopping || now < StopRequestedAt + BalancerNoticeTime)
+MonoTime Gateway::stopAnswersAt() const {
+  return StopRequestedAt + stopAnswerTime(stopGrace());
+}
+
+Milliseconds Gateway::typicalDuration(const fleet::Route &route) {
+  if (route.Kind == fleet::RequestKind::Stream)
+    return route.Objective +
+           toMilliseconds(Shared.RouteStates[route.Name].MeanStreamDuration);
+  Seconds longest{0};
+  for (const fleet::Target &it : route.Targets)
+    longest = std::max(longest, Shared.service(it.Service).MeanResponseTime);
+  return toMilliseconds(longest);
+}
+
+bool Gateway::rejectsWhileStopping(const fleet::Route &route) {
+  if (!Stopping)
     return false;
-  return now + route.Timeout > StopRequestedAt + stopGrace() - ExitReserve;
+  return stopsBeforeResponse(
+      {toMilliseconds(MonoClock::now() - StopRequestedAt),
+       stopAnswerTime(stopGrace()), route.Timeout, typicalDuration(route)});
+}
+
+void Gateway::endOpenRequests() {
+  MonoTime now = MonoClock::now();
+  for (RequestContext *it : OpenContexts) {
+    it->Deadline = std::min(it->Deadline, now);
+    abortAttempts(*it);
+  }
 }
 
 bool Gateway::isReady() const { return !Stopping && Watch.isLoaded(); }
@@ -338,7 +380,7 @@
                            "no route for this host and path", isPassedOn);
     co_return;
   }
-  if (stopsBeforeTimeout(*route)) {
+  if (rejectsWhileStopping(*route)) {
     co_await rejectRequest(
         request, out, http::StatusUnavailable,
         "the process is stopping and may exit before the response is complete",
@@ -370,10 +412,9 @@
     if (!locked)
       return;
     locked->CallerGone = true;
-    for (const std::weak_ptr<http::AbortHandle> &it : locked->Guards)
-      if (std::shared_ptr<http::AbortHandle> guard = it.lock())
-        guard->abort();
+    abortAttempts(*locked);
   });
+  OpenContext openContext(OpenContexts, *context);
   bool failed = false;
   try {
     if (route->Kind == fleet::RequestKind::Stream)
@@ -484,8 +525,17 @@
   PeerServer->closeAfterResponses();
   log::event(Category::Gateway, log::Level::Info, "stopping",
              {{"open_requests", openRequests()}});
-  co_await sleepFor(BalancerNoticeTime);
-  MonoTime end = start + stopGrace() - ExitReserve;
+  spawn(Io, "final-answers", [this]() -> Awaitable<void> {
+    co_await sleepFor(stopAnswersAt() - MonoClock::now());
+    log::event(Category::Gateway, log::Level::Info, "final_answers",
+               {{"open_requests", openRequests()}});
+    endOpenRequests();
+    RequestServer->stopReceiving();
+    PeerServer->stopReceiving();
+  });
+  MonoTime end = stopAnswersAt() + FinalAnswerTime;
+  co_await sleepFor(std::min<MonoClock::duration>(BalancerNoticeTime,
+                                                  end - MonoClock::now()));
   while (MonoClock::now() < end && openRequests() > 0)
     co_await sleepFor(DrainPollInterval);
   RequestServer->stopAccepting();
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -44,9 +44,17 @@
   void applyLimits();
   bool isReady() const;
   Milliseconds stopGrace() const;
-  /// Returns whether the stopping process may exit before a response on the
-  /// route is complete.
-  bool stopsBeforeTimeout(const fleet::Route &route) const;
+  /// Time at which all open requests of the stopping process get their final
+  /// answer.
+  MonoTime stopAnswersAt() const;
+  /// Time in which a response on the route is complete usually.
+  Milliseconds typicalDuration(const fleet::Route &route);
+  /// Returns whether the process is stopping and may exit before a response on
+  /// the route is complete.
+  bool rejectsWhileStopping(const fleet::Route &route);
+  /// Lets all open requests time out now, so that each caller learns whether
+  /// its request may have been executed.
+  void endOpenRequests();
   void logRequest(const RequestContext &context);
   void registerGauges();
   /// Returns whether streams of a service, by its hashOfService, can have begun
@@ -73,6 +81,8 @@
   std::unique_ptr<http::Server> PeerServer;
   std::unique_ptr<http::Server> ReadinessServer;
   std::unique_ptr<http::Server> MetricsServer;
+  /// Requests that are being served.
+  std::set<RequestContext *> OpenContexts;
   bool Stopping = false;
   MonoTime StopRequestedAt{};
   bool WasReady = false;
--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -1,6 +1,7 @@
 #include "Sardineford/Http/Server.h"
 
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Status.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace sardineford::http {
 
@@ -73,6 +75,16 @@
   return std::nullopt;
 }
 
+/// Returns the response to a request that a stopping process has received in
+/// part.
+Response stoppedResponse() {
+  return problem(StatusUnavailable,
+                 Error(ErrorKind::NotReady,
+                       "the process stops before the request is complete",
+                       "send the request to another process"),
+                 Executed::No);
+}
+
 using Parser = bhttp::request_parser<bhttp::string_body>;
 
 /// Longest chunk header or trailer of a request.
@@ -108,6 +120,22 @@
   size_t &Count;
 };
 
+/// Lists a connection while a request is received.
+class ReceivingMark {
+public:
+  ReceivingMark(std::set<beast::tcp_stream *> &all, beast::tcp_stream &stream)
+      : All(all), Stream(&stream) {
+    All.insert(Stream);
+  }
+  ~ReceivingMark() { All.erase(Stream); }
+  ReceivingMark(const ReceivingMark &) = delete;
+  ReceivingMark &operator=(const ReceivingMark &) = delete;
+
+private:
+  std::set<beast::tcp_stream *> &All;
+  beast::tcp_stream *Stream;
+};
+
 class Writer : public ResponseWriter {
 public:
   /// shouldKeepAlive is called when the response head is sent and returns
@@ -223,6 +251,10 @@
   size_t OpenRequests = 0;
   /// Each connection is closed after its next response.
   bool Draining = false;
+  /// Requests that are not complete are rejected.
+  bool ReceivingStopped = false;
+  /// Connections on which a part of a request has been received.
+  std::set<beast::tcp_stream *> Receiving;
 
   void bind() {
     tcp::endpoint at(asio::ip::make_address(Options.Listen.Host),
@@ -325,6 +357,22 @@
     co_await bhttp::async_write(stream, continueResponse, use_awaitable);
   }
 
+  /// Receives a request of which a part may be in the buffer.
+  Awaitable<beast::error_code>
+  receive(beast::tcp_stream &stream, beast::flat_buffer &buf, Parser &parser) {
+    ReceivingMark mark(Receiving, stream);
+    auto [ec, n] = co_await bhttp::async_read_header(
+        stream, buf, parser, asio::as_tuple(use_awaitable));
+    if (!ec && !parser.is_done() && !ReceivingStopped) {
+      co_await sendContinue(stream, parser);
+      std::tie(ec, n) = co_await bhttp::async_read(
+          stream, buf, parser, asio::as_tuple(use_awaitable));
+    }
+    if (!ec && !parser.is_done())
+      ec = asio::error::operation_aborted;
+    co_return ec;
+  }
+
   /// Reads and handles one request. Returns false when the connection is to be
   /// closed.
   Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf) {
@@ -339,15 +387,10 @@
     parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
     parser.body_limit(Options.MaxBodyBytes);
     stream.expires_after(Options.ReadTimeout);
-    auto [ec, n] = co_await bhttp::async_read_header(
-        stream, buf, parser, asio::as_tuple(use_awaitable));
-    if (!ec && !parser.is_done()) {
-      co_await sendContinue(stream, parser);
-      std::tie(ec, n) = co_await bhttp::async_read(
-          stream, buf, parser, asio::as_tuple(use_awaitable));
-    }
+    beast::error_code ec = co_await receive(stream, buf, parser);
     if (ec) {
-      std::optional<Response> response = responseForReadError(ec);
+      std::optional<Response> response =
+          ReceivingStopped ? stoppedResponse() : responseForReadError(ec);
       if (response) {
         Writer writer(stream, Options, [] { return false; });
         co_await writer.send(std::move(*response));
@@ -396,6 +439,12 @@
   Shared->close();
 }
 
+void Server::stopReceiving() {
+  Shared->ReceivingStopped = true;
+  for (beast::tcp_stream *it : Shared->Receiving)
+    it->cancel();
+}
+
 size_t Server::openRequests() const { return Shared->OpenRequests; }
 
 uint16_t Server::port() const {
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -117,7 +117,7 @@
           {"peer_listen", http::toString(freeEndpoint())},
           {"metrics_listen", http::toString(d.Metrics)},
           {"retry_slack", Options.RetrySlack},
-          {"stop_grace_s", StopGrace.count()}}},
+          {"stop_grace_s", Options.DaemonStopGrace.count()}}},
         {"log", {{"json", true}, {"stdout", true}}}};
     std::ofstream(file) << json::serialize(settings);
     d.ChildProcess = std::make_unique<Process>(
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -12,6 +12,10 @@
 
 namespace sardineford::standins {
 
+/// Maximum time from SIGTERM to the exit of a daemon, unless the options of the
+/// deployment name another one.
+inline constexpr std::chrono::seconds StopGrace{6};
+
 struct PlatformDeploymentOptions {
   /// Folder of the built programs.
   std::string Programs;
@@ -38,6 +42,8 @@
   std::string CrashingPath;
   /// Named by the last decode engine.
   NamedLimit Limit;
+  /// Maximum time from SIGTERM to the exit of a daemon.
+  std::chrono::seconds DaemonStopGrace = StopGrace;
   /// Each pair of daemon and backend server has a relay of its own
   /// (DeployedDaemon::Links) before that of the server; MaxSeparateDaemons.
   bool SeparateLinks = false;
@@ -46,9 +52,6 @@
 /// Most daemons of a deployment with SeparateLinks.
 inline constexpr unsigned MaxSeparateDaemons = 8;
 
-/// Maximum time from SIGTERM to the exit of a daemon.
-inline constexpr std::chrono::seconds StopGrace{6};
-
 /// Path prefixes of the deployment's routes, by whether a request can be
 /// retried or its stream resumed.
 inline constexpr const char *OnceRoute = "/file/";
--- a/Tests/Http/ServerTest.cpp
+++ b/Tests/Http/ServerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -65,8 +66,10 @@
 /// A server and one connection to it that the server has not accepted yet.
 struct WaitingConnection {
   IoContext Io{1};
+  int Handled = 0;
   http::Server Server{Io, options(),
-                      [](http::Request &, http::ResponseWriter &out) {
+                      [this](http::Request &, http::ResponseWriter &out) {
+                        ++Handled;
                         return out.send(http::Response());
                       }};
   tcp::socket Socket{Io};
@@ -153,3 +156,18 @@
   CHECK(c.hasResponse());
   CHECK(c.Server.openRequests() == 0);
 }
+
+TEST_CASE("a request that is received in part is rejected when the server "
+          "stops receiving") {
+  WaitingConnection c;
+  c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf");
+  c.runFor(ShortTime);
+  c.Server.stopReceiving();
+  c.runFor(ShortTime);
+  CHECK(c.Handled == 0);
+  REQUIRE(c.hasResponse());
+  std::string out(12, '\0');
+  boost::asio::read(c.Socket, boost::asio::buffer(out));
+  CHECK(out == "HTTP/1.1 503");
+  CHECK(c.Server.openRequests() == 0);
+}
--- a/include/Sardineford/Http/Server.h
+++ b/include/Sardineford/Http/Server.h
@@ -64,6 +64,8 @@
   /// Connections that wait to be accepted are still accepted, and open requests
   /// are completed.
   void stopAccepting();
+  /// Rejects the requests of which only a part has been received.
+  void stopReceiving();
   /// Number of requests of which at least a part has been read, without a
   /// complete response.
   size_t openRequests() const;
