Reject requests whose transfer coding does not end in chunked

The parser takes such a request as one without a body, and what follows as the next request. RFC 9112, 6.3: the length of the body cannot be told, so the server answers 400 and closes the connection. It now does, for any transfer coding that does not end in "chunked". Ruled out: the adapter (it gets two requests that look sound).

Unit tests of three codings: two requests were handled before, none now; a chunked request is served.

--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -87,6 +87,13 @@
 
 using Parser = bhttp::request_parser<bhttp::string_body>;
 
+/// Returns whether the body's length cannot be told: it has a transfer coding
+/// that does not end in "chunked".
+bool hasUnknownLength(const Parser &parser) {
+  return parser.get().count(bhttp::field::transfer_encoding) > 0 &&
+         !parser.chunked();
+}
+
 /// Longest chunk header or trailer of a request.
 constexpr size_t MaxChunkHeaderBytes = size_t{16} * 1024;
 
@@ -363,6 +370,8 @@
     ReceivingMark mark(Receiving, stream);
     auto [ec, n] = co_await bhttp::async_read_header(
         stream, buf, parser, asio::as_tuple(use_awaitable));
+    if (!ec && hasUnknownLength(parser))
+      co_return bhttp::error::bad_transfer_encoding;
     if (!ec && !parser.is_done() && !ReceivingStopped) {
       co_await sendContinue(stream, parser);
       std::tie(ec, n) = co_await bhttp::async_read(
--- a/Tests/Http/ServerTest.cpp
+++ b/Tests/Http/ServerTest.cpp
@@ -157,6 +157,33 @@
   CHECK(c.Server.openRequests() == 0);
 }
 
+// Seen as a request that stood only in another one's body.
+TEST_CASE("a request whose transfer coding does not end in chunked is rejected "
+          "with all that follows") {
+  for (const char *coding : {"gzip", "identity", "chunked, identity"}) {
+    INFO(coding);
+    WaitingConnection c;
+    c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+           std::string(coding) +
+           "\r\n\r\nPOST /inner HTTP/1.1\r\nHost: h\r\n"
+           "Content-Length: 0\r\n\r\n");
+    c.runFor(ShortTime);
+    CHECK(c.Handled == 0);
+    REQUIRE(c.hasResponse());
+    std::string out(12, '\0');
+    boost::asio::read(c.Socket, boost::asio::buffer(out));
+    CHECK(out == "HTTP/1.1 400");
+  }
+}
+
+TEST_CASE("a chunked request is served") {
+  WaitingConnection c;
+  c.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "1\r\nx\r\n0\r\n\r\n");
+  c.runFor(ShortTime);
+  CHECK(c.Handled == 1);
+}
+
 TEST_CASE("a request that is received in part is rejected when the server "
           "stops receiving") {
   WaitingConnection c;
