--- a/StandIns/Programs/sardineford-soak.cpp
+++ b/StandIns/Programs/sardineford-soak.cpp
@@ -25,6 +25,9 @@
 DEFINE_bool(odd_entries, true,
             "let another writer leave odd entries among those of the backend "
             "servers");
+DEFINE_bool(endless, true,
+            "let backend servers answer without an end for short times; not "
+            "with planned_only");
 DEFINE_string(programs, "build/release", "folder with the built programs");
 DEFINE_string(folder, "out/soak", "folder for logs and histories");
 
@@ -45,6 +48,7 @@
     o.Hazards = FLAGS_hazards && !FLAGS_planned_only;
     o.RepeatsRejections = FLAGS_repeated_rejections;
     o.OddEntries = FLAGS_odd_entries;
+    o.EndlessResponses = FLAGS_endless && !FLAGS_planned_only;
     o.CutsDaemons = FLAGS_cut_daemons;
     o.Daemons = FLAGS_daemons;
     o.Programs = FLAGS_programs;
--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -40,6 +40,8 @@
 constexpr const char *CrashingRoute = "/status/x";
 constexpr Milliseconds CrashingPause{300};
 constexpr Milliseconds OddEntryPause{60};
+constexpr Milliseconds EndlessTime{300};
+constexpr Milliseconds EndlessPause{900};
 constexpr Milliseconds RestartDelay{1'000};
 constexpr NamedLimit EngineLimit{3, Milliseconds(2'000), Milliseconds(600'000)};
 /// Bounds of the platform for both.
@@ -140,6 +142,8 @@
     }
     if (Options.OddEntries)
       spawn(Io, "odd-entries", [this] { return addOddEntries(); });
+    if (Options.EndlessResponses)
+      spawn(Io, "endless", [this] { return answerWithoutEnd(); });
     MonoTime end = MonoClock::now() + Options.Length;
     while (Options.Faults && MonoClock::now() < end) {
       Fault f = pickFault();
@@ -212,6 +216,24 @@
     }
   }
 
+  /// Lets a backend server at a time answer without an end. Comments alone
+  /// would be a sound stream.
+  Awaitable<void> answerWithoutEnd() {
+    // The faults of a seed stay the same.
+    std::mt19937_64 random(Options.Seed);
+    MonoTime end = MonoClock::now() + Options.Length;
+    while (MonoClock::now() < end) {
+      Relay &link =
+          *Deployment.Workers[random() % Deployment.Workers.size()].Link;
+      EndlessForm form = EndlessForms[random() % EndlessForms.size()];
+      if (form != EndlessForm::Comments)
+        link.setEndless(form);
+      co_await sleepFor(EndlessTime);
+      link.setEndless(std::nullopt);
+      co_await sleepFor(EndlessPause);
+    }
+  }
+
   /// Starts engines again that have crashed. Engines that a fault has stopped
   /// are mostly started by it.
   Awaitable<void> restartEngines() {
--- a/StandIns/Soak/Soak.h
+++ b/StandIns/Soak/Soak.h
@@ -28,6 +28,9 @@
   /// Lets another writer leave odd entries among those of the backend servers
   /// all the time, beside the faults.
   bool OddEntries = false;
+  /// Lets backend servers answer without an end for short times, beside the
+  /// faults.
+  bool EndlessResponses = false;
   /// Injects cuts of a daemon, or of all but one, from all backend servers;
   /// only with as many daemons as can have links of their own.
   bool CutsDaemons = false;
