Decode the load that servers report in their responses

The header with running and waiting requests and slots was dropped at the edge, and with it the time that work takes on the server's instance now. It is kept with the server and its time; nothing decides by it yet. Unit test of values that cannot be read; no measured figure.

--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -107,8 +107,11 @@
     shared.Servers.markLeaving(server.Id, server.StartedMs,
                                "said that it leaves", now);
   ServerPtr known = shared.Servers.find(server.Id);
-  if (known && known->Entry.StartedMs == server.StartedMs)
-    closeServer(shared, *known, head);
+  if (!known || known->Entry.StartedMs != server.StartedMs)
+    return;
+  if (head.Load)
+    known->Reported = fleet::ReportedLoad{*head.Load, now};
+  closeServer(shared, *known, head);
 }
 
 bool isClosed(SharedState &shared, const fleet::ServerEntry &server) {
--- a/Tests/Platform/TrafficAdapterTest.cpp
+++ b/Tests/Platform/TrafficAdapterTest.cpp
@@ -206,6 +206,33 @@
   CHECK(r.Parts[0].Tokens <= UINT32_MAX);
 }
 
+TEST_CASE("a load that cannot be read is no report of a server") {
+  TrafficAdapter a;
+  auto load = [&](const char *text) {
+    http::Response r;
+    r.Fields.add("Server-Load", text);
+    return a.decodeHead(r).Load;
+  };
+  std::optional<fleet::ServerLoad> three = load("3,0,8");
+  REQUIRE(three);
+  CHECK(three->Running == 3);
+  CHECK(three->Slots == 8);
+  CHECK_FALSE(three->TimeRatio);
+  std::optional<fleet::ServerLoad> four = load("3, 1, 8, 250");
+  REQUIRE(four);
+  CHECK(four->Waiting == 1);
+  CHECK(four->TimeRatio == 2.5);
+  for (const char *it : {"", "3,0", "x,0,8", "-1,0,8", "99999999999,0,8"}) {
+    INFO(it);
+    CHECK_FALSE(load(it));
+  }
+  for (const char *it : {"3,0,8,nan", "3,0,8,-1", "3,0,8,x", "3,0,8,inf"}) {
+    INFO(it);
+    REQUIRE(load(it));
+    CHECK_FALSE(load(it)->TimeRatio);
+  }
+}
+
 TEST_CASE("the handle of a prefilled prompt is one header value") {
   TrafficAdapter a;
   http::Endpoint engine{"10.1.64.9", 8080};
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -3,6 +3,7 @@
 #include "Sardineford/Fleet/Configuration.h"
 #include "Sardineford/Fleet/Health.h"
 #include "Sardineford/Fleet/PartCache.h"
+#include "Sardineford/Fleet/ServerLoad.h"
 #include "Sardineford/Fleet/VersionRecord.h"
 #include "Sardineford/Fleet/WorkInFlight.h"
 #include "Sardineford/Http/Message.h"
@@ -61,6 +62,8 @@
   MonoTime LeavingSaidAt{};
   /// The server has asked this process to send nothing until this time.
   MonoTime ClosedUntil{};
+  /// Load in the newest response of the server; empty if it reports none.
+  std::optional<ReportedLoad> Reported;
   /// Prompt parts that the engine is estimated to have cached.
   PartCache CachedParts;
 
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Sardineford/Fleet/ServerLoad.h"
 #include "Sardineford/Gateway/CallerRequest.h"
 #include "Sardineford/Http/Message.h"
 
@@ -49,6 +50,8 @@
   /// Requests a second that the server takes from all processes together; empty
   /// if it names no limit.
   std::optional<double> RequestLimit;
+  /// Load that the server reports; empty if it reports none.
+  std::optional<fleet::ServerLoad> Load;
   /// The server leaves and wants no further requests.
   bool Leaving = false;
   /// The server rejected the request and wants no further ones from this
