Admit requests by the keys of workspaces

Requests were forwarded with their key and without the name of their workspace, keys that no configuration held were served, and removed keys stayed valid. A request without one valid key gets 401; servers get the name, never the key. Configurations that are sent to peers hold digests; a build before ignores the field, and what it sends, with keys, is understood. A passed-on request carries the digest and the version of the configuration; a peer with an older one rejects it, so that it does not run at a former service. Rejections log the path without its query.

--- a/Source/Fleet/Configuration.cpp
+++ b/Source/Fleet/Configuration.cpp
@@ -42,7 +42,8 @@
                    route.GapObjective * CallerTimeoutGapFactor});
 }
 
-RouteTable::RouteTable(ConfigurationPtr config) : Config(std::move(config)) {
+RouteTable::RouteTable(ConfigurationPtr config)
+    : Config(std::move(config)), Workspaces(Config->Workspaces) {
   for (const Route &it : Config->Routes)
     ByHost[lowerCase(it.Host)].push_back(&it);
   for (auto &[host, routes] : ByHost)
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -262,8 +262,12 @@
 void FleetWatch::publish(WatchedFeed &feed, store::Changes changes) {
   if (!Publish || changes.Objects.empty())
     return;
-  PublishedChanges out{&feed == &ConfigurationFeed, std::move(changes),
-                       remainingGrace(), feed.Objects.view()};
+  bool isConfiguration = &feed == &ConfigurationFeed;
+  if (isConfiguration)
+    for (store::Object &it : changes.Objects)
+      it = Codec.withoutKeys(std::move(it));
+  PublishedChanges out{isConfiguration, std::move(changes), remainingGrace(),
+                       feed.Objects.view()};
   MonoTime now = MonoClock::now();
   if (feed.Duty.mustPublish(now))
     Publish(out);
--- a/Source/Gateway/CallerRequest.cpp
+++ b/Source/Gateway/CallerRequest.cpp
@@ -10,6 +10,9 @@
   out = hash64(request.Target, out);
   out =
       hash64(request.ForwardedHeaders.find("Authorization").value_or(""), out);
+  // Without a workspace, older builds compute the same hash.
+  if (!request.Workspace.empty())
+    out = hash64(request.Workspace, out);
   return hash64(request.Body, out);
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -30,6 +30,9 @@
 /// a connection that was accepted last may still be on its way.
 constexpr Milliseconds IdleTimeBeforeExit{100};
 constexpr Milliseconds RetryAfterNotReady{500};
+/// Error of a request without a key, with several, or with an unknown one.
+constexpr const char *UnknownKey =
+    "the request has no key of a workspace; send one valid key in one header";
 /// Short, because other processes can accept the request immediately.
 constexpr Milliseconds RetryAfterStopping{50};
 
@@ -319,7 +322,7 @@
   log::event(Category::Gateway, log::Level::Info, "request",
              {{"request", request.Id},
               {"host", request.Host},
-              {"target", request.Target},
+              {"path", http::pathOf(request.Target)},
               {"status", status},
               {"outcome", detail},
               {"configuration_version", version},
@@ -354,7 +357,8 @@
   CallerRequest r;
   std::string error;
   try {
-    r = Protocol.decodeRequest(std::move(request));
+    r = isPassedOn ? Protocol.decodePassedOnRequest(std::move(request))
+                   : Protocol.decodeRequest(std::move(request));
   } catch (const Error &e) {
     error = e.what();
   }
@@ -373,6 +377,13 @@
                            "no configuration has been loaded yet", isPassedOn);
     co_return;
   }
+  if (request.PeerConfigurationVersion > routes->config().Version) {
+    co_await rejectRequest(request, out, http::StatusUnavailable,
+                           "this process has an older configuration than the "
+                           "peer that passes the request on",
+                           isPassedOn);
+    co_return;
+  }
   const fleet::Route *route =
       routes->find(request.Host, http::pathOf(request.Target));
   if (!route) {
@@ -380,6 +391,19 @@
                            "no route for this host and path", isPassedOn);
     co_return;
   }
+  const fleet::Workspace *workspace = nullptr;
+  if (routes->config().requiresKeys()) {
+    if (request.Key && !route->Anonymous)
+      workspace = routes->workspaces().find(*request.Key);
+    Protocol.removeCredentials(request);
+    if (!workspace && !route->Anonymous) {
+      co_await rejectRequest(request, out, http::StatusUnauthorized, UnknownKey,
+                             isPassedOn);
+      co_return;
+    }
+    if (workspace)
+      request.Workspace = workspace->Name;
+  }
   if (rejectsWhileStopping(*route)) {
     co_await rejectRequest(
         request, out, http::StatusUnavailable,
@@ -391,9 +415,10 @@
   Milliseconds timeout = route->Timeout;
   if (request.RemainingTime)
     timeout = std::min(timeout, *request.RemainingTime);
-  auto context = std::make_shared<RequestContext>(RequestContext{
-      std::move(request), routes, route,
-      fleet::pickService(*route, Shared.Random), now, now + timeout, out});
+  auto context = std::make_shared<RequestContext>(
+      RequestContext{std::move(request), routes, route,
+                     fleet::pickService(*route, Shared.Random), workspace, now,
+                     now + timeout, out});
   context->RepeatsHash = hashOfRepeats(context->Request);
   context->IsPassedOn = isPassedOn;
   if (isPassedOn) {
--- a/Source/Gateway/PassOn.cpp
+++ b/Source/Gateway/PassOn.cpp
@@ -143,7 +143,8 @@
 Awaitable<HopResult> askPeer(SharedState &shared, RequestContext &context,
                              http::Endpoint peer) {
   http::Request request = shared.Protocol.makePassedOnRequest(
-      context.Request, context.remainingTime());
+      context.Request, context.remainingTime(),
+      context.Routes->config().Version);
   http::CallOptions options = attemptCallOptions(
       context, peer, context.Route->mayRepeat(), context.remainingTime());
   try {
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -106,6 +106,9 @@
   std::shared_ptr<const fleet::RouteTable> Routes;
   const fleet::Route *Route = nullptr;
   std::string Service;
+  /// Workspace of the caller; nullptr on anonymous routes, and where the
+  /// configuration has no workspaces. `Routes` keeps it alive.
+  const fleet::Workspace *Workspace = nullptr;
   MonoTime Arrived;
   MonoTime Deadline;
   http::ResponseWriter &Out;
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -74,6 +74,7 @@
 /// service.
 class PlainCodec : public FleetCodec {
 public:
+  store::Object withoutKeys(store::Object o) const override { return o; }
   std::string configurationKind() const override { return "config"; }
   std::string configurationName() const override { return "main"; }
   std::string serverKind() const override { return "servers"; }
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Common/Time.h"
+#include "Sardineford/Fleet/Workspace.h"
 
 #include <cstdint>
 #include <map>
@@ -50,6 +51,10 @@
   /// Maximum number of backend servers that a request is sent to.
   int MaxAttempts = 1;
   std::vector<Target> Targets;
+  /// Rank of the route's requests, 0 is the highest.
+  int Priority = 0;
+  /// Requests need no key of a workspace.
+  bool Anonymous = false;
 
   /// Returns true if more than one backend server may run the request.
   bool mayRepeat() const {
@@ -91,6 +96,11 @@
   std::vector<Route> Routes;
   std::map<std::string, ServiceSpec> Services;
   CallerLimits Limits;
+  /// Accounts of the callers. If there are any, requests need a key of one of
+  /// them, except on anonymous routes.
+  std::vector<Workspace> Workspaces;
+
+  bool requiresKeys() const { return !Workspaces.empty(); }
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
@@ -102,9 +112,11 @@
 
   const Route *find(std::string_view host, std::string_view path) const;
   const Configuration &config() const { return *Config; }
+  const WorkspaceTable &workspaces() const { return Workspaces; }
 
 private:
   ConfigurationPtr Config;
+  WorkspaceTable Workspaces;
   /// Routes by host, longest prefix first.
   std::map<std::string, std::vector<const Route *>, std::less<>> ByHost;
 };
--- a/include/Sardineford/Fleet/FleetCodec.h
+++ b/include/Sardineford/Fleet/FleetCodec.h
@@ -23,6 +23,9 @@
   /// configuration.
   virtual std::optional<Configuration>
   decodeConfiguration(const store::Object &o) const = 0;
+  /// Returns the object of a configuration as it is sent to peers: with digests
+  /// in place of the workspaces' keys.
+  virtual store::Object withoutKeys(store::Object o) const = 0;
   /// Returns nullopt and logs the reason if the object does not describe a
   /// usable server.
   virtual std::optional<ServerEntry>
--- a/include/Sardineford/Gateway/BackendProtocol.h
+++ b/include/Sardineford/Gateway/BackendProtocol.h
@@ -67,13 +67,18 @@
 
   /// Throws Error(BadRequest) if the request cannot be decoded.
   virtual CallerRequest decodeRequest(http::Request &&in) const = 0;
+  /// Decodes a request that another process of this system has passed on.
+  virtual CallerRequest decodePassedOnRequest(http::Request &&in) const = 0;
+  /// Removes the headers with which callers prove or name their workspace. From
+  /// then on `request.Workspace` alone tells it.
+  virtual void removeCredentials(CallerRequest &request) const = 0;
   virtual http::Request
   makeAttemptRequest(const CallerRequest &request,
                      const AttemptOptions &options) const = 0;
   /// Returns the caller's request as another process of this system decodes it.
   virtual http::Request
-  makePassedOnRequest(const CallerRequest &request,
-                      Milliseconds remainingTime) const = 0;
+  makePassedOnRequest(const CallerRequest &request, Milliseconds remainingTime,
+                      uint64_t configurationVersion) const = 0;
   /// Requests a prefill of the prompt without decoding.
   virtual http::Request
   makePrefillRequest(const CallerRequest &request,
--- a/include/Sardineford/Gateway/CallerRequest.h
+++ b/include/Sardineford/Gateway/CallerRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Common/Time.h"
+#include "Sardineford/Fleet/Workspace.h"
 #include "Sardineford/Http/Message.h"
 
 #include <cstdint>
@@ -39,6 +40,13 @@
   std::string StreamId;
   /// Id of the last event that the caller received of an interrupted stream.
   std::optional<uint64_t> ResumeAfter;
+  /// Digest of the key that the request carries; empty without a key, or with
+  /// several.
+  std::optional<fleet::KeyDigest> Key;
+  /// Name of the workspace that the request belongs to; empty if it needs none.
+  std::string Workspace;
+  /// Version of the configuration by which a peer passed the request on.
+  std::optional<uint64_t> PeerConfigurationVersion;
 };
 
 /// Returns a hash that is the same for repeats of a request by one caller,
--- a/include/Sardineford/Http/Status.h
+++ b/include/Sardineford/Http/Status.h
@@ -5,6 +5,7 @@
 // HTTP status codes that the code distinguishes.
 inline constexpr unsigned StatusOk = 200;
 inline constexpr unsigned StatusBadRequest = 400;
+inline constexpr unsigned StatusUnauthorized = 401;
 inline constexpr unsigned StatusNotFound = 404;
 inline constexpr unsigned StatusConflict = 409;
 inline constexpr unsigned StatusGone = 410;
