Decode the bounds of ordered servers and count the work that servers get

The scaling section of a service was dropped. Each process sums the estimated prefill time and the time in flight of its requests by service, which the decision on ordered servers needs.

--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -54,7 +54,8 @@
 Reservation::Reservation(SharedState &shared, fleet::ServerPtr server,
                          fleet::WorkPriority priority, double promptTokens)
     : Shared(shared), Server(std::move(server)), Priority(priority),
-      PromptTokens(promptTokens) {
+      PromptTokens(promptTokens), InitialPromptTokens(promptTokens),
+      StartedAt(MonoClock::now()) {
   ++Server->LocalWork.Requests;
   Server->LocalWork.tokens(Priority) += PromptTokens;
   Shared.Tracking.recordChange(Server->Entry.Id);
@@ -62,6 +63,10 @@
 
 Reservation::~Reservation() {
   releasePromptTokens();
+  ServiceState &service = Shared.service(Server->Entry.Service);
+  service.Done.InFlight += MonoClock::now() - StartedAt;
+  service.Done.Prefills +=
+      service.SpeedModels.Prefill.perUnit() * InitialPromptTokens;
   --Server->LocalWork.Requests;
   Shared.Tracking.recordChange(Server->Entry.Id);
 }
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -40,6 +40,7 @@
   /// Time of the last separate prefill that was not executed.
   std::optional<MonoTime> PrefillFailedAt;
   ServiceReach Reach;
+  duties::WorkDone Done;
 };
 
 /// Observed values of one route.
@@ -194,6 +195,9 @@
   fleet::ServerPtr Server;
   fleet::WorkPriority Priority;
   double PromptTokens;
+  /// Prompt tokens that the server was to prefill.
+  double InitialPromptTokens;
+  MonoTime StartedAt;
 };
 
 /// Returns the options of the HTTP call of one attempt, and records its
--- a/include/Sardineford/Duties/Scaling.h
+++ b/include/Sardineford/Duties/Scaling.h
@@ -33,6 +33,14 @@
   double RequestsInFlight = 0;
 };
 
+/// Work that this process gave the servers of one service since it started.
+struct WorkDone {
+  /// Estimated time that engines spent on prefills.
+  Seconds Prefills{0};
+  /// Sum of the times that requests were in flight at a server.
+  Seconds InFlight{0};
+};
+
 /// The servers of a service in one failure domain.
 struct DomainServers {
   std::string FailureDomain;
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Common/Time.h"
+#include "Sardineford/Duties/Scaling.h"
 #include "Sardineford/Fleet/Workspace.h"
 
 #include <cstdint>
@@ -78,6 +79,8 @@
   std::string HealthPath;
   /// Set only for services of engines.
   std::optional<EngineLimits> Engine;
+  /// Set only for services whose servers can be ordered.
+  std::optional<duties::ScalingBounds> Scaling;
 };
 
 /// Limits on the requests and connections of callers.
