Sum the work that all processes gave the servers of a service

The demand that orders are decided on is the fleet's, not one process's. Reports are cumulative; unit tests lose, repeat and delay them, and play processes that are heard of late.

--- a/Source/Duties/Scaling.cpp
+++ b/Source/Duties/Scaling.cpp
@@ -27,6 +27,11 @@
 /// longer than that.
 constexpr Milliseconds PeakMemory{20'000};
 
+/// A process that is silent for this long has ended.
+constexpr Milliseconds ReporterMemory{30'000};
+/// An interval that lasted longer has missed reports.
+constexpr Milliseconds MaxInterval{3'000};
+
 double priceOf(const ScalingBounds &bounds, const std::string &domain) {
   auto it = bounds.Prices.find(domain);
   return it == bounds.Prices.end() ? 1.0 : it->second;
@@ -115,4 +120,37 @@
   return n >= MinIntervals ? std::make_optional(out) : std::nullopt;
 }
 
+void DemandTotals::merge(const std::string &incarnation, const WorkDone &done,
+                         MonoTime now) {
+  auto [it, isNew] = Reporters.try_emplace(incarnation);
+  Reporter &reporter = it->second;
+  reporter.HeardAt = now;
+  // The work before the first report is of earlier intervals.
+  if (!isNew) {
+    Interval.Prefills +=
+        std::max(Seconds(0), done.Prefills - reporter.Done.Prefills);
+    Interval.InFlight +=
+        std::max(Seconds(0), done.InFlight - reporter.Done.InFlight);
+  }
+  reporter.Done.Prefills = std::max(reporter.Done.Prefills, done.Prefills);
+  reporter.Done.InFlight = std::max(reporter.Done.InFlight, done.InFlight);
+}
+
+void DemandTotals::endInterval(MonoTime now) {
+  std::erase_if(Reporters, [&](const auto &it) {
+    return now - it.second.HeardAt > ReporterMemory;
+  });
+  if (IntervalStart && now - *IntervalStart <= MaxInterval) {
+    double seconds = toSeconds(now - *IntervalStart);
+    if (seconds > 0)
+      History.record({Interval.Prefills.count() / seconds,
+                      Interval.InFlight.count() / seconds},
+                     now);
+  }
+  IntervalStart = now;
+  Interval = {};
+}
+
+void DemandTotals::reset() { *this = {}; }
+
 } // namespace sardineford::duties
--- a/Tests/Duties/ScalingTest.cpp
+++ b/Tests/Duties/ScalingTest.cpp
@@ -137,4 +137,39 @@
   CHECK_FALSE(history.peak(now));
 }
 
+TEST_CASE("lost, late and repeated reports of work do not change the demand") {
+  DemandTotals totals;
+  MonoTime now{};
+  WorkDone done;
+  for (int i = 0; i < 20; ++i) {
+    now += Milliseconds(1'000);
+    WorkDone before = done;
+    done.Prefills += Seconds(0.5);
+    done.InFlight += Seconds(4);
+    // Each third report is lost; the next one makes up for it.
+    if (i % 3 != 1)
+      totals.merge("a", done, now);
+    totals.merge("a", before, now);
+    totals.endInterval(now);
+  }
+  REQUIRE(totals.peak(now));
+  CHECK(totals.peak(now)->PrefillLoad <= 1.01);
+  CHECK(totals.peak(now)->PrefillLoad >= 0.49);
+  CHECK(totals.peak(now)->RequestsInFlight <= 8.1);
+}
+
+TEST_CASE("the work before a process was heard of is not a demand") {
+  DemandTotals totals;
+  MonoTime now{};
+  totals.endInterval(now);
+  for (int i = 0; i < 5; ++i) {
+    now += Milliseconds(1'000);
+    totals.merge("old process " + std::to_string(i),
+                 {Seconds(1e6), Seconds(1e6)}, now);
+    totals.endInterval(now);
+  }
+  REQUIRE(totals.peak(now));
+  CHECK(totals.peak(now)->PrefillLoad < 1);
+}
+
 } // namespace sardineford::duties
--- a/include/Sardineford/Duties/Scaling.h
+++ b/include/Sardineford/Duties/Scaling.h
@@ -100,4 +100,32 @@
   std::deque<Interval> Intervals;
 };
 
+/// Sums what all processes report of the work that they gave the servers of one
+/// service. The reports are cumulative, so that a lost or repeated one does no
+/// harm.
+class DemandTotals {
+public:
+  void merge(const std::string &incarnation, const WorkDone &done,
+             MonoTime now);
+  /// Ends an interval, and records its demand if the processes have been heard
+  /// for the whole of it.
+  void endInterval(MonoTime now);
+  std::optional<ServiceDemand> peak(MonoTime now) const {
+    return History.peak(now);
+  }
+  /// Forgets everything, when this process begins to receive the reports.
+  void reset();
+
+private:
+  struct Reporter {
+    WorkDone Done;
+    MonoTime HeardAt{};
+  };
+
+  std::map<std::string, Reporter> Reporters;
+  WorkDone Interval;
+  std::optional<MonoTime> IntervalStart;
+  DemandHistory History;
+};
+
 } // namespace sardineford::duties
