Pace servers that have just become available

Held servers are used where no other of their kind is available. It applies only to services whose servers report the fourth load figure. Servers of the first list are established unless they started less than 10 s ago.

--- a/Source/Control/NodeStatus.cpp
+++ b/Source/Control/NodeStatus.cpp
@@ -34,8 +34,9 @@
   if (state == s.Labels.end())
     return;
   auto n = static_cast<unsigned>(s.Value);
-  if (state->second == "ready")
-    out.Ready = n;
+  // A server that has not reached its full pace is used.
+  if (state->second == "ready" || state->second == "paced")
+    out.Ready += n;
   else if (state->second == "held_off")
     out.HeldOff = n;
   else
--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -2,9 +2,22 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace sardineford::fleet {
 
+namespace {
+
+/// Returns whether a server started so recently that it is new, by the time of
+/// day of its host and of this one.
+bool hasJustStarted(const ServerEntry &entry) {
+  auto age = std::chrono::system_clock::now().time_since_epoch() -
+             Milliseconds(entry.StartedMs);
+  return age < NewServerTime;
+}
+
+} // namespace
+
 void Directory::put(const ServerEntry &entry) {
   Missing.erase(entry.Id);
   auto departed = Departures.find(entry.Id);
@@ -29,6 +42,9 @@
     auto server = std::make_shared<Server>();
     server->Entry = entry;
     server->Leaving = entry.Draining;
+    bool isEstablished = !Loaded || AppliesFirstList;
+    if (!isEstablished || hasJustStarted(entry))
+      server->AvailableSince = MonoClock::now();
     ById[entry.Id] = server;
     rebuildIndex();
     OnChange(*server, entry.Draining ? "found draining" : "found");
@@ -97,12 +113,13 @@
 
 void Directory::replaceAll(const std::vector<ServerEntry> &entries,
                            MonoTime graceEnd, MonoTime now) {
-  Loaded = true;
+  AppliesFirstList = !std::exchange(Loaded, true);
   std::set<std::string> present;
   for (const ServerEntry &it : entries) {
     present.insert(it.Id);
     put(it);
   }
+  AppliesFirstList = false;
   std::vector<std::string> missing;
   for (const auto &[id, server] : ById)
     if (!present.contains(id))
--- a/Source/Fleet/ServerUse.cpp
+++ b/Source/Fleet/ServerUse.cpp
@@ -17,8 +17,9 @@
 } // namespace
 
 std::string_view toString(ServerUse use) {
-  constexpr std::array<std::string_view, 6> Names = {
-      "ready", "held_off", "last_resort", "leaving", "closed", "over_limit"};
+  constexpr std::array<std::string_view, 7> Names = {
+      "ready",   "held_off", "paced",     "last_resort",
+      "leaving", "closed",   "over_limit"};
   return Names[static_cast<size_t>(use)];
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -108,6 +108,7 @@
              Peers.tracking(),
              Peers.origins(),
              Peers.findings()} {
+  Shared.PacesServers = settings.get(ServerPacing);
   Watch.expectPosition();
   Watch.onConfiguration([this] { applyConfiguration(); });
   Peers.onPeersChanged([this] {
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -47,5 +47,9 @@
                     "s",
                     "time after SIGTERM within which the process exits"}
         .reloadable();
+inline const Setting<bool> ServerPacing{
+    "gateway.server_pace", false,
+    "raise the requests to a server that has just become available by its "
+    "responses; only for services whose servers report how long work takes"};
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -1,4 +1,5 @@
 #include "Gateway/CrashCheck.h"
+#include "Gateway/PaceTracking.h"
 #include "Gateway/PassOn.h"
 #include "Gateway/ServerChoice.h"
 #include "Gateway/State.h"
@@ -99,7 +100,7 @@
 Awaitable<void> startAttempt(SharedState &shared, RequestContext &context,
                              PlainProgress &progress, ServerPtr server) {
   progress.TriedServers.insert(server->Entry.Id);
-  recordLimitedRequest(shared, *server);
+  recordSentRequest(shared, *server);
   auto attempt = std::make_unique<OpenPlainAttempt>(shared, server);
   AttemptOptions attemptOptions;
   attemptOptions.ServerId = server->Entry.Id;
@@ -198,6 +199,7 @@
   if (attempt.Received.Status >= http::StatusInternalServerError) {
     attempt.Server->Health.recordFailure(FailureKind::ServerError,
                                          MonoClock::now());
+    recordPaceFailure(shared, *attempt.Server, fleet::PaceEvent::Failed);
     return;
   }
   attempt.Server->Health.recordSuccess(MonoClock::now());
@@ -213,6 +215,7 @@
   if (attempt.WasSilent)
     duration = std::min<Seconds>(duration, attempt.Patience);
   Seconds &mean = shared.service(context.Service).MeanResponseTime;
+  recordPaceAnswer(shared, *attempt.Server, duration, mean);
   mean += (duration - mean) * ResponseTimeWeight;
 }
 
--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/ServerChoice.h"
 
+#include "Gateway/PaceTracking.h"
 #include "Sardineford/Common/Log.h"
 
 #include <algorithm>
@@ -54,7 +55,10 @@
   bool isWithinLimit =
       !shared.Findings.hasLimits() ||
       shared.Findings.maySend(incarnationOf(server.Entry), now);
-  return fleet::judgeServer(server, isWithinLimit, now);
+  ServerUse use = fleet::judgeServer(server, isWithinLimit, now);
+  return use == ServerUse::Usable && isHeldByPace(shared, server, now)
+             ? ServerUse::Paced
+             : use;
 }
 
 AvailableServers findAvailableServers(
@@ -63,6 +67,7 @@
   AvailableServers out;
   MonoTime now = MonoClock::now();
   size_t named = 0;
+  updatePaces(shared, service, now);
   for (const ServerPtr &it : shared.Servers.ofService(service)) {
     if (!isAllowed(it->Entry))
       continue;
@@ -77,6 +82,8 @@
       out.OpensIn = std::min(out.OpensIn.value_or(opensIn), opensIn);
     }
   }
+  for (const ServerPtr &it : removeHeldBack(shared, out.Servers))
+    addPassedOver(out, named, *it, ServerUse::Paced);
   if (!out.Servers.empty()) {
     out.OpensIn.reset();
     return out;
@@ -110,7 +117,7 @@
   if (!known || known->Entry.StartedMs != server.StartedMs)
     return;
   if (head.Load)
-    known->Reported = fleet::ReportedLoad{*head.Load, now};
+    recordReportedLoad(shared, *known, *head.Load, now);
   closeServer(shared, *known, head);
 }
 
@@ -129,7 +136,8 @@
   return out;
 }
 
-void recordLimitedRequest(SharedState &shared, const fleet::Server &server) {
+void recordSentRequest(SharedState &shared, fleet::Server &server) {
+  recordPacedRequest(shared, server);
   if (shared.Findings.hasLimits())
     shared.Findings.recordRequest(incarnationOf(server.Entry),
                                   MonoClock::now());
--- a/Source/Gateway/ServerChoice.h
+++ b/Source/Gateway/ServerChoice.h
@@ -35,7 +35,7 @@
 bool isClosed(SharedState &shared, const fleet::ServerEntry &server);
 bool isClosed(SharedState &shared, const http::Endpoint &address);
 
-/// Counts a request to a server against its limit.
-void recordLimitedRequest(SharedState &shared, const fleet::Server &server);
+/// Counts a request to a server against its limit and its pace.
+void recordSentRequest(SharedState &shared, fleet::Server &server);
 
 } // namespace sardineford::gateway
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/State.h"
 
+#include "Gateway/PaceTracking.h"
 #include "Gateway/PassOn.h"
 
 #include "Sardineford/Common/Log.h"
@@ -181,6 +182,8 @@
   else if (!head.RetryAfter)
     server->Health.recordFailure(fleet::FailureKind::Rejected,
                                  MonoClock::now());
+  if (!isOtherServer)
+    recordPaceFailure(shared, *server, fleet::PaceEvent::Rejected);
 }
 
 void recordTransportFault(SharedState &shared, const RequestContext &context,
@@ -200,6 +203,7 @@
   else if (e.TimedOut)
     kind = fleet::FailureKind::TimedOut;
   server.Health.recordFailure(kind, MonoClock::now());
+  recordPaceFailure(shared, server, fleet::PaceEvent::Failed);
 }
 
 void recordContact(SharedState &shared, const fleet::Server &server) {
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -40,6 +40,8 @@
   /// Time of the last separate prefill that was not executed.
   std::optional<MonoTime> PrefillFailedAt;
   ServiceReach Reach;
+  /// A server of the service has reported how long work takes.
+  bool ReportsTimeRatio = false;
 };
 
 /// Observed values of one route.
@@ -94,6 +96,8 @@
   /// Addresses of the other processes that run.
   std::function<std::vector<http::Endpoint>()> RunningPeers = {};
   PeerChoice PeersToAsk = {};
+  /// Value of the setting `gateway.server_pace`.
+  bool PacesServers = false;
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CrashCheck.h"
 #include "Gateway/EngineView.h"
+#include "Gateway/PaceTracking.h"
 #include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Admission/StreamAdmission.h"
@@ -38,7 +39,7 @@
         ServerPtr server, double tokens, Seconds estimate) {
   double queuedTokens = server->tokensAhead(progress.Priority);
   Reservation inFlight(shared, server, progress.Priority, tokens);
-  recordLimitedRequest(shared, *server);
+  recordSentRequest(shared, *server);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
   AttemptOptions attemptOptions = makeAttemptOptions(context, progress, server);
@@ -108,6 +109,7 @@
   Seconds duration = MonoClock::now() - start;
   if (handle) {
     server->Health.recordSuccess(MonoClock::now());
+    recordPaceAnswer(shared, *server, duration, estimate);
     recordPhaseDuration(shared.service(context.Service).SpeedModels.Prefill,
                         *server, queuedTokens + tokens, duration);
   } else {
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CrashCheck.h"
 #include "Gateway/EngineView.h"
+#include "Gateway/PaceTracking.h"
 #include "Gateway/ServerChoice.h"
 #include "Gateway/Stream.h"
 #include "Sardineford/Http/Status.h"
@@ -138,6 +139,7 @@
   routing::EngineSpeedModels &models =
       shared.service(context.Service).SpeedModels;
   const AttemptPlan &plan = attempt.Plan;
+  recordPaceAnswer(shared, *plan.Server, duration, plan.Estimate);
   if (plan.Handle)
     recordPhaseDuration(models.Fetch, *plan.Server, plan.Tokens, duration);
   else
@@ -176,6 +178,7 @@
           "the engine responded with status " + std::to_string(head.Status);
       attempt.Plan.Server->Health.recordFailure(FailureKind::ServerError,
                                                 MonoClock::now());
+      recordPaceFailure(shared, *attempt.Plan.Server, fleet::PaceEvent::Failed);
       co_return StreamAttemptResult::Broken;
     }
     co_return co_await forwardWholeResponse(shared, context, *attempt.Response);
@@ -251,7 +254,7 @@
                                                      progress.Priority);
   const ServerPtr &server = attempt->Plan.Server;
   progress.Filter.ExcludedServers.push_back(server->Entry.Id);
-  recordLimitedRequest(shared, *server);
+  recordSentRequest(shared, *server);
   // Later requests in the queue of this engine find the shared parts cached.
   recordCachedParts(shared, context, *server);
   AttemptOptions attemptOptions = makeAttemptOptions(context, progress, server);
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -117,6 +117,7 @@
           {"peer_listen", http::toString(freeEndpoint())},
           {"metrics_listen", http::toString(d.Metrics)},
           {"retry_slack", Options.RetrySlack},
+          {"server_pace", Options.PacesServers},
           {"stop_grace_s", Options.DaemonStopGrace.count()}}},
         {"log", {{"json", true}, {"stdout", true}}}};
     std::ofstream(file) << json::serialize(settings);
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -42,6 +42,8 @@
   std::string CrashingPath;
   /// Named by the last decode engine.
   NamedLimit Limit;
+  /// Value of `gateway.server_pace`.
+  bool PacesServers = false;
   /// Maximum time from SIGTERM to the exit of a daemon.
   std::chrono::seconds DaemonStopGrace = StopGrace;
   /// Each pair of daemon and backend server has a relay of its own
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -163,6 +163,8 @@
   if (!id.empty())
     r.Fields.add(std::string(names::RequestId), id);
   r.Fields.add(std::string(names::ServerSeal), "stand-in");
+  if (!Options.LoadHeader.empty())
+    r.Fields.add(std::string(names::ServerLoad), Options.LoadHeader);
   if (Options.Limit.PerSecond >= 0 &&
       isWithin(Options.Limit.From, Options.Limit.Length))
     r.Fields.add(std::string(names::ServerLimit),
--- a/StandIns/Platform/PlatformWorker.h
+++ b/StandIns/Platform/PlatformWorker.h
@@ -58,6 +58,8 @@
   std::string Stage;
   std::string Version = SoftwareVersions[0];
   unsigned Slots = 8;
+  /// Value of the load header in each response; empty for none.
+  std::string LoadHeader;
   Milliseconds Heartbeat{300};
   /// Time for which the draining server continues to accept requests.
   Milliseconds DrainTime{1'500};
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -38,6 +38,8 @@
               "Retry-After of the rejections of all requests; empty for none");
 DEFINE_int32(reject_from_ms, 0, "time from the start until these, ms");
 DEFINE_int32(reject_ms, 0, "time for which all requests are rejected, ms");
+DEFINE_string(load_header, "",
+              "value of the load header in each response; empty for none");
 DEFINE_int32(shed_every, 0,
              "reject each n-th request or health check as if full; 0 for none");
 DEFINE_bool(shed_with_id, true, "rejections have the id of the request");
@@ -66,6 +68,7 @@
   o.DrainTime = Milliseconds(FLAGS_drain_ms);
   o.CrashingPart = FLAGS_crashing_part;
   o.CrashingPath = FLAGS_crashing_path;
+  o.LoadHeader = FLAGS_load_header;
   o.Limit = {FLAGS_limit, Milliseconds(FLAGS_limit_from_ms),
              Milliseconds(FLAGS_limit_ms)};
   o.NoHeartbeatFrom = Milliseconds(FLAGS_no_heartbeat_from_ms);
--- a/StandIns/Relay/EndlessResponse.cpp
+++ b/StandIns/Relay/EndlessResponse.cpp
@@ -8,6 +8,8 @@
 
 /// At least this many bytes are sent at once.
 constexpr size_t BlockBytes = 25'000;
+/// Shorter than the silence after which a stream is attempted elsewhere.
+constexpr Milliseconds TricklePause{400};
 constexpr std::string_view Eol = "\r\n";
 constexpr std::string_view Chunked = "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -46,10 +48,10 @@
 } // namespace
 
 std::string_view toString(EndlessForm form) {
-  constexpr std::array<std::string_view, EndlessForms.size()> Names = {
+  constexpr std::array<std::string_view, EndlessForms.size() + 1> Names = {
       "header",          "informational", "chunk size",    "chunk extension",
       "trailer",         "event",         "comment lines", "comments",
-      "one-byte chunks", "body",          "error body"};
+      "one-byte chunks", "body",          "error body",    "trickle"};
   return Names[static_cast<size_t>(form)];
 }
 
@@ -76,6 +78,9 @@
     return {stream, repeat(":a\n\n")};
   case EndlessForm::OneByteChunks:
     return {chunked, repeat("1\r\na\r\n")};
+  case EndlessForm::Trickle:
+    return {chunked + "f\r\nid: 1\ndata: a\n\n\r\n", "1\r\na\r\n",
+            TricklePause};
   case EndlessForm::Body:
     return {plainHead(std::move(fields), "200 OK"), repeat("a")};
   case EndlessForm::ErrorBody:
--- a/StandIns/Relay/EndlessResponse.h
+++ b/StandIns/Relay/EndlessResponse.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Sardineford/Common/Time.h"
+
 #include <array>
 #include <string>
 #include <string_view>
@@ -29,8 +31,12 @@
   Body,
   /// The same with status 500.
   ErrorBody,
+  /// A complete event, then one event of which a byte comes now and then.
+  Trickle,
 };
 
+/// Forms that soak runs choose from. Seeds of earlier runs depend on the
+/// number.
 inline constexpr std::array<EndlessForm, 11> EndlessForms = {
     EndlessForm::Header,        EndlessForm::Informational,
     EndlessForm::ChunkSize,     EndlessForm::ChunkExtension,
@@ -46,6 +52,8 @@
   std::string Begin;
   /// Sent again and again.
   std::string Block;
+  /// Between two blocks; 1 ms is about 200 Mbit/s.
+  Milliseconds Pause{1};
 };
 
 /// Makes a response without an end that has the fields of a sound one, other
--- a/StandIns/Relay/Relay.cpp
+++ b/StandIns/Relay/Relay.cpp
@@ -26,9 +26,6 @@
 /// Interval at which a relay that refuses connections looks whether it accepts
 /// them again.
 constexpr Milliseconds ListenPollInterval{5};
-/// Pause between two blocks of a response without an end, so that it arrives at
-/// 200 Mbit/s.
-constexpr Milliseconds EndlessPause{1};
 constexpr std::string_view SuccessStart = "HTTP/1.1 200 ";
 
 tcp::endpoint toNative(const http::Endpoint &e) {
@@ -172,7 +169,7 @@
     std::tie(ec, n) =
         co_await asio::async_write(link->From, asio::buffer(response.Block),
                                    asio::as_tuple(use_awaitable));
-    co_await sleepFor(EndlessPause);
+    co_await sleepFor(response.Pause);
   }
 }
 
--- a/Tests/Fleet/DirectoryTest.cpp
+++ b/Tests/Fleet/DirectoryTest.cpp
@@ -290,3 +290,19 @@
   CHECK_FALSE(d.readmit(entry("a")));
   CHECK(d.ofService("model").empty());
 }
+
+// Guards against pacing all servers after each start of a process.
+TEST_CASE(
+    "servers in the first list are established unless they just started") {
+  Directory d = makeDirectory();
+  int64_t nowMs =
+      toMilliseconds(std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  d.replaceAll({entry("old"), entry("young", nowMs - 5'000)}, NoGracePeriod,
+               Start);
+  d.replaceAll({entry("old"), entry("young", nowMs - 5'000), entry("later")},
+               NoGracePeriod, Start);
+  CHECK(d.find("old")->AvailableSince == MonoTime{});
+  CHECK(d.find("young")->AvailableSince != MonoTime{});
+  CHECK(d.find("later")->AvailableSince != MonoTime{});
+}
--- a/Tests/Process/EndlessResponseTest.cpp
+++ b/Tests/Process/EndlessResponseTest.cpp
@@ -135,6 +135,12 @@
     checkOthersAreServed(it, StreamRoute, FewCalls);
 }
 
+// Guards against a stream that never ends since each byte counts as progress.
+TEST_CASE("a stalled stream that sends a byte now and then ends", "[process]") {
+  for (const char *route : {StreamRoute, ResumableRoute})
+    checkOthersAreServed(EndlessForm::Trickle, route, FewCalls);
+}
+
 TEST_CASE("callers of another service are served while heads, chunk headers "
           "or trailers do not end",
           "[process]") {
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -4,6 +4,7 @@
 #include "Sardineford/Fleet/Health.h"
 #include "Sardineford/Fleet/PartCache.h"
 #include "Sardineford/Fleet/ServerLoad.h"
+#include "Sardineford/Fleet/ServerPace.h"
 #include "Sardineford/Fleet/VersionRecord.h"
 #include "Sardineford/Fleet/WorkInFlight.h"
 #include "Sardineford/Http/Message.h"
@@ -64,6 +65,13 @@
   MonoTime ClosedUntil{};
   /// Load in the newest response of the server; empty if it reports none.
   std::optional<ReportedLoad> Reported;
+  /// Set while the server has not reached its full pace.
+  std::optional<ServerPace> Pace;
+  /// Time at which the server was found or readmitted; the epoch if it is in
+  /// the first list of servers and had not just started.
+  MonoTime AvailableSince{};
+  /// Time of becoming available for which the last pace began.
+  MonoTime PacedSince{};
   /// Prompt parts that the engine is estimated to have cached.
   PartCache CachedParts;
 
@@ -186,6 +194,8 @@
   /// Missing servers and the ends of their grace periods.
   std::map<std::string, MonoTime> Missing;
   bool Loaded = false;
+  /// The first complete list is being applied.
+  bool AppliesFirstList = false;
 };
 
 } // namespace sardineford::fleet
--- a/include/Sardineford/Fleet/Health.h
+++ b/include/Sardineford/Fleet/Health.h
@@ -31,6 +31,9 @@
   /// Returns true while the server is excluded from routing. A single
   /// successful attempt readmits the server.
   bool isEjected(MonoTime now) const { return now < EjectedUntil; }
+  /// Returns the end of the last ejection; the epoch if there was none, or if
+  /// an attempt has succeeded since.
+  MonoTime ejectedUntil() const { return EjectedUntil; }
 
 private:
   double FailureRatio = 0;
--- a/include/Sardineford/Fleet/ServerPace.h
+++ b/include/Sardineford/Fleet/ServerPace.h
@@ -9,6 +9,9 @@
 
 namespace sardineford::fleet {
 
+/// Time after it became available for which a server counts as new.
+inline constexpr std::chrono::seconds NewServerTime{10};
+
 /// What the pace of a server depends on besides its responses.
 struct PaceTerms {
   /// Requests that the server runs at once.
--- a/include/Sardineford/Fleet/ServerUse.h
+++ b/include/Sardineford/Fleet/ServerUse.h
@@ -15,6 +15,9 @@
   Usable,
   /// Has failed requests; used only if no other server is available.
   Ejected,
+  /// Has just become available and its pace allows no further request of this
+  /// process now; used only if no other server is available.
+  Paced,
   /// Has just said that it leaves; used only if no other server is available.
   LastResort,
   Leaving,
@@ -31,7 +34,8 @@
 ServerUse judgeServer(const Server &server, bool isWithinLimit, MonoTime now);
 
 constexpr bool isUsable(ServerUse use) {
-  return use == ServerUse::Usable || use == ServerUse::Ejected;
+  return use == ServerUse::Usable || use == ServerUse::Ejected ||
+         use == ServerUse::Paced;
 }
 
 /// Returns until when a server gets no requests after a rejection. A later
