--- a/Source/Fleet/ServerPace.cpp
+++ b/Source/Fleet/ServerPace.cpp
@@ -141,6 +141,7 @@
     if (!it.IsHeld && !it.IsEjected)
       hasOther[it.IsPrefill ? 1 : 0] = true;
   std::vector<bool> out;
+  out.reserve(servers.size());
   for (const PaceCandidate &it : servers)
     out.push_back(it.IsHeld && hasOther[it.IsPrefill ? 1 : 0]);
   return out;
--- a/Tests/Process/PartitionedInstanceTest.cpp
+++ b/Tests/Process/PartitionedInstanceTest.cpp
@@ -233,6 +233,25 @@
   CHECK(c.countOutcomes(0, DaemonCallOutcome::Disconnected) == 0);
 }
 
+// Guards against forwarding the begin of a response as a complete one.
+TEST_CASE("a response that breaks off since its peer dies is not complete",
+          "[process]") {
+  PartitionCase c(Cut::Refused, 1, Milliseconds(20));
+  c.run([&]() -> Awaitable<void> {
+    for (size_t i = 1; i < c.Deployment.Daemons.size(); ++i) {
+      c.Deployment.Daemons[i].ChildProcess->kill();
+      co_await sleepFor(Milliseconds(200));
+      c.Deployment.startDaemon(c.Deployment.Daemons[i]);
+    }
+  });
+  CHECK(c.countOutcomes(0, DaemonCallOutcome::Incorrect) == 0);
+  // The deaths have broken off responses.
+  CHECK(c.countOutcomes(0, DaemonCallOutcome::Disconnected) +
+            c.countOutcomes(0, DaemonCallOutcome::Failed) >
+        0);
+  c.checkPromises();
+}
+
 TEST_CASE("a caller that leaves ends its request behind a peer", "[process]") {
   constexpr size_t NumStreams = 20;
   constexpr Milliseconds LeavesAfter{250};
