--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/Gateway.h"
 
+#include "Duties/DutySettings.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/PassOn.h"
 #include "Gateway/ReturnCheck.h"
@@ -150,6 +151,38 @@
   registerGauges();
 }
 
+void Gateway::setDuties(store::ObjectStore &store, duties::DutyApi &api) {
+  duties::DutyOptions options;
+  options.Name = Options.get(node::Name);
+  options.Incarnation = Peers.incarnation();
+  options.Times = duties::leaseTimes(Options.milliseconds(duties::DutyLease));
+  options.Windows = {
+      toMilliseconds(Seconds(Options.get(duties::UsageWindowLength)))};
+  options.DueAfter = toMilliseconds(Seconds(Options.get(duties::UsageDue)));
+  options.CallsPerSecond = Options.get(duties::DutyCallRate);
+  duties::DutyPeers peers;
+  peers.Rank = [this]() -> std::optional<unsigned> {
+    std::optional<fleet::FleetPosition> position = Peers.position();
+    return position ? std::make_optional(position->Rank) : std::nullopt;
+  };
+  peers.Contenders = [this] {
+    return Peers.firstProcesses(duties::Contenders);
+  };
+  peers.Send = [this](const std::vector<duties::WindowCount> &counts,
+                      const std::vector<http::Endpoint> &to) {
+    Peers.publishUsage(counts, to);
+  };
+  Duties = std::make_unique<duties::DutyRunner>(
+      Io, store, api, std::move(options), std::move(peers), Metrics);
+  Peers.onUsage([this](const std::string &incarnation,
+                       const std::vector<duties::WindowCount> &counts) {
+    Duties->receive(incarnation, counts);
+  });
+  Shared.CountUsage = [this](const std::string &workspace) {
+    Duties->count(workspace);
+  };
+}
+
 std::optional<bool> Gateway::hasSeveralVersions(uint64_t service) const {
   if (!Watch.isLoaded() || !Servers.isVersionHistoryKnown())
     return std::nullopt;
@@ -221,6 +254,13 @@
   Watch.start();
   Versions.start();
   Peers.start();
+  if (Duties) {
+    Duties->start();
+    log::event(Category::Gateway, log::Level::Info, "duties",
+               {{"endpoint", Options.get(duties::DutyEndpoint)},
+                {"names", Options.get(duties::DutyNames)},
+                {"fencing_checked", Options.get(duties::FencingChecked)}});
+  }
   spawn(Io, "stop", [this] { return stopOnSignal(); });
   spawn(Io, "event-loop-lag", [this] { return measureEventLoopLag(Metrics); });
   log::event(Category::Gateway, log::Level::Info, "started",
@@ -546,6 +586,8 @@
   MonoTime start = MonoClock::now();
   Stopping = true;
   StopRequestedAt = start;
+  if (Duties)
+    Duties->stop();
   RequestServer->closeAfterResponses();
   PeerServer->closeAfterResponses();
   log::event(Category::Gateway, log::Level::Info, "stopping",
@@ -569,9 +611,11 @@
   while (MonoClock::now() < end &&
          MonoClock::now() - idleSince < IdleTimeBeforeExit) {
     co_await sleepFor(DrainPollInterval);
-    if (openRequests() > 0)
+    if (openRequests() > 0 || (Duties && !Duties->isStopped()))
       idleSince = MonoClock::now();
   }
+  if (Duties)
+    Duties->sendCounts();
   log::event(Category::Gateway, log::Level::Info, "stopped",
              {{"open_requests", openRequests()},
               {"took_ms", toMilliseconds(MonoClock::now() - start).count()}});
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/DutyRunner.h"
 #include "Fleet/FleetWatch.h"
 #include "Fleet/VersionRecorder.h"
 #include "Gateway/State.h"
@@ -17,6 +18,10 @@
           store::ObjectStore &store, const fleet::FleetCodec &codec,
           const BackendProtocol &protocol);
 
+  /// Takes part in the duties of the deployment if the settings name any. To be
+  /// called before start().
+  void setDuties(store::ObjectStore &store, duties::DutyApi &api);
+
   void start();
   void applySettings();
 
@@ -76,6 +81,8 @@
   fleet::VersionRecorder Versions;
   peers::LoadExchange Peers;
   SharedState Shared;
+  /// Empty without duties.
+  std::unique_ptr<duties::DutyRunner> Duties;
   std::unique_ptr<http::Server> RequestServer;
   /// Accepts requests of peers that cannot reach the backend servers.
   std::unique_ptr<http::Server> PeerServer;
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -156,6 +156,8 @@
         done.Detail = validateResponse(attempt.Head, attempt.Received,
                                        context.Request.Id);
         if (done.Detail.empty()) {
+          if (!attempt.Head.NotExecuted)
+            countUsage(shared, context);
           recordServerNotices(shared, attempt.Server->Entry, attempt.Head,
                               attempt.StartedAt);
           continue;
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -202,6 +202,13 @@
   server.Health.recordFailure(kind, MonoClock::now());
 }
 
+void countUsage(const SharedState &shared, RequestContext &context) {
+  if (!shared.CountUsage || !context.Workspace ||
+      std::exchange(context.IsUsageCounted, true))
+    return;
+  shared.CountUsage(context.Workspace->Name);
+}
+
 void recordContact(SharedState &shared, const fleet::Server &server) {
   shared.service(server.Entry.Service)
       .Reach.recordContact(server.Entry.Id, MonoClock::now());
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -94,6 +94,9 @@
   /// Addresses of the other processes that run.
   std::function<std::vector<http::Endpoint>()> RunningPeers = {};
   PeerChoice PeersToAsk = {};
+  /// Counts a request of a workspace that a server has begun to execute; empty
+  /// without usage reports.
+  std::function<void(const std::string &workspace)> CountUsage = {};
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
@@ -122,6 +125,8 @@
   bool CallerGone = false;
   /// A peer has passed the request on to this process.
   bool IsPassedOn = false;
+  /// The request has been counted for the usage report.
+  bool IsUsageCounted = false;
   /// Number of peers that were asked to serve the request.
   int PeersAsked = 0;
   /// Blocked suspect that the next attempt tries.
@@ -241,6 +246,9 @@
                           fleet::Server &server, const http::TransportError &e,
                           bool hasResponded);
 
+/// Counts the request for the usage report of its workspace, once.
+void countUsage(const SharedState &shared, RequestContext &context);
+
 /// Records that a server has sent something.
 void recordContact(SharedState &shared, const fleet::Server &server);
 
--- a/Source/Gateway/StreamRun.cpp
+++ b/Source/Gateway/StreamRun.cpp
@@ -88,6 +88,7 @@
       co_return StreamAttemptResult::Broken;
     if (completeEvents.empty())
       continue;
+    countUsage(shared, context);
     context.EventCount = progress.Events.events();
     if (progress.LastEventAt != MonoTime{})
       context.LongestPause = std::max(
@@ -169,6 +170,7 @@
   http::Response head = attempt.Response->head();
   bool isStream = shared.Protocol.decodeHead(head).IsEventStream;
   if (!isStream || head.Status != http::StatusOk) {
+    countUsage(shared, context);
     bool canRetry = context.Route->Resumable &&
                     head.Status >= http::StatusInternalServerError;
     if (context.Out.started() || canRetry) {
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -442,6 +442,10 @@
   if (!c)
     c = co_await connect(to, options.ConnectTimeout, options.Abort);
   bindAbort(options.Abort, c);
+  if (options.ResetOnClose) {
+    beast::error_code ec;
+    c->Stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+  }
   if ((options.BeforeSend && !options.BeforeSend()) ||
       (options.Abort && options.Abort->aborted()))
     throw TransportError(TransportStage::NothingSent, false,
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -363,6 +363,10 @@
     applyVersionRecord(in, from);
     return;
   }
+  if (in.usage_size() > 0) {
+    applyUsage(in);
+    return;
+  }
   LearnedFindings.checkPeer(in.findings_digest(), from, now);
   if (in.has_relay()) {
     applyRelay(in);
@@ -422,6 +426,49 @@
               static_cast<unsigned>(before)};
 }
 
+std::vector<http::Endpoint> LoadExchange::firstProcesses(size_t count) const {
+  std::vector<std::pair<uint64_t, http::Endpoint>> hashed;
+  for (const http::Endpoint &it : RankedProcesses)
+    hashed.emplace_back(hash64(http::toString(it)), it);
+  count = std::min(count, hashed.size());
+  std::partial_sort(hashed.begin(),
+                    hashed.begin() + static_cast<std::ptrdiff_t>(count),
+                    hashed.end());
+  std::vector<http::Endpoint> out;
+  for (size_t i = 0; i < count; ++i)
+    out.push_back(hashed[i].second);
+  return out;
+}
+
+void LoadExchange::publishUsage(const std::vector<duties::WindowCount> &counts,
+                                const std::vector<http::Endpoint> &to) {
+  messages::LoadShare datagram;
+  datagram.set_node(Node);
+  datagram.set_incarnation(Incarnation);
+  datagram.set_findings_digest(LearnedFindings.digest());
+  datagram.mutable_relay();
+  for (const duties::WindowCount &it : counts) {
+    messages::UsageCount *out = datagram.add_usage();
+    out->set_window(it.Window);
+    out->set_workspace(it.Workspace);
+    out->set_count(it.Count);
+  }
+  std::vector<http::Endpoint> others;
+  for (const http::Endpoint &it : to)
+    if (it != Local.Address)
+      others.push_back(it);
+  send("usage", datagram.SerializeAsString(), others);
+}
+
+void LoadExchange::applyUsage(const messages::LoadShare &in) {
+  if (!OnUsage)
+    return;
+  std::vector<duties::WindowCount> counts;
+  for (const messages::UsageCount &it : in.usage())
+    counts.push_back({it.window(), it.workspace(), it.count()});
+  OnUsage(in.incarnation(), counts);
+}
+
 void LoadExchange::publishChanges(const fleet::PublishedChanges &changes) {
   messages::LoadShare datagram;
   datagram.set_node(Node);
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -6,6 +6,7 @@
 #include "Peers/PeerSet.h"
 #include "Peers/RunningProcess.h"
 #include "Peers/StreamOrigins.h"
+#include "Sardineford/Duties/Usage.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/StoreView.h"
 #include "Sardineford/Metrics/Metrics.h"
@@ -68,6 +69,18 @@
     return MembersReadAt == MonoTime{} ? std::nullopt
                                        : std::make_optional(Position);
   }
+  /// Returns the first processes in the order of the fleet, with this one if it
+  /// is among them.
+  std::vector<http::Endpoint> firstProcesses(size_t count) const;
+  /// Sends counts of this process to other processes, in one datagram.
+  void publishUsage(const std::vector<duties::WindowCount> &counts,
+                    const std::vector<http::Endpoint> &to);
+  /// Sets the function that receives the counts of peers.
+  using UsageReceiver =
+      std::function<void(const std::string &incarnation,
+                         const std::vector<duties::WindowCount> &counts)>;
+  void onUsage(UsageReceiver f) { OnUsage = std::move(f); }
+  const std::string &incarnation() const { return Incarnation; }
   /// Sends changes in the store to all peers, in two steps as reports. A lost
   /// datagram shows in the digests of the reports, and so does an object that
   /// is too large for a datagram.
@@ -125,6 +138,7 @@
   void queueForRelay(const messages::LoadShare &in, const http::Endpoint &from);
   Milliseconds sendInterval(const PeerSet::Recipients &to) const;
   void updatePosition();
+  void applyUsage(const messages::LoadShare &in);
   void applyChanges(const messages::LoadShare &in, const http::Endpoint &from);
   void updateAllPeerWork();
   void updateChangedPeerWork();
@@ -145,6 +159,7 @@
   std::function<void(const fleet::StoreView &)> OnPeerView;
   std::function<bool(const fleet::PublishedChanges &)> OnChanges;
   std::function<void(const fleet::VersionRecord &)> OnVersionRecord;
+  UsageReceiver OnUsage;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -66,6 +66,9 @@
   bool ResendOnStale = true;
   /// Connections that have been idle for longer are not reused.
   Milliseconds MaxIdleTime{30'000};
+  /// Closes the connection with a reset, so that bytes which the peer has not
+  /// received are dropped.
+  bool ResetOnClose = false;
   std::shared_ptr<AbortHandle> Abort;
   /// Called after the connection is established and right before the first
   /// byte is written. If it returns false, nothing is sent and the call fails.
