--- a/include/Sardineford/Duties/Scaling.h
+++ b/include/Sardineford/Duties/Scaling.h
@@ -33,6 +33,14 @@
   double RequestsInFlight = 0;
 };
 
+/// Work that this process gave the servers of one service since it started.
+struct WorkDone {
+  /// Estimated time that engines spent on prefills.
+  Seconds Prefills{0};
+  /// Sum of the times that requests were in flight at a server.
+  Seconds InFlight{0};
+};
+
 /// The servers of a service in one failure domain.
 struct DomainServers {
   std::string FailureDomain;
@@ -92,4 +100,32 @@
   std::deque<Interval> Intervals;
 };
 
+/// Sums what all processes report of the work that they gave the servers of one
+/// service. The reports are cumulative, so that a lost or repeated one does no
+/// harm.
+class DemandTotals {
+public:
+  void merge(const std::string &incarnation, const WorkDone &done,
+             MonoTime now);
+  /// Ends an interval, and records its demand if the processes have been heard
+  /// for the whole of it.
+  void endInterval(MonoTime now);
+  std::optional<ServiceDemand> peak(MonoTime now) const {
+    return History.peak(now);
+  }
+  /// Forgets everything, when this process begins to receive the reports.
+  void reset();
+
+private:
+  struct Reporter {
+    WorkDone Done;
+    MonoTime HeardAt{};
+  };
+
+  std::map<std::string, Reporter> Reporters;
+  WorkDone Interval;
+  std::optional<MonoTime> IntervalStart;
+  DemandHistory History;
+};
+
 } // namespace sardineford::duties
