Order servers for the demand of the whole fleet

The holder of the lease decides once a renewal from the work that all processes report, records the orders in the lease's object before it sends them, and repeats those that were not accepted. A conflict makes it read the record again, since it may mean that another process holds the lease. Off unless the duties name scaling.

--- a/Source/Duties/DutyRunner.cpp
+++ b/Source/Duties/DutyRunner.cpp
@@ -26,6 +26,8 @@
 /// Limit of a write whose outcome is unknown. The lease is still valid then.
 constexpr Milliseconds WriteTimeout{1'000};
 constexpr Milliseconds SendInterval{500};
+/// Interval over which the demand on servers is averaged.
+constexpr Milliseconds DemandInterval{1'000};
 constexpr Milliseconds CheckpointInterval{1'000};
 /// A process that is not among the contenders for this long stops being one.
 /// Shorter times come from peers whose reports were late.
@@ -133,10 +135,34 @@
     Peers.Send(it, Recipients);
 }
 
+void DutyRunner::receiveWork(const std::string &incarnation,
+                             const std::vector<ServiceWork> &work) {
+  if (IsContender && Options.OrdersServers)
+    Orders.merge(incarnation, work, MonoClock::now());
+}
+
+void DutyRunner::sendWork() {
+  std::vector<ServiceWork> work;
+  for (OrderableService &it : Peers.Services())
+    work.push_back({std::move(it.Name), it.Done});
+  if (work.empty())
+    return;
+  receiveWork(Options.Incarnation, work);
+  if (!Recipients.empty())
+    Peers.SendWork(work, Recipients);
+  BootTime now = BootClock::now();
+  if (now - IntervalAt < DemandInterval)
+    return;
+  IntervalAt = now;
+  Orders.endInterval(MonoClock::now());
+}
+
 Awaitable<void> DutyRunner::countLoop() {
   for (;;) {
     co_await sleepFor(SendInterval);
     sendCounts();
+    if (Options.OrdersServers)
+      sendWork();
   }
 }
 
@@ -150,6 +176,7 @@
   IsContender = isContender;
   Milliseconds listensFrom = time() + FirstCountsTime;
   Coverage = {Options.Windows.at(listensFrom) + 1, {}};
+  Orders.reset();
   Counter.sendAll();
 }
 
@@ -189,6 +216,8 @@
     co_await readCheckpoint();
   co_await renew(BootClock::now());
   co_await sendReport();
+  if (Options.OrdersServers)
+    co_await sendOrder();
 }
 
 Awaitable<void> DutyRunner::read() {
@@ -277,12 +306,18 @@
                      time());
   for (int64_t it : due.ToFix)
     pending.push_back({it, Api.encodeUsage(it, Totals.total(it))});
-  bool isUrgent = !due.ToFix.empty() || (!pending.empty() && !held.CallOpen);
+  std::vector<PlacedOrder> orders = held.Orders;
+  if (Options.OrdersServers)
+    orders = Orders.decide(held.Orders, Peers.Services(), now);
+  bool hasCall = !pending.empty() || Orders.nextToSend(orders, now).has_value();
+  bool isUrgent = !due.ToFix.empty() || (hasCall && !held.CallOpen) ||
+                  orders != held.Orders;
   Milliseconds interval =
       isUrgent ? MinWriteInterval : Options.Times.RenewalInterval;
   if (now - WrittenAt < interval)
     co_return;
-  LeaseRecord next = makeRenewal(State, Options.Times, !pending.empty(), now);
+  LeaseRecord next = makeRenewal(State, Options.Times, hasCall, now);
+  next.Orders = std::move(orders);
   next.Pending = std::move(pending);
   next.LastFixed = due.LastFixed;
   next.Era = *State.Era;
@@ -320,35 +355,76 @@
               {"stopping", Stopping}});
 }
 
-Awaitable<void> DutyRunner::sendReport() {
-  auto it = std::find_if(
-      State.Record.Pending.begin(), State.Record.Pending.end(),
-      [this](const FixedReport &r) { return !Answered.contains(r.Window); });
-  BootTime now = BootClock::now();
-  if (it == State.Record.Pending.end() || now < NextCallAt ||
-      !mayCall(State, now))
-    co_return;
-  Milliseconds timeout = std::min(
+std::optional<Milliseconds> DutyRunner::callTime(BootTime now) const {
+  if (now < NextCallAt || !mayCall(State, now))
+    return std::nullopt;
+  Milliseconds out = std::min(
       MaxCallTime, toMilliseconds(State.ValidUntil - now) - CallMargin);
-  if (timeout < MinCallTime)
-    co_return;
-  FixedReport report = *it;
-  UsageCall call{Options.Name, State.Record.Epoch, report.Body, timeout, {}};
-  // A process that was frozen after the check above sends nothing.
-  call.BeforeSend = [this, timeout] {
+  return out < MinCallTime ? std::nullopt : std::make_optional(out);
+}
+
+std::function<bool()> DutyRunner::sendCheck(Milliseconds timeout) {
+  // A process that was frozen after the decision to call sends nothing.
+  return [this, timeout] {
     BootTime sentAt = BootClock::now();
     if (!mayCall(State, sentAt) || sentAt + timeout >= State.ValidUntil)
       return false;
     State.LastCallAt = sentAt;
     return true;
   };
-  uint64_t token = call.Token;
+}
+
+Awaitable<void> DutyRunner::sendReport() {
+  auto it = std::find_if(
+      State.Record.Pending.begin(), State.Record.Pending.end(),
+      [this](const FixedReport &r) { return !Answered.contains(r.Window); });
+  BootTime now = BootClock::now();
+  std::optional<Milliseconds> timeout = callTime(now);
+  if (it == State.Record.Pending.end() || !timeout)
+    co_return;
+  FixedReport report = *it;
+  uint64_t token = State.Record.Epoch;
+  UsageCall call{Options.Name, token, report.Body, *timeout,
+                 sendCheck(*timeout)};
   double rate = std::min(Options.CallsPerSecond, MaxCallsPerSecond);
   NextCallAt = now + toMilliseconds(Seconds(1 / rate));
   CallResult result = co_await Api.reportUsage(std::move(call));
   recordResult(report, token, result);
 }
 
+Awaitable<void> DutyRunner::sendOrder() {
+  BootTime now = BootClock::now();
+  std::optional<PlacedOrder> order =
+      Orders.nextToSend(State.Record.Orders, now);
+  std::optional<Milliseconds> timeout = callTime(now);
+  if (!order || !timeout)
+    co_return;
+  uint64_t token = State.Record.Epoch;
+  double rate = std::min(Options.CallsPerSecond, MaxCallsPerSecond);
+  NextCallAt = now + toMilliseconds(Seconds(1 / rate));
+  CallResult result = co_await Api.orderServers(
+      {Options.Name, token, *order, *timeout, sendCheck(*timeout)});
+  now = BootClock::now();
+  bool isDone = result == CallResult::Done;
+  Orders.recordResult(*order, isDone, now);
+  if (result == CallResult::NoAnswer)
+    State.UnansweredAt = now;
+  // Either no servers are available, or another process holds the lease: the
+  // record tells, before the next call.
+  if (result == CallResult::Fenced)
+    applyUnknownWrite(State);
+  Metrics.count(
+      "sardineford_server_orders_total",
+      {{"service", order->Service}, {"result", std::string(toString(result))}});
+  log::event(Category::Fleet, isDone ? Level::Info : Level::Warning,
+             "server_order",
+             {{"service", order->Service},
+              {"failure_domain", order->FailureDomain},
+              {"servers", order->Servers},
+              {"token", token},
+              {"result", toString(result)}});
+}
+
 void DutyRunner::recordResult(const FixedReport &report, uint64_t token,
                               CallResult result) {
   BootTime now = BootClock::now();
--- a/Source/Duties/DutyRunner.h
+++ b/Source/Duties/DutyRunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/OrderPlan.h"
 #include "Sardineford/Duties/DutyApi.h"
 #include "Sardineford/Duties/Lease.h"
 #include "Sardineford/Duties/Usage.h"
@@ -20,6 +21,8 @@
   /// Time after the end of a window when its report is late.
   Milliseconds DueAfter{10'000};
   double CallsPerSecond = 10;
+  /// Servers are ordered.
+  bool OrdersServers = false;
 };
 
 /// What the runner needs of the other processes.
@@ -31,6 +34,10 @@
   std::function<void(const std::vector<WindowCount> &,
                      const std::vector<http::Endpoint> &)>
       Send;
+  std::function<void(const std::vector<ServiceWork> &,
+                     const std::vector<http::Endpoint> &)>
+      SendWork;
+  std::function<std::vector<OrderableService>()> Services;
 };
 
 /// Competes for the lease, and makes the calls of the duties while this process
@@ -46,6 +53,9 @@
   /// Receives counts of a peer.
   void receive(const std::string &incarnation,
                const std::vector<WindowCount> &counts);
+  /// Receives the work of a peer.
+  void receiveWork(const std::string &incarnation,
+                   const std::vector<ServiceWork> &work);
   /// Releases the lease after the present call and stops competing.
   void stop() { Stopping = true; }
   /// Returns whether the lease has been released or was not held.
@@ -68,6 +78,13 @@
   Awaitable<void> writeCheckpoint();
   /// Sends the oldest fixed report.
   Awaitable<void> sendReport();
+  /// Sends a recorded order that the platform has not accepted yet.
+  Awaitable<void> sendOrder();
+  /// Returns the time that a call may take now, or nothing if none may be made.
+  std::optional<Milliseconds> callTime(BootTime now) const;
+  /// Returns the check right before the first byte of a call is sent.
+  std::function<bool()> sendCheck(Milliseconds timeout);
+  void sendWork();
   void recordResult(const FixedReport &report, uint64_t token,
                     CallResult result);
   void updateRank(BootTime now);
@@ -87,6 +104,8 @@
   UsageCounter Counter;
   UsageTotals Totals;
   UsageCoverage Coverage;
+  OrderPlan Orders;
+  BootTime IntervalAt{};
   bool Stopping = false;
   /// Last time at which this process was among the contenders.
   std::optional<BootTime> ContenderAt;
--- a/Source/Duties/Lease.cpp
+++ b/Source/Duties/Lease.cpp
@@ -55,6 +55,12 @@
       {"call_open", record.CallOpen},   {"era", record.Era},
       {"last_fixed", record.LastFixed}, {"pending", pending},
       {"write_id", record.WriteId}};
+  json::array orders;
+  for (const PlacedOrder &it : record.Orders)
+    orders.push_back({{"service", it.Service},
+                      {"failure_domain", it.FailureDomain},
+                      {"servers", it.Servers}});
+  out["orders"] = orders;
   if (record.ReleasedInEra)
     out["released_in_era"] = *record.ReleasedInEra;
   return json::serialize(out);
@@ -76,6 +82,12 @@
   for (const json::value &it : in.at("pending").as_array())
     out.Pending.push_back({it.at("window").to_number<int64_t>(),
                            json::value_to<std::string>(it.at("body"))});
+  if (const json::value *orders = in.if_contains("orders"))
+    for (const json::value &it : orders->as_array())
+      out.Orders.push_back(
+          {json::value_to<std::string>(it.at("service")),
+           json::value_to<std::string>(it.at("failure_domain")),
+           it.at("servers").to_number<unsigned>()});
   out.WriteId = json::value_to<std::string>(in.at("write_id"));
   return out;
 }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -172,12 +172,24 @@
                       const std::vector<http::Endpoint> &to) {
     Peers.publishUsage(counts, to);
   };
+  options.OrdersServers =
+      ("," + Options.get(duties::DutyNames) + ",").find(",scaling,") !=
+      std::string::npos;
+  peers.SendWork = [this](const std::vector<duties::ServiceWork> &work,
+                          const std::vector<http::Endpoint> &to) {
+    Peers.publishWork(work, to);
+  };
+  peers.Services = [this] { return orderableServices(Shared); };
   Duties = std::make_unique<duties::DutyRunner>(
       Io, store, api, std::move(options), std::move(peers), Metrics);
   Peers.onUsage([this](const std::string &incarnation,
                        const std::vector<duties::WindowCount> &counts) {
     Duties->receive(incarnation, counts);
   });
+  Peers.onWork([this](const std::string &incarnation,
+                      const std::vector<duties::ServiceWork> &work) {
+    Duties->receiveWork(incarnation, work);
+  });
   Shared.CountUsage = [this](const std::string &workspace) {
     Duties->count(workspace);
   };
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -79,6 +79,26 @@
   Shared.Tracking.recordChange(Server->Entry.Id);
 }
 
+std::vector<duties::OrderableService> orderableServices(SharedState &shared) {
+  std::vector<duties::OrderableService> out;
+  if (!shared.Watch.routes())
+    return out;
+  for (const auto &[name, spec] : shared.Watch.routes()->config().Services) {
+    if (!spec.Scaling)
+      continue;
+    duties::OrderableService service;
+    service.Name = name;
+    service.Bounds = *spec.Scaling;
+    service.Done = shared.service(name).Done;
+    for (const fleet::ServerPtr &it : shared.Servers.ofService(name)) {
+      ++service.Present[it->Entry.FailureDomain];
+      service.SlotsPerServer = it->Entry.Slots;
+    }
+    out.push_back(std::move(service));
+  }
+  return out;
+}
+
 http::CallOptions attemptCallOptions(RequestContext &context,
                                      const http::Endpoint &to, bool mayRepeat,
                                      Milliseconds timeout) {
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/OrderPlan.h"
 #include "Fleet/FleetWatch.h"
 #include "Fleet/VersionRecorder.h"
 #include "Peers/Findings.h"
@@ -270,6 +271,9 @@
                             FailureCause cause, std::string detail,
                             std::optional<Milliseconds> retryAfter);
 
+/// Returns the services whose servers can be ordered.
+std::vector<duties::OrderableService> orderableServices(SharedState &shared);
+
 /// Values of the log entry of one attempt.
 struct AttemptLogEntry {
   std::string_view Step;
--- a/Source/Peers/LoadExchange.cpp
+++ b/Source/Peers/LoadExchange.cpp
@@ -367,6 +367,10 @@
     applyUsage(in);
     return;
   }
+  if (in.work_size() > 0) {
+    applyWork(in);
+    return;
+  }
   LearnedFindings.checkPeer(in.findings_digest(), from, now);
   if (in.has_relay()) {
     applyRelay(in);
@@ -440,24 +444,57 @@
   return out;
 }
 
-void LoadExchange::publishUsage(const std::vector<duties::WindowCount> &counts,
-                                const std::vector<http::Endpoint> &to) {
-  messages::LoadShare datagram;
+void LoadExchange::sendToContenders(std::string_view kind,
+                                    messages::LoadShare datagram,
+                                    const std::vector<http::Endpoint> &to) {
   datagram.set_node(Node);
   datagram.set_incarnation(Incarnation);
   datagram.set_findings_digest(LearnedFindings.digest());
   datagram.mutable_relay();
+  std::vector<http::Endpoint> others;
+  for (const http::Endpoint &it : to)
+    if (it != Local.Address)
+      others.push_back(it);
+  send(kind, datagram.SerializeAsString(), others);
+}
+
+void LoadExchange::publishUsage(const std::vector<duties::WindowCount> &counts,
+                                const std::vector<http::Endpoint> &to) {
+  messages::LoadShare datagram;
   for (const duties::WindowCount &it : counts) {
     messages::UsageCount *out = datagram.add_usage();
     out->set_window(it.Window);
     out->set_workspace(it.Workspace);
     out->set_count(it.Count);
   }
-  std::vector<http::Endpoint> others;
-  for (const http::Endpoint &it : to)
-    if (it != Local.Address)
-      others.push_back(it);
-  send("usage", datagram.SerializeAsString(), others);
+  sendToContenders("usage", std::move(datagram), to);
+}
+
+void LoadExchange::publishWork(const std::vector<duties::ServiceWork> &work,
+                               const std::vector<http::Endpoint> &to) {
+  auto toCount = [](Seconds s) {
+    return static_cast<uint64_t>(
+        std::max<int64_t>(0, toMilliseconds(s).count()));
+  };
+  messages::LoadShare datagram;
+  for (const duties::ServiceWork &it : work) {
+    messages::ServiceWork *out = datagram.add_work();
+    out->set_service(it.Service);
+    out->set_prefill_ms(toCount(it.Done.Prefills));
+    out->set_in_flight_ms(toCount(it.Done.InFlight));
+  }
+  sendToContenders("work", std::move(datagram), to);
+}
+
+void LoadExchange::applyWork(const messages::LoadShare &in) {
+  if (!OnWork)
+    return;
+  std::vector<duties::ServiceWork> work;
+  for (const messages::ServiceWork &it : in.work())
+    work.push_back({it.service(),
+                    {Seconds(Milliseconds(it.prefill_ms())),
+                     Seconds(Milliseconds(it.in_flight_ms()))}});
+  OnWork(in.incarnation(), work);
 }
 
 void LoadExchange::applyUsage(const messages::LoadShare &in) {
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/OrderPlan.h"
 #include "Fleet/WatchDuty.h"
 #include "Peers/Findings.h"
 #include "Peers/LoadTracking.h"
@@ -80,6 +81,14 @@
       std::function<void(const std::string &incarnation,
                          const std::vector<duties::WindowCount> &counts)>;
   void onUsage(UsageReceiver f) { OnUsage = std::move(f); }
+  /// Sends the work of this process to other processes, in one datagram.
+  void publishWork(const std::vector<duties::ServiceWork> &work,
+                   const std::vector<http::Endpoint> &to);
+  using WorkReceiver =
+      std::function<void(const std::string &incarnation,
+                         const std::vector<duties::ServiceWork> &work)>;
+  /// Sets the function that receives the work of peers.
+  void onWork(WorkReceiver f) { OnWork = std::move(f); }
   const std::string &incarnation() const { return Incarnation; }
   /// Sends changes in the store to all peers, in two steps as reports. A lost
   /// datagram shows in the digests of the reports, and so does an object that
@@ -139,6 +148,10 @@
   Milliseconds sendInterval(const PeerSet::Recipients &to) const;
   void updatePosition();
   void applyUsage(const messages::LoadShare &in);
+  void applyWork(const messages::LoadShare &in);
+  /// Sends a datagram of the duties.
+  void sendToContenders(std::string_view kind, messages::LoadShare datagram,
+                        const std::vector<http::Endpoint> &to);
   void applyChanges(const messages::LoadShare &in, const http::Endpoint &from);
   void updateAllPeerWork();
   void updateChangedPeerWork();
@@ -160,6 +173,7 @@
   std::function<bool(const fleet::PublishedChanges &)> OnChanges;
   std::function<void(const fleet::VersionRecord &)> OnVersionRecord;
   UsageReceiver OnUsage;
+  WorkReceiver OnWork;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
--- a/include/Sardineford/Duties/DutyApi.h
+++ b/include/Sardineford/Duties/DutyApi.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Common/Async.h"
+#include "Sardineford/Duties/Lease.h"
 #include "Sardineford/Duties/Usage.h"
 
 #include <functional>
@@ -37,6 +38,17 @@
   std::function<bool()> BeforeSend;
 };
 
+/// An order for servers of a service in a failure domain.
+struct OrderCall {
+  std::string Holder;
+  uint64_t Token = 0;
+  PlacedOrder Order;
+  /// Limit of the whole call.
+  Milliseconds Timeout{0};
+  /// As in UsageCall.
+  std::function<bool()> BeforeSend;
+};
+
 /// The platform's interface for calls that only one process may make.
 class DutyApi {
 public:
@@ -47,6 +59,8 @@
                                   const Counts &counts) const = 0;
   /// Sends a report. Does not throw for failures of the call.
   virtual Awaitable<CallResult> reportUsage(UsageCall call) = 0;
+  /// Sends an order. `Fenced` may also mean that no servers are available now.
+  virtual Awaitable<CallResult> orderServers(OrderCall call) = 0;
 };
 
 } // namespace sardineford::duties
--- a/include/Sardineford/Duties/Lease.h
+++ b/include/Sardineford/Duties/Lease.h
@@ -41,6 +41,15 @@
   bool operator==(const FixedReport &) const = default;
 };
 
+/// The last order for the servers of a service in a failure domain.
+struct PlacedOrder {
+  std::string Service;
+  std::string FailureDomain;
+  unsigned Servers = 0;
+
+  bool operator==(const PlacedOrder &) const = default;
+};
+
 /// The object of the lease. Every change is a conditional write.
 struct LeaseRecord {
   std::string Holder;
@@ -60,6 +69,7 @@
   int64_t LastFixed = 0;
   /// Fixed reports that are not answered yet, oldest first.
   std::vector<FixedReport> Pending;
+  std::vector<PlacedOrder> Orders;
   /// Id of the write.
   std::string WriteId;
 
