--- a/Source/Duties/DutyRunner.cpp
+++ b/Source/Duties/DutyRunner.cpp
@@ -275,9 +275,10 @@
   };
   uint64_t version = 0;
   try {
-    version = co_await store::putWithReadBack(
-        Store, {DutyKind, LeaseName, State.Version, encodeLease(record)}, isOwn,
-        MonoClock::now() + WriteTimeout);
+    store::Object object{DutyKind, LeaseName, State.Version,
+                         encodeLease(record)};
+    version = co_await store::putWithReadBack(Store, std::move(object), isOwn,
+                                              MonoClock::now() + WriteTimeout);
   } catch (...) {
     // Also a write that is said to have had no effect: the record is read
     // before anything else is done.
@@ -402,8 +403,8 @@
   uint64_t token = State.Record.Epoch;
   double rate = std::min(Options.CallsPerSecond, MaxCallsPerSecond);
   NextCallAt = now + toMilliseconds(Seconds(1 / rate));
-  CallResult result = co_await Api.orderServers(
-      {Options.Name, token, *order, *timeout, sendCheck(*timeout)});
+  OrderCall call{Options.Name, token, *order, *timeout, sendCheck(*timeout)};
+  CallResult result = co_await Api.orderServers(std::move(call));
   now = BootClock::now();
   bool isDone = result == CallResult::Done;
   Orders.recordResult(*order, isDone, now);
--- a/Source/Duties/Scaling.cpp
+++ b/Source/Duties/Scaling.cpp
@@ -21,8 +21,9 @@
 constexpr double MaxStepDownRatio = 0.34;
 /// Time without a change before a step down.
 constexpr Milliseconds StepDownInterval{3'000};
-/// Demand is known after this many intervals.
-constexpr size_t MinIntervals = 3;
+/// Demand is known after this many intervals with requests before or in them:
+/// longer than a swing between long prompts and long answers.
+constexpr size_t MinIntervals = 8;
 /// The demand swings with periods of several seconds; a peak is remembered for
 /// longer than that.
 constexpr Milliseconds PeakMemory{20'000};
@@ -101,6 +102,9 @@
 }
 
 void DemandHistory::record(const ServiceDemand &demand, MonoTime now) {
+  // Before the first request, nothing tells what the callers will need.
+  if (Intervals.empty() && demand.RequestsInFlight == 0)
+    return;
   Intervals.push_back({now, demand});
   while (!Intervals.empty() && now - Intervals.front().At > PeakMemory)
     Intervals.pop_front();
