--- a/Tests/Duties/LeaseTest.cpp
+++ b/Tests/Duties/LeaseTest.cpp
@@ -348,6 +348,31 @@
   CHECK_FALSE(mayCall(state, afterSilence));
 }
 
+// Guards against calls while an earlier write may still withdraw the
+// announcement of a call, and against calls of this process on both sides of
+// those of a holder in between.
+TEST_CASE("a holder writes after a read, and waits to hold the lease again") {
+  BootTime start{std::chrono::hours(1)};
+  LeaseState state = holderOf(store::makeVersion(0, 10), start);
+  BootTime now = state.SilentUntil;
+  state.LastCallAt = now;
+  applyUnknownWrite(state);
+  applyRead(state, Times, state.Record, state.Version, now);
+  CHECK(state.IsHolder);
+  CHECK_FALSE(mayCall(state, now));
+  applyWritten(state, Times, state.Record, store::makeVersion(0, 12), now, now);
+  CHECK(mayCall(state, now));
+  LeaseRecord other = state.Record;
+  other.Incarnation = "b1";
+  ++other.Epoch;
+  other.ReleasedInEra = 0;
+  applyRead(state, Times, other, store::makeVersion(0, 14), now);
+  BootTime free = now + Times.LateExecution + Times.PlatformLease;
+  CHECK_FALSE(mayTakeOver(state, Times, 0, free - Milliseconds(1)));
+  CHECK(mayTakeOver(state, Times, 0, free));
+  CHECK_FALSE(mayTakeOver(state, Times, Contenders, free));
+}
+
 TEST_CASE("a lease record is read back as it was written") {
   LeaseRecord record{"a", "a1", 7, 3, true, 2, 1, 99, {{98, "{\"x\":1}"}}, "w"};
   CHECK(decodeLease(encodeLease(record)) == record);
