--- a/Source/Duties/DutyRunner.cpp
+++ b/Source/Duties/DutyRunner.cpp
@@ -408,8 +408,6 @@
   now = BootClock::now();
   bool isDone = result == CallResult::Done;
   Orders.recordResult(*order, isDone, now);
-  if (result == CallResult::NoAnswer)
-    State.UnansweredAt = now;
   // Either no servers are available, or another process holds the lease: the
   // record tells, before the next call.
   if (result == CallResult::Fenced)
