--- a/Source/Duties/Scaling.cpp
+++ b/Source/Duties/Scaling.cpp
@@ -13,7 +13,7 @@
 /// objectives need engines that are idle more often than not.
 constexpr double MaxPrefillRatio = 0.3;
 /// Ratio of the slots that may be taken at the peak.
-constexpr double MaxSlotRatio = 0.4;
+constexpr double MaxSlotRatio = 0.7;
 /// Added to what the demand needs: servers that crash or are replaced.
 constexpr double SpareRatio = 0.1;
 /// Ratio of a failure domain's servers that one step down may remove. Their
