--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -119,6 +119,11 @@
           {"retry_slack", Options.RetrySlack},
           {"stop_grace_s", Options.DaemonStopGrace.count()}}},
         {"log", {{"json", true}, {"stdout", true}}}};
+    if (!Options.DutyEndpoint.empty())
+      settings["duties"] = {{"endpoint", Options.DutyEndpoint},
+                            {"names", "usage_report"},
+                            {"lease_ms", 1'000},
+                            {"usage_window_s", 1}};
     std::ofstream(file) << json::serialize(settings);
     d.ChildProcess = std::make_unique<Process>(
         ProcessSpec{name,
@@ -193,6 +198,10 @@
                        {"routes", routes},
                        {"services", services},
                        {"limits", {{"idleTimeoutMs", 15'000}}}};
+  if (!Options.WorkspaceKey.empty())
+    spec["tenants"] = {
+        json::object{{"name", WorkspaceName},
+                     {"apiKeys", json::array{Options.WorkspaceKey}}}};
   std::string kind =
       std::string(names::ObjectsPath) + std::string(names::ConfigKind);
   http::Request r;
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -47,8 +47,15 @@
   /// Each pair of daemon and backend server has a relay of its own
   /// (DeployedDaemon::Links) before that of the server; MaxSeparateDaemons.
   bool SeparateLinks = false;
+  /// Address of the interface for duties, with windows and leases of one
+  /// second, and key of the only workspace; empty for none.
+  std::string DutyEndpoint;
+  std::string WorkspaceKey;
 };
 
+/// Name of the workspace of PlatformDeploymentOptions::WorkspaceKey.
+inline constexpr const char *WorkspaceName = "workspace-1";
+
 /// Most daemons of a deployment with SeparateLinks.
 inline constexpr unsigned MaxSeparateDaemons = 8;
 
--- a/Tests/Platform/DutyClientTest.cpp
+++ b/Tests/Platform/DutyClientTest.cpp
@@ -12,7 +12,7 @@
 TEST_CASE("a report carries its token and its status is mapped") {
   IoContext io(1);
   http::ServerOptions options;
-  options.Listen = http::parseEndpoint("127.0.0.1:0");
+  options.Listen = {"127.0.0.1", 0};
   unsigned status = 200;
   std::string seen;
   http::Server server(
