--- a/include/Sardineford/Duties/BootClock.h
+++ b/include/Sardineford/Duties/BootClock.h
@@ -13,6 +13,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The name is that of the standard's clocks.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   static time_point now() {
