--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -80,6 +80,26 @@
   Shared.Tracking.recordChange(Server->Entry.Id);
 }
 
+std::vector<duties::OrderableService> orderableServices(SharedState &shared) {
+  std::vector<duties::OrderableService> out;
+  if (!shared.Watch.routes())
+    return out;
+  for (const auto &[name, spec] : shared.Watch.routes()->config().Services) {
+    if (!spec.Scaling)
+      continue;
+    duties::OrderableService service;
+    service.Name = name;
+    service.Bounds = *spec.Scaling;
+    service.Done = shared.service(name).Done;
+    for (const fleet::ServerPtr &it : shared.Servers.ofService(name)) {
+      ++service.Present[it->Entry.FailureDomain];
+      service.SlotsPerServer = it->Entry.Slots;
+    }
+    out.push_back(std::move(service));
+  }
+  return out;
+}
+
 http::CallOptions attemptCallOptions(RequestContext &context,
                                      const http::Endpoint &to, bool mayRepeat,
                                      Milliseconds timeout) {
@@ -211,6 +231,13 @@
   recordPaceFailure(shared, server, fleet::PaceEvent::Failed);
 }
 
+void countUsage(const SharedState &shared, RequestContext &context) {
+  if (!shared.CountUsage || !context.Workspace ||
+      std::exchange(context.IsUsageCounted, true))
+    return;
+  shared.CountUsage(context.Workspace->Name);
+}
+
 void recordContact(SharedState &shared, const fleet::Server &server) {
   shared.service(server.Entry.Service)
       .Reach.recordContact(server.Entry.Id, MonoClock::now());
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/OrderPlan.h"
 #include "Fleet/FleetWatch.h"
 #include "Fleet/VersionRecorder.h"
 #include "Peers/Findings.h"
@@ -99,6 +100,9 @@
   PeerChoice PeersToAsk = {};
   /// Value of the setting `gateway.server_pace`.
   bool PacesServers = false;
+  /// Counts a request of a workspace that a server has begun to execute; empty
+  /// without usage reports.
+  std::function<void(const std::string &workspace)> CountUsage = {};
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
@@ -127,6 +131,8 @@
   bool CallerGone = false;
   /// A peer has passed the request on to this process.
   bool IsPassedOn = false;
+  /// The request has been counted for the usage report.
+  bool IsUsageCounted = false;
   /// Number of peers that were asked to serve the request.
   int PeersAsked = 0;
   /// Blocked suspect that the next attempt tries.
@@ -249,6 +255,9 @@
                           fleet::Server &server, const http::TransportError &e,
                           bool hasResponded);
 
+/// Counts the request for the usage report of its workspace, once.
+void countUsage(const SharedState &shared, RequestContext &context);
+
 /// Records that a server has sent something.
 void recordContact(SharedState &shared, const fleet::Server &server);
 
@@ -266,6 +275,9 @@
                             FailureCause cause, std::string detail,
                             std::optional<Milliseconds> retryAfter);
 
+/// Returns the services whose servers can be ordered.
+std::vector<duties::OrderableService> orderableServices(SharedState &shared);
+
 /// Values of the log entry of one attempt.
 struct AttemptLogEntry {
   std::string_view Step;
--- a/Source/Peers/LoadExchange.h
+++ b/Source/Peers/LoadExchange.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Duties/OrderPlan.h"
 #include "Fleet/WatchDuty.h"
 #include "Peers/Findings.h"
 #include "Peers/LoadTracking.h"
 #include "Peers/PeerSet.h"
 #include "Peers/RunningProcess.h"
 #include "Peers/StreamOrigins.h"
+#include "Sardineford/Duties/Usage.h"
 #include "Sardineford/Fleet/Directory.h"
 #include "Sardineford/Fleet/StoreView.h"
 #include "Sardineford/Metrics/Metrics.h"
@@ -68,6 +70,26 @@
     return MembersReadAt == MonoTime{} ? std::nullopt
                                        : std::make_optional(Position);
   }
+  /// Returns the first processes in the order of the fleet, with this one if it
+  /// is among them.
+  std::vector<http::Endpoint> firstProcesses(size_t count) const;
+  /// Sends counts of this process to other processes, in one datagram.
+  void publishUsage(const std::vector<duties::WindowCount> &counts,
+                    const std::vector<http::Endpoint> &to);
+  /// Sets the function that receives the counts of peers.
+  using UsageReceiver =
+      std::function<void(const std::string &incarnation,
+                         const std::vector<duties::WindowCount> &counts)>;
+  void onUsage(UsageReceiver f) { OnUsage = std::move(f); }
+  /// Sends the work of this process to other processes, in one datagram.
+  void publishWork(const std::vector<duties::ServiceWork> &work,
+                   const std::vector<http::Endpoint> &to);
+  using WorkReceiver =
+      std::function<void(const std::string &incarnation,
+                         const std::vector<duties::ServiceWork> &work)>;
+  /// Sets the function that receives the work of peers.
+  void onWork(WorkReceiver f) { OnWork = std::move(f); }
+  const std::string &incarnation() const { return Incarnation; }
   /// Sends changes in the store to all peers, in two steps as reports. A lost
   /// datagram shows in the digests of the reports, and so does an object that
   /// is too large for a datagram.
@@ -125,6 +147,11 @@
   void queueForRelay(const messages::LoadShare &in, const http::Endpoint &from);
   Milliseconds sendInterval(const PeerSet::Recipients &to) const;
   void updatePosition();
+  void applyUsage(const messages::LoadShare &in);
+  void applyWork(const messages::LoadShare &in);
+  /// Sends a datagram of the duties.
+  void sendToContenders(std::string_view kind, messages::LoadShare datagram,
+                        const std::vector<http::Endpoint> &to);
   void applyChanges(const messages::LoadShare &in, const http::Endpoint &from);
   void updateAllPeerWork();
   void updateChangedPeerWork();
@@ -145,6 +172,8 @@
   std::function<void(const fleet::StoreView &)> OnPeerView;
   std::function<bool(const fleet::PublishedChanges &)> OnChanges;
   std::function<void(const fleet::VersionRecord &)> OnVersionRecord;
+  UsageReceiver OnUsage;
+  WorkReceiver OnWork;
   LoadView View;
   PeerSet Peers;
   LoadTracking Tracking;
