Divide the connections of a server among the processes

Processes held up to 64 idle connections per server and opened a new one for each request executed at most once, so that servers reset connections beyond their limit. Each process now has a part of a service's maxConnections; idle connections yield to new ones, and a request without a connection goes to another server, waits, or is rejected as not executed. Resets right after the connect lower the estimate of what the server accepts and are no fault of it.

--- a/Source/Gateway/CrashCheck.cpp
+++ b/Source/Gateway/CrashCheck.cpp
@@ -43,8 +43,12 @@
       break;
   }
   BrokenServer &broken = shared.BrokenServers[incarnation];
+  // A server that accepts no further connection closes that of the check, too.
+  const fleet::ServerConnections &connections = server->Connections;
+  bool isAtLimit =
+      connections.IsLimited && connections.Accepted.hasReset(MonoClock::now());
   bool isDown = result == HealthCheckResult::Refused ||
-                result == HealthCheckResult::Closed;
+                (result == HealthCheckResult::Closed && !isAtLimit);
   bool crashed = broken.Crashed || (isDown && !isCutOffFromServices(shared));
   log::event(Category::Gateway, log::Level::Info, "server_crash",
              {{"server", server->Entry.Id},
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/Gateway.h"
 
+#include "Gateway/ConnectionLimits.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/PassOn.h"
 #include "Gateway/ReturnCheck.h"
@@ -113,8 +114,10 @@
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.members().value_or(0);
     Shared.IsFirstStart = Peers.isFirstStart();
-    if (std::optional<fleet::FleetPosition> position = Peers.position())
+    if (std::optional<fleet::FleetPosition> position = Peers.position()) {
       Watch.setPosition(*position);
+      Shared.Rank = position->Rank;
+    }
     Versions.setPosition(Peers.position());
   });
   Shared.RunningPeers = [this] { return Peers.runningPeers(); };
@@ -222,6 +225,8 @@
   Versions.start();
   Peers.start();
   spawn(Io, "stop", [this] { return stopOnSignal(); });
+  spawn(Io, "connection-limits",
+        [this] { return keepConnectionLimits(Shared); });
   spawn(Io, "event-loop-lag", [this] { return measureEventLoopLag(Metrics); });
   log::event(Category::Gateway, log::Level::Info, "started",
              {{"listen", Options.get(node::HttpListen)},
--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/HealthCheck.h"
 
+#include "Gateway/ConnectionLimits.h"
 #include "Gateway/ServerChoice.h"
 #include "Gateway/State.h"
 
@@ -13,6 +14,7 @@
 
 namespace {
 
+using fleet::ServerPtr;
 using log::Category;
 
 constexpr Milliseconds CheckTimeout{500};
@@ -53,6 +55,9 @@
   } catch (const http::TransportError &e) {
     log::debug(Category::Fleet, "health check of {} failed: {}", entry.Id,
                e.what());
+    ServerPtr known = shared.Servers.find(entry.Id);
+    if (e.ResetOnNew && known)
+      recordResetOnNew(shared, *known);
     if (e.Refused)
       co_return HealthCheckResult::Refused;
     co_return e.TimedOut || e.Stage == http::TransportStage::NothingSent
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -23,6 +23,10 @@
 /// Longest such silence as a ratio of the remaining time.
 constexpr double MaxAttemptTimeRatio = 0.5;
 constexpr double ResponseTimeWeight = 0.05;
+/// Intervals at which a request without a connection looks for one: the first,
+/// and the longest, at which many waiting requests cost little.
+constexpr Milliseconds FirstConnectionWait{5};
+constexpr Milliseconds LongestConnectionWait{40};
 
 struct OpenPlainAttempt : OpenAttempt {
   OpenPlainAttempt(SharedState &shared, ServerPtr server)
@@ -47,6 +51,8 @@
   /// Sent to the caller if no further attempt succeeds.
   std::optional<http::Response> ErrorResponse;
   FailureCause Cause = FailureCause::NoServer;
+  /// Time after which a connection is looked for again.
+  Milliseconds ConnectionWait = FirstConnectionWait;
   std::string Detail = "no backend server is available";
 };
 
@@ -247,7 +253,25 @@
   return retry::decideOnSilence(state);
 }
 
-/// Makes the next attempt. Returns false if none is possible.
+/// Waits before a connection is looked for again. Returns false if a request
+/// that got one then would have no time left.
+Awaitable<bool> waitForConnection(SharedState &shared, RequestContext &context,
+                                  PlainProgress &progress) {
+  Milliseconds wait = progress.ConnectionWait;
+  Milliseconds needed =
+      toMilliseconds(shared.service(context.Service).MeanResponseTime);
+  if (context.remainingTime() <= wait + needed) {
+    progress.Cause = FailureCause::Overloaded;
+    progress.Detail = "no connection to a backend server is available";
+    co_return false;
+  }
+  progress.ConnectionWait = std::min(wait * 2, LongestConnectionWait);
+  co_await sleepFor(wait);
+  co_return true;
+}
+
+/// Makes the next attempt, or waits for a connection. Returns false if none is
+/// possible.
 Awaitable<bool> startNextAttempt(SharedState &shared, RequestContext &context,
                                  PlainProgress &progress) {
   std::string block = findBlock(shared, context, requestSuspect(context));
@@ -260,6 +284,11 @@
   context.PassedOver = available.PassedOver;
   context.OpensIn = available.OpensIn;
   ServerPtr server = chooseServer(shared, available);
+  bool mayAttempt = progress.TriedServers.empty() ||
+                    findRetryObstacle(shared, context).empty();
+  if (!server && available.LacksConnection && progress.Open.empty() &&
+      mayAttempt)
+    co_return co_await waitForConnection(shared, context, progress);
   if (!server) {
     context.NoRetryReason = "no other server is available";
     if (available.OpensIn)
--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/ServerChoice.h"
 
+#include "Gateway/ConnectionLimits.h"
 #include "Sardineford/Common/Log.h"
 
 #include <algorithm>
@@ -13,18 +14,20 @@
 
 /// Servers named in one line of the log.
 constexpr size_t MaxNamedServers = 8;
+/// Reason in the log why a usable server was passed over.
+constexpr std::string_view NoConnection = "no connection";
 
 uint32_t incarnationOf(const fleet::ServerEntry &entry) {
   return peers::hashOfIncarnation(entry.Id, entry.StartedMs);
 }
 
 void addPassedOver(AvailableServers &out, size_t &named,
-                   const fleet::Server &server, ServerUse use) {
+                   const fleet::Server &server, std::string_view reason) {
   if (++named > MaxNamedServers)
     return;
   if (!out.PassedOver.empty())
     out.PassedOver += ",";
-  out.PassedOver += server.Entry.Id + ":" + std::string(toString(use));
+  out.PassedOver += server.Entry.Id + ":" + std::string(reason);
 }
 
 /// Sends no requests to a server until the time in its rejection has passed.
@@ -63,21 +66,27 @@
   AvailableServers out;
   MonoTime now = MonoClock::now();
   size_t named = 0;
+  updateConnectionLimits(shared, service);
   for (const ServerPtr &it : shared.Servers.ofService(service)) {
     if (!isAllowed(it->Entry))
       continue;
     ServerUse use = judgeServer(shared, *it);
     if (isUsable(use)) {
-      out.Servers.push_back(it);
+      if (hasConnectionFor(shared, *it)) {
+        out.Servers.push_back(it);
+        continue;
+      }
+      out.LacksConnection = true;
+      addPassedOver(out, named, *it, NoConnection);
       continue;
     }
-    addPassedOver(out, named, *it, use);
+    addPassedOver(out, named, *it, toString(use));
     if (use == ServerUse::Closed) {
       Milliseconds opensIn = toMilliseconds(it->ClosedUntil - now);
       out.OpensIn = std::min(out.OpensIn.value_or(opensIn), opensIn);
     }
   }
-  if (!out.Servers.empty()) {
+  if (!out.Servers.empty() || out.LacksConnection) {
     out.OpensIn.reset();
     return out;
   }
@@ -88,7 +97,7 @@
     if (use == ServerUse::LastResort)
       out.Servers.push_back(it);
     else
-      addPassedOver(out, named, *it, use);
+      addPassedOver(out, named, *it, toString(use));
   }
   return out;
 }
--- a/Source/Gateway/ServerChoice.h
+++ b/Source/Gateway/ServerChoice.h
@@ -11,6 +11,9 @@
   std::vector<fleet::ServerPtr> Servers;
   /// If there are none: time until the first closed server opens.
   std::optional<Milliseconds> OpensIn;
+  /// A server was passed over only since this process has its part of the
+  /// server's connections in use.
+  bool LacksConnection = false;
   /// Servers that were passed over and why, for the log.
   std::string PassedOver;
 };
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/State.h"
 
+#include "Gateway/ConnectionLimits.h"
 #include "Gateway/PassOn.h"
 
 #include "Sardineford/Common/Log.h"
@@ -14,8 +15,6 @@
 
 /// Connecting within one region takes a few round trips.
 constexpr Milliseconds ConnectTimeout{300};
-/// The server may close a keep-alive connection that was idle for longer.
-constexpr Milliseconds MaxConnectionIdle{1'500};
 constexpr Milliseconds RetryAfterNoCapacity{400};
 constexpr Milliseconds RetryAfterFailed{150};
 /// Silence that several requests notice within this time counts once against
@@ -186,7 +185,9 @@
 void recordTransportFault(SharedState &shared, const RequestContext &context,
                           fleet::Server &server, const http::TransportError &e,
                           bool hasResponded) {
-  if (context.CallerGone)
+  if (context.CallerGone || e.AtLimit)
+    return;
+  if (e.ResetOnNew && recordResetOnNew(shared, server))
     return;
   ServiceReach &reach = shared.service(server.Entry.Service).Reach;
   if (!hasResponded)
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -94,11 +94,16 @@
   /// Addresses of the other processes that run.
   std::function<std::vector<http::Endpoint>()> RunningPeers = {};
   PeerChoice PeersToAsk = {};
+  /// Rank of this process among the running ones, if it is known.
+  std::optional<unsigned> Rank = {};
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
 };
 
+/// A server may close a keep-alive connection that was idle for longer.
+inline constexpr Milliseconds MaxConnectionIdle{1'500};
+
 /// State of one caller request.
 struct RequestContext {
   CallerRequest Request;
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -25,7 +25,12 @@
 
 namespace {
 
-constexpr size_t MaxIdlePerEndpoint = 64;
+/// Beyond this number, endpoints without connections are forgotten, with their
+/// limits.
+constexpr size_t MaxCountedEndpoints = 4'096;
+/// A peer that accepts no further connection resets it within a round trip; the
+/// rest is for a busy event loop.
+constexpr Milliseconds MaxResetTime{50};
 constexpr size_t ReadBufferBytes = size_t{16} * 1024;
 /// Bytes that a response receives before the event loop runs again.
 constexpr size_t MaxBytesPerTurn = size_t{64} * 1024;
@@ -45,12 +50,26 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
+/// Connections to one endpoint.
+struct EndpointUse {
+  size_t Open = 0;
+  ConnectionLimit Limit;
+};
+
 struct Connection {
-  explicit Connection(tcp::socket s) : Stream(std::move(s)) {}
+  Connection(tcp::socket s, std::shared_ptr<EndpointUse> use)
+      : Stream(std::move(s)), Use(std::move(use)) {
+    ++Use->Open;
+  }
+  ~Connection() { --Use->Open; }
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
 
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer{MaxElementBytes + ReadBufferBytes};
+  std::shared_ptr<EndpointUse> Use;
   bool Reused = false;
+  MonoTime OpenedAt{};
   MonoTime IdleSince{};
   /// Idle time after which the peer closes the connection, as announced in its
   /// Keep-Alive header.
@@ -148,6 +167,7 @@
   IoContext &Io;
   ReceiveMemory Memory{MaxReceiveMemory};
   std::map<Endpoint, std::vector<ConnectionPtr>> Idle;
+  std::map<Endpoint, std::shared_ptr<EndpointUse>> Uses;
 
   ConnectionPtr acquireIdle(const Endpoint &to, Milliseconds maxIdle) {
     auto it = Idle.find(to);
@@ -169,10 +189,62 @@
   void releaseIdle(const Endpoint &to, ConnectionPtr c) {
     std::vector<ConnectionPtr> &idle = Idle[to];
     c->IdleSince = MonoClock::now();
-    if (idle.size() < MaxIdlePerEndpoint)
+    const EndpointUse &use = *c->Use;
+    if (idle.size() < use.Limit.Idle && use.Open <= use.Limit.Open)
       idle.push_back(std::move(c));
   }
 
+  std::shared_ptr<EndpointUse> useOf(const Endpoint &to) {
+    std::shared_ptr<EndpointUse> &use = Uses[to];
+    if (use)
+      return use;
+    use = std::make_shared<EndpointUse>();
+    std::shared_ptr<EndpointUse> out = use;
+    if (Uses.size() > MaxCountedEndpoints)
+      std::erase_if(Uses, [&](const auto &it) {
+        return it.second != out && it.second->Open == 0;
+      });
+    return out;
+  }
+
+  size_t idleCount(const Endpoint &to) const {
+    auto it = Idle.find(to);
+    return it == Idle.end() ? 0 : it->second.size();
+  }
+
+  /// Closes idle connections, the oldest first, that are old or beyond the
+  /// limit.
+  void trimIdle(const Endpoint &to, const EndpointUse &use) {
+    auto it = Idle.find(to);
+    if (it == Idle.end())
+      return;
+    std::vector<ConnectionPtr> &idle = it->second;
+    MonoTime now = MonoClock::now();
+    while (!idle.empty() &&
+           (idle.size() > use.Limit.Idle || use.Open > use.Limit.Open ||
+            now - idle.front()->IdleSince > use.Limit.MaxIdleTime))
+      idle.erase(idle.begin());
+    if (idle.empty())
+      Idle.erase(it);
+  }
+
+  /// Makes place for a new connection. Throws if there is none.
+  void makePlace(const Endpoint &to, const EndpointUse &use) {
+    if (use.Open < use.Limit.Open)
+      return;
+    auto it = Idle.find(to);
+    while (it != Idle.end() && !it->second.empty() &&
+           use.Open >= use.Limit.Open)
+      it->second.erase(it->second.begin());
+    if (use.Open < use.Limit.Open)
+      return;
+    TransportError e(TransportStage::NothingSent, false,
+                     "connect to " + toString(to) +
+                         ": this process has its part of the connections");
+    e.AtLimit = true;
+    throw e;
+  }
+
   /// Makes the abort handle close this connection.
   static void bindAbort(const std::shared_ptr<AbortHandle> &abort,
                         const ConnectionPtr &c) {
@@ -191,16 +263,22 @@
     if (ec)
       throw TransportError(TransportStage::NothingSent, false,
                            toString(to) + " is not an IP address and port");
-    auto c = std::make_shared<Connection>(tcp::socket(Io));
+    std::shared_ptr<EndpointUse> use = useOf(to);
+    makePlace(to, *use);
+    auto c = std::make_shared<Connection>(tcp::socket(Io), use);
     bindAbort(abort, c);
     c->Stream.expires_after(timeout);
     auto [failed] = co_await c->Stream.async_connect(
         tcp::endpoint(address, to.Port), asio::as_tuple(use_awaitable));
-    if (failed)
-      throw TransportError(
-          TransportStage::NothingSent, failed == beast::error::timeout,
-          "connect to " + toString(to) + ": " + failed.message(),
-          failed == asio::error::connection_refused);
+    if (failed) {
+      TransportError e(TransportStage::NothingSent,
+                       failed == beast::error::timeout,
+                       "connect to " + toString(to) + ": " + failed.message(),
+                       failed == asio::error::connection_refused);
+      e.ResetOnNew = failed == asio::error::connection_reset;
+      throw e;
+    }
+    c->OpenedAt = MonoClock::now();
     setSocketOptions(c->Stream.socket());
     co_return c;
   }
@@ -406,8 +484,13 @@
     if (timedOut)
       Owner->Idle.erase(To);
     close();
-    throw TransportError(TransportStage::Sent, timedOut,
-                         "response from " + toString(To) + ": " + ec.message());
+    TransportError e(TransportStage::Sent, timedOut,
+                     "response from " + toString(To) + ": " + ec.message());
+    bool isReset =
+        ec == asio::error::connection_reset || ec == asio::error::broken_pipe;
+    e.ResetOnNew = isReset && !Conn->Reused && !ResponseParser->got_some() &&
+                   MonoClock::now() - Conn->OpenedAt <= MaxResetTime;
+    throw e;
   }
 
   std::shared_ptr<Client::Impl> Owner;
@@ -556,6 +639,18 @@
 
 void Client::closeIdle(const Endpoint &to) { Shared->Idle.erase(to); }
 
+void Client::setLimit(const Endpoint &to, const ConnectionLimit &limit) {
+  std::shared_ptr<EndpointUse> use = Shared->useOf(to);
+  use->Limit = limit;
+  Shared->trimIdle(to, *use);
+}
+
+ConnectionCounts Client::connections(const Endpoint &to) const {
+  auto it = Shared->Uses.find(to);
+  return {it == Shared->Uses.end() ? 0 : it->second->Open,
+          Shared->idleCount(to)};
+}
+
 Awaitable<std::unique_ptr<ResponseStream>>
 Client::open(Endpoint to, Request request, CallOptions options) {
   return Shared->open(std::move(to), std::move(request), options);
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -78,6 +78,9 @@
   std::string HealthPath;
   /// Set only for services of engines.
   std::optional<EngineLimits> Engine;
+  /// Connections that a server accepts from all processes together; 0 if it is
+  /// not known.
+  unsigned MaxConnections = 0;
 };
 
 /// Limits on the requests and connections of callers.
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Sardineford/Fleet/Configuration.h"
+#include "Sardineford/Fleet/ConnectionBudget.h"
 #include "Sardineford/Fleet/Health.h"
 #include "Sardineford/Fleet/PartCache.h"
 #include "Sardineford/Fleet/ServerLoad.h"
@@ -44,6 +45,15 @@
   bool operator==(const ServerEntry &) const = default;
 };
 
+/// Connections of this process to a server whose service limits them.
+struct ServerConnections {
+  AcceptedConnections Accepted;
+  /// The service limits the connections of its servers.
+  bool IsLimited = false;
+  ConnectionPart Part;
+  MonoTime DecidedAt{};
+};
+
 /// One incarnation of a backend server and its state as known to this process.
 struct Server {
   ServerEntry Entry;
@@ -64,6 +74,8 @@
   MonoTime ClosedUntil{};
   /// Load in the newest response of the server; empty if it reports none.
   std::optional<ReportedLoad> Reported;
+  /// Connections that this process may have to the server.
+  ServerConnections Connections;
   /// Prompt parts that the engine is estimated to have cached.
   PartCache CachedParts;
 
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -4,6 +4,7 @@
 #include "Sardineford/Http/Message.h"
 #include "Sardineford/Http/ReceiveMemory.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,6 +35,28 @@
   bool TimedOut;
   /// Nothing listens at the address.
   bool Refused;
+  /// The peer has reset a connection that was just opened, without a response.
+  bool ResetOnNew = false;
+  /// No connection was opened, since the endpoint has as many as it may have.
+  bool AtLimit = false;
+};
+
+/// Idle connections that are kept per endpoint without a limit.
+inline constexpr size_t MaxIdlePerEndpoint = 64;
+
+/// Connections that a client may have to one endpoint.
+struct ConnectionLimit {
+  /// Open ones, in use and idle.
+  size_t Open = SIZE_MAX;
+  size_t Idle = MaxIdlePerEndpoint;
+  /// Connections that have been idle for longer are closed.
+  Milliseconds MaxIdleTime = Milliseconds::max();
+};
+
+struct ConnectionCounts {
+  /// In use, idle or being opened.
+  size_t Open = 0;
+  size_t Idle = 0;
 };
 
 /// Aborts a call from another coroutine, also while the call is connecting.
@@ -156,6 +179,10 @@
   /// Closes the idle connections to an endpoint, which may be dead as well when
   /// one of them is.
   void closeIdle(const Endpoint &to);
+  /// Limits the connections to an endpoint. Idle ones beyond the limit are
+  /// closed; a new connection takes the place of an idle one.
+  void setLimit(const Endpoint &to, const ConnectionLimit &limit);
+  ConnectionCounts connections(const Endpoint &to) const;
   /// Sends a request and returns when the response head is received.
   Awaitable<std::unique_ptr<ResponseStream>> open(Endpoint to, Request request,
                                                   CallOptions options = {});
