--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -167,6 +167,9 @@
       "--limit_ms=" + std::to_string(limit.Length.count()),
       "--history=" + historyFile()};
   flags.insert(flags.end(), w.Flags.begin(), w.Flags.end());
+  if (Options.MaxConnections > 0 && w.Stage.empty())
+    flags.push_back("--max_connections=" +
+                    std::to_string(Options.MaxConnections));
   w.ChildProcess = std::make_unique<Process>(
       ProcessSpec{w.Id, Options.Programs + "/standin-platform-worker",
                   std::move(flags), Options.Folder + "/" + w.Id + ".log"});
@@ -184,10 +187,12 @@
                          {"kvCapacity", 500'000},
                          {"tokenKvBytes", 35'136},
                          {"linkMbps", 1'000'000}};
-  json::array services = {
-      json::object{{"name", "desk"}, {"healthPath", "/health"}},
-      json::object{
-          {"name", "model"}, {"healthPath", "/health"}, {"engine", engine}}};
+  json::object desk = {{"name", "desk"}, {"healthPath", "/health"}};
+  if (Options.MaxConnections > 0)
+    desk["maxConnections"] = Options.MaxConnections;
+  json::array services = {desk, json::object{{"name", "model"},
+                                             {"healthPath", "/health"},
+                                             {"engine", engine}}};
   Version += 2;
   json::object spec = {{"version", Version},
                        {"routes", routes},
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -47,6 +47,9 @@
   /// Each pair of daemon and backend server has a relay of its own
   /// (DeployedDaemon::Links) before that of the server; MaxSeparateDaemons.
   bool SeparateLinks = false;
+  /// Connections that a plain server accepts, also named in the configuration;
+  /// 0 for no limit.
+  unsigned MaxConnections = 0;
 };
 
 /// Most daemons of a deployment with SeparateLinks.
--- a/StandIns/Programs/standin-platform-worker.cpp
+++ b/StandIns/Programs/standin-platform-worker.cpp
@@ -1,4 +1,6 @@
 #include "Sardineford/Common/Log.h"
+#include "StandIns/Deployment/Deployment.h"
+#include "StandIns/Platform/ConnectionCap.h"
 #include "StandIns/Platform/PlatformWorker.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -41,6 +43,8 @@
 DEFINE_int32(shed_every, 0,
              "reject each n-th request or health check as if full; 0 for none");
 DEFINE_bool(shed_with_id, true, "rejections have the id of the request");
+DEFINE_int32(max_connections, 0,
+             "reset connections beyond this number; 0 for no limit");
 DEFINE_string(history, "", "file to append the history to");
 
 using namespace sardineford;
@@ -75,8 +79,16 @@
                Milliseconds(FLAGS_reject_ms)};
   o.Sheds = {static_cast<unsigned>(FLAGS_shed_every), FLAGS_shed_with_id};
   o.History = FLAGS_history;
+  http::Endpoint callers = o.Listen;
+  if (FLAGS_max_connections > 0)
+    o.Listen = standins::freeEndpoint();
   standins::PlatformWorker worker(io, o);
   worker.start();
+  if (FLAGS_max_connections > 0)
+    spawn(io, "connection-cap", [&] {
+      return standins::capConnections(
+          io, callers, o.Listen, static_cast<size_t>(FLAGS_max_connections));
+    });
   spawn(io, "stop", [&]() -> Awaitable<void> {
     boost::asio::signal_set signals(io, SIGTERM);
     co_await signals.async_wait(boost::asio::use_awaitable);
