--- a/Source/Gateway/StateGauges.cpp
+++ b/Source/Gateway/StateGauges.cpp
@@ -14,6 +14,10 @@
 /// loop.
 constexpr Milliseconds LagInterval{1'000};
 
+/// Servers whose connections have series of their own; the sum of the others is
+/// reported as "other".
+constexpr size_t MaxConnectionSeries = 50;
+
 using Family = metrics::Metrics::Family;
 
 Family countServers(SharedState &shared) {
@@ -40,6 +44,27 @@
   return out;
 }
 
+/// Reports a count of connections of each server whose service limits them so
+/// that this process has a part.
+Family
+connectionsByServer(SharedState &shared,
+                    const std::function<size_t(const fleet::Server &)> &count) {
+  Family out;
+  double others = 0;
+  shared.Servers.forEach([&](const fleet::Server &it) {
+    if (!it.Connections.Part.Open)
+      return;
+    auto n = static_cast<double>(count(it));
+    if (out.size() < MaxConnectionSeries)
+      out.push_back({{{"server", it.Entry.Id}}, n});
+    else
+      others += n;
+  });
+  if (out.size() == MaxConnectionSeries)
+    out.push_back({{{"server", "other"}}, others});
+  return out;
+}
+
 Family remainingRetryBudgets(SharedState &shared) {
   Family out;
   for (auto &[service, it] : shared.Services)
@@ -88,6 +113,16 @@
       return it.tokensAhead(fleet::WorkPriority::Background);
     });
   });
+  m.gauges("sardineford_connections_held", [&shared] {
+    return connectionsByServer(shared, [&shared](const fleet::Server &it) {
+      return shared.Client.connections(it.Entry.Address).Open;
+    });
+  });
+  m.gauges("sardineford_connections_allowed", [&shared] {
+    return connectionsByServer(shared, [](const fleet::Server &it) {
+      return *it.Connections.Part.Open;
+    });
+  });
   m.gauges("sardineford_retry_budget_left",
            [&shared] { return remainingRetryBudgets(shared); });
 }
