Use the load that servers report in the choice of a plain server

What processes outside this one's view have sent, and instances on which work takes longer, did not count. A moving average by age counts now, by a weight that grows with the reports and falls with their age; without reports the choice is as before.

--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -65,14 +65,23 @@
                               });
 }
 
-ServerPtr chooseServer(SharedState &shared, const AvailableServers &available) {
+ServerPtr chooseServer(SharedState &shared, const std::string &service,
+                       const AvailableServers &available) {
   std::vector<routing::ServiceCandidate> candidates;
   MonoTime now = MonoClock::now();
-  for (const ServerPtr &it : available.Servers)
+  const auto &loads = shared.service(service).Loads;
+  for (const ServerPtr &it : available.Servers) {
     candidates.push_back({it->Entry.FailureDomain == shared.FailureDomain,
                           it->requests(), it->Entry.Slots,
                           it->Health.failureRatio(),
                           it->Health.isEjected(now)});
+    auto load = loads.find(it->Entry.Id);
+    if (load == loads.end())
+      continue;
+    candidates.back().ReportedRequests = load->second.work();
+    candidates.back().TimeRatio = load->second.timeRatio();
+    candidates.back().ReportWeight = load->second.weight(now);
+  }
   std::optional<size_t> i =
       routing::chooseServiceInstance(candidates, shared.Random);
   return i ? available.Servers[*i] : nullptr;
@@ -283,7 +292,7 @@
   AvailableServers available = findUntriedServers(shared, context, progress);
   context.PassedOver = available.PassedOver;
   context.OpensIn = available.OpensIn;
-  ServerPtr server = chooseServer(shared, available);
+  ServerPtr server = chooseServer(shared, context.Service, available);
   bool mayAttempt = progress.TriedServers.empty() ||
                     findRetryObstacle(shared, context).empty();
   if (!server && available.LacksConnection && progress.Open.empty() &&
--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -30,6 +30,16 @@
   out.PassedOver += server.Entry.Id + ":" + std::string(reason);
 }
 
+void recordLoad(SharedState &shared, const fleet::ServerEntry &server,
+                const fleet::ServerLoad &load, MonoTime now) {
+  auto &loads = shared.service(server.Service).Loads;
+  loads[server.Id].add(load, now);
+  // Servers come back under new ids.
+  if (loads.size() > shared.Servers.size())
+    std::erase_if(
+        loads, [&](const auto &it) { return !shared.Servers.find(it.first); });
+}
+
 /// Sends no requests to a server until the time in its rejection has passed.
 void closeServer(SharedState &shared, fleet::Server &server,
                  const ResponseHead &head) {
@@ -118,8 +128,10 @@
   ServerPtr known = shared.Servers.find(server.Id);
   if (!known || known->Entry.StartedMs != server.StartedMs)
     return;
-  if (head.Load)
+  if (head.Load) {
     known->Reported = fleet::ReportedLoad{*head.Load, now};
+    recordLoad(shared, server, *head.Load, now);
+  }
   closeServer(shared, *known, head);
 }
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -7,6 +7,7 @@
 #include "Peers/StreamOrigins.h"
 #include "Sardineford/Admission/SizeFairness.h"
 #include "Sardineford/Fleet/Directory.h"
+#include "Sardineford/Fleet/LoadAverage.h"
 #include "Sardineford/Fleet/ServerUse.h"
 #include "Sardineford/Gateway/AttemptRecord.h"
 #include "Sardineford/Gateway/BackendProtocol.h"
@@ -40,6 +41,8 @@
   /// Time of the last separate prefill that was not executed.
   std::optional<MonoTime> PrefillFailedAt;
   ServiceReach Reach;
+  /// Loads that the servers report, by their ids.
+  std::map<std::string, fleet::LoadAverage> Loads;
 };
 
 /// Observed values of one route.
--- a/Source/Routing/ServiceChoice.cpp
+++ b/Source/Routing/ServiceChoice.cpp
@@ -14,6 +14,16 @@
 /// choose the same one of equal instances.
 constexpr double MaxJitter = 0.1;
 
+/// Returns the requests in relation to the slots. What the instance reports
+/// counts by its weight: also what processes have sent that are not known here,
+/// and one more request where work takes longer.
+double utilization(const ServiceCandidate &c) {
+  double requests = c.Requests;
+  requests += (c.ReportedRequests - requests) * c.ReportWeight;
+  double slowed = (requests + 1) * (c.TimeRatio - 1) * c.ReportWeight;
+  return (requests + slowed) / std::max(1U, c.Slots);
+}
+
 } // namespace
 
 std::optional<size_t>
@@ -24,9 +34,7 @@
   double bestScore = 0;
   for (size_t i = 0; i < instances.size(); ++i) {
     const ServiceCandidate &c = instances[i];
-    double score = static_cast<double>(c.Requests) /
-                       static_cast<double>(std::max(1U, c.Slots)) +
-                   FailureWeight * c.FailureRatio +
+    double score = utilization(c) + FailureWeight * c.FailureRatio +
                    (c.Ejected ? EjectionWeight : 0) +
                    (c.SameDomain ? 0 : OtherDomainWeight) + jitter(random);
     if (best && score >= bestScore)
--- a/Tests/Routing/PlacementTest.cpp
+++ b/Tests/Routing/PlacementTest.cpp
@@ -165,3 +165,22 @@
     CHECK(chooseServiceInstance(v, random) == 2);
   CHECK_FALSE(chooseServiceInstance({}, random));
 }
+
+// Guards against requests to an instance that others fill or that is slow, and
+// against one that gets none since it is slow.
+TEST_CASE("what an instance reports counts in the choice by its weight") {
+  std::mt19937_64 random(1);
+  std::vector<ServiceCandidate> v(2);
+  for (ServiceCandidate &it : v)
+    it.Slots = 6;
+  v[0].ReportedRequests = 5;
+  v[0].ReportWeight = 0.5;
+  v[1].Requests = 1;
+  CHECK(chooseServiceInstance(v, random) == 1);
+  v[0].ReportedRequests = 0;
+  v[0].TimeRatio = 4;
+  v[1].Requests = 0;
+  CHECK(chooseServiceInstance(v, random) == 1);
+  v[1].Requests = 6;
+  CHECK(chooseServiceInstance(v, random) == 0);
+}
--- a/include/Sardineford/Routing/ServiceChoice.h
+++ b/include/Sardineford/Routing/ServiceChoice.h
@@ -18,6 +18,12 @@
   /// Gets a high cost, so that the instance is chosen only if no other is
   /// available.
   bool Ejected = false;
+  /// Running and waiting requests that the instance reports, averaged, and the
+  /// ratio of the time that work takes there to the usual time.
+  double ReportedRequests = 0;
+  double TimeRatio = 1;
+  /// Weight of the reports, 0 without any to 1.
+  double ReportWeight = 0;
 };
 
 /// Chooses the least loaded instance. Services receive short calls and have few
