--- a/Tests/Http/ClientTest.cpp
+++ b/Tests/Http/ClientTest.cpp
@@ -114,6 +114,37 @@
   CHECK(server.Connections == 1);
 }
 
+// Guards against a connection beyond the limit, and against idle connections
+// that keep a request that needs a new one waiting.
+TEST_CASE("a new connection takes the place of an idle one at the limit") {
+  IoContext io(1);
+  ScriptedServer server(io, [](int) { return okResponse("x"); });
+  http::Client client(io);
+  client.setLimit(server.at(), {.Open = 1, .Idle = 1});
+  bool wasAtLimit = false;
+  spawn(io, "case", [&]() -> Awaitable<void> {
+    http::CallOptions options;
+    options.FreshConnection = true;
+    http::Request request;
+    http::Endpoint at = server.at();
+    for (int i = 0; i < 3; ++i)
+      co_await client.call(at, request, options);
+    CHECK(client.connections(server.at()).Open == 1);
+    auto held = co_await client.open(at, request, options);
+    try {
+      co_await client.call(at, request, options);
+    } catch (const http::TransportError &e) {
+      wasAtLimit = e.AtLimit && e.Stage == http::TransportStage::NothingSent;
+    }
+    held.reset();
+    CHECK(client.connections(server.at()).Open == 0);
+    io.stop();
+  });
+  io.run();
+  CHECK(wasAtLimit);
+  CHECK(server.Connections == 4);
+}
+
 TEST_CASE("a repeated rejection is not read as the response to the next call") {
   std::string rejection =
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 8\r\n\r\nrejected";
--- a/Tests/Platform/FleetAdapterTest.cpp
+++ b/Tests/Platform/FleetAdapterTest.cpp
@@ -58,7 +58,7 @@
       R"("targetLatencyMs":300,"priority":1,"trafficSplit":)"
       R"([{"service":"a","weight":90},{"service":"b","weight":10}],)"
       R"("maxAttempts":2,"resumable":true,"gapAimMs":300}],)"
-      R"("services":[{"name":"a","healthPath":"/h"}],)"
+      R"("services":[{"name":"a","healthPath":"/h","maxConnections":96}],)"
       R"("limits":{"idleTimeoutMs":15000}})"};
   auto c = FleetAdapter().decodeConfiguration(o);
   REQUIRE(c);
@@ -71,6 +71,7 @@
   // target latency.
   CHECK(fleet::estimatedCallerTimeout(c->Routes[0]) == Milliseconds(2'400));
   CHECK(c->Limits.IdleTimeout == Milliseconds(15'000));
+  CHECK(c->Services.at("a").MaxConnections == 96);
   o.Value = R"({"version":8})";
   CHECK_FALSE(FleetAdapter().decodeConfiguration(o));
 }
