--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Gateway.h"
 
 #include "Duties/DutySettings.h"
+#include "Gateway/ConnectionLimits.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/PassOn.h"
 #include "Gateway/ReturnCheck.h"
@@ -115,8 +116,10 @@
   Peers.onPeersChanged([this] {
     Shared.Processes = Peers.members().value_or(0);
     Shared.IsFirstStart = Peers.isFirstStart();
-    if (std::optional<fleet::FleetPosition> position = Peers.position())
+    if (std::optional<fleet::FleetPosition> position = Peers.position()) {
       Watch.setPosition(*position);
+      Shared.Rank = position->Rank;
+    }
     Versions.setPosition(Peers.position());
   });
   Shared.RunningPeers = [this] { return Peers.runningPeers(); };
@@ -275,6 +278,8 @@
                 {"fencing_checked", Options.get(duties::FencingChecked)}});
   }
   spawn(Io, "stop", [this] { return stopOnSignal(); });
+  spawn(Io, "connection-limits",
+        [this] { return keepConnectionLimits(Shared); });
   spawn(Io, "event-loop-lag", [this] { return measureEventLoopLag(Metrics); });
   log::event(Category::Gateway, log::Level::Info, "started",
              {{"listen", Options.get(node::HttpListen)},
--- a/Source/Gateway/ServerChoice.cpp
+++ b/Source/Gateway/ServerChoice.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/ServerChoice.h"
 
+#include "Gateway/ConnectionLimits.h"
 #include "Gateway/PaceTracking.h"
 #include "Sardineford/Common/Log.h"
 
@@ -14,18 +15,30 @@
 
 /// Servers named in one line of the log.
 constexpr size_t MaxNamedServers = 8;
+/// Reason in the log why a usable server was passed over.
+constexpr std::string_view NoConnection = "no connection";
 
 uint32_t incarnationOf(const fleet::ServerEntry &entry) {
   return peers::hashOfIncarnation(entry.Id, entry.StartedMs);
 }
 
 void addPassedOver(AvailableServers &out, size_t &named,
-                   const fleet::Server &server, ServerUse use) {
+                   const fleet::Server &server, std::string_view reason) {
   if (++named > MaxNamedServers)
     return;
   if (!out.PassedOver.empty())
     out.PassedOver += ",";
-  out.PassedOver += server.Entry.Id + ":" + std::string(toString(use));
+  out.PassedOver += server.Entry.Id + ":" + std::string(reason);
+}
+
+void recordLoad(SharedState &shared, const fleet::ServerEntry &server,
+                const fleet::ServerLoad &load, MonoTime now) {
+  auto &loads = shared.service(server.Service).Loads;
+  loads[server.Id].add(load, now);
+  // Servers come back under new ids.
+  if (loads.size() > shared.Servers.size())
+    std::erase_if(
+        loads, [&](const auto &it) { return !shared.Servers.find(it.first); });
 }
 
 /// Sends no requests to a server until the time in its rejection has passed.
@@ -68,23 +81,29 @@
   MonoTime now = MonoClock::now();
   size_t named = 0;
   updatePaces(shared, service, now);
+  updateConnectionLimits(shared, service);
   for (const ServerPtr &it : shared.Servers.ofService(service)) {
     if (!isAllowed(it->Entry))
       continue;
     ServerUse use = judgeServer(shared, *it);
     if (isUsable(use)) {
-      out.Servers.push_back(it);
+      if (hasConnectionFor(shared, *it)) {
+        out.Servers.push_back(it);
+        continue;
+      }
+      out.LacksConnection = true;
+      addPassedOver(out, named, *it, NoConnection);
       continue;
     }
-    addPassedOver(out, named, *it, use);
+    addPassedOver(out, named, *it, toString(use));
     if (use == ServerUse::Closed) {
       Milliseconds opensIn = toMilliseconds(it->ClosedUntil - now);
       out.OpensIn = std::min(out.OpensIn.value_or(opensIn), opensIn);
     }
   }
   for (const ServerPtr &it : removeHeldBack(shared, out.Servers))
-    addPassedOver(out, named, *it, ServerUse::Paced);
-  if (!out.Servers.empty()) {
+    addPassedOver(out, named, *it, toString(ServerUse::Paced));
+  if (!out.Servers.empty() || out.LacksConnection) {
     out.OpensIn.reset();
     return out;
   }
@@ -95,7 +114,7 @@
     if (use == ServerUse::LastResort)
       out.Servers.push_back(it);
     else
-      addPassedOver(out, named, *it, use);
+      addPassedOver(out, named, *it, toString(use));
   }
   return out;
 }
@@ -116,8 +135,10 @@
   ServerPtr known = shared.Servers.find(server.Id);
   if (!known || known->Entry.StartedMs != server.StartedMs)
     return;
-  if (head.Load)
+  if (head.Load) {
     recordReportedLoad(shared, *known, *head.Load, now);
+    recordLoad(shared, server, *head.Load, now);
+  }
   closeServer(shared, *known, head);
 }
 
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -8,6 +8,7 @@
 #include "Peers/StreamOrigins.h"
 #include "Sardineford/Admission/SizeFairness.h"
 #include "Sardineford/Fleet/Directory.h"
+#include "Sardineford/Fleet/LoadAverage.h"
 #include "Sardineford/Fleet/ServerUse.h"
 #include "Sardineford/Gateway/AttemptRecord.h"
 #include "Sardineford/Gateway/BackendProtocol.h"
@@ -44,6 +45,8 @@
   duties::WorkDone Done;
   /// A server of the service has reported how long work takes.
   bool ReportsTimeRatio = false;
+  /// Loads that the servers report, by their ids.
+  std::map<std::string, fleet::LoadAverage> Loads;
 };
 
 /// Observed values of one route.
@@ -103,11 +106,16 @@
   /// Counts a request of a workspace that a server has begun to execute; empty
   /// without usage reports.
   std::function<void(const std::string &workspace)> CountUsage = {};
+  /// Rank of this process among the running ones, if it is known.
+  std::optional<unsigned> Rank = {};
 
   ServiceState &service(const std::string &name);
   void setRetryBounds(retry::BudgetBounds bounds);
 };
 
+/// A server may close a keep-alive connection that was idle for longer.
+inline constexpr Milliseconds MaxConnectionIdle{1'500};
+
 /// State of one caller request.
 struct RequestContext {
   CallerRequest Request;
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -53,6 +53,9 @@
   /// second, and key of the only workspace; empty for none.
   std::string DutyEndpoint;
   std::string WorkspaceKey;
+  /// Connections that a plain server accepts, also named in the configuration;
+  /// 0 for no limit.
+  unsigned MaxConnections = 0;
 };
 
 /// Name of the workspace of PlatformDeploymentOptions::WorkspaceKey.
--- a/include/Sardineford/Fleet/Configuration.h
+++ b/include/Sardineford/Fleet/Configuration.h
@@ -81,6 +81,9 @@
   std::optional<EngineLimits> Engine;
   /// Set only for services whose servers can be ordered.
   std::optional<duties::ScalingBounds> Scaling;
+  /// Connections that a server accepts from all processes together; 0 if it is
+  /// not known.
+  unsigned MaxConnections = 0;
 };
 
 /// Limits on the requests and connections of callers.
