Serve workspaces fairly, separate their prompt parts and test their keys

Workspaces had no share of the capacity: one that sends 20 times as much and first took it from 50 small ones (simulated with capacity 25 of 70: a small one below half of the overall served ratio). Prompt parts but the first have other ids for each workspace. Counters by workspace, 50 series each.

--- a/Source/Fleet/Workspace.cpp
+++ b/Source/Fleet/Workspace.cpp
@@ -1,6 +1,7 @@
 #include "Sardineford/Fleet/Workspace.h"
 
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/Encoding.h"
 
 #include <sodium/crypto_generichash.h>
 #include <sodium/utils.h>
@@ -22,7 +23,7 @@
   return out;
 }
 
-void logDuplicate(std::string_view what, const std::string &workspace) {
+void logConflict(std::string_view what, const std::string &workspace) {
   log::event(log::Category::Config, log::Level::Error, "workspace_conflict",
              {{"workspace", workspace}, {"outcome", what}});
 }
@@ -63,14 +64,19 @@
   std::set<KeyDigest> shared;
   for (const Workspace &it : workspaces) {
     if (!names.insert(it.Name).second)
-      logDuplicate("the name is not unique", it.Name);
+      logConflict("the name is not unique", it.Name);
     std::set<KeyDigest> own(it.Keys.begin(), it.Keys.end());
     for (const KeyDigest &key : own)
       if (!seen.insert(key).second && shared.insert(key).second)
-        logDuplicate("a key is also that of another workspace and is not valid",
-                     it.Name);
+        logConflict("a key is also that of another workspace and is not valid",
+                    it.Name);
   }
   for (const Workspace &it : workspaces) {
+    if (!http::isVisibleAscii(it.Name)) {
+      logConflict("the name cannot be sent as a header; its keys are not valid",
+                  it.Name);
+      continue;
+    }
     std::set<KeyDigest> own(it.Keys.begin(), it.Keys.end());
     for (const KeyDigest &key : own)
       if (!shared.contains(key))
--- a/Source/Gateway/CallerRequest.cpp
+++ b/Source/Gateway/CallerRequest.cpp
@@ -16,4 +16,12 @@
   return hash64(request.Body, out);
 }
 
+void separateParts(CallerRequest &request) {
+  if (request.Workspace.empty())
+    return;
+  uint64_t seed = hash64(request.Workspace);
+  for (size_t i = 1; i < request.Parts.size(); ++i)
+    request.Parts[i].Id = hash64(std::to_string(request.Parts[i].Id), seed);
+}
+
 } // namespace sardineford::gateway
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -315,6 +315,8 @@
                                        bool isPassedOn) {
   Metrics.count("sardineford_requests_total",
                 {{"route", "none"}, {"status", std::to_string(status)}});
+  if (!isPassedOn)
+    countForWorkspace(request.Workspace, status);
   uint64_t version = Watch.routes() ? Watch.routes()->config().Version : 0;
   Milliseconds stoppingFor{0};
   if (Stopping)
@@ -403,6 +405,7 @@
     }
     if (workspace)
       request.Workspace = workspace->Name;
+    separateParts(request);
   }
   if (rejectsWhileStopping(*route)) {
     co_await rejectRequest(
@@ -465,7 +468,21 @@
   logRequest(*context);
 }
 
+void Gateway::countForWorkspace(const std::string &workspace, unsigned status) {
+  if (status == http::StatusUnauthorized && workspace.empty())
+    Metrics.count("sardineford_unauthorized_total", {});
+  if (workspace.empty())
+    return;
+  metrics::Labels labels = {{"workspace", WorkspaceLabel.valueFor(workspace)}};
+  Metrics.count("sardineford_workspace_requests_total", labels);
+  if (status == http::StatusUnavailable ||
+      status == http::StatusTooManyRequests)
+    Metrics.count("sardineford_workspace_rejections_total", labels);
+}
+
 void Gateway::logRequest(const RequestContext &context) {
+  if (!context.IsPassedOn)
+    countForWorkspace(context.Request.Workspace, context.Status);
   MonoTime now = MonoClock::now();
   std::string attempts;
   for (const Attempt &it : context.Attempts.all())
@@ -487,6 +504,7 @@
              {{"request", context.Request.Id},
               {"route", context.Route->Name},
               {"service", context.Service},
+              {"workspace", context.Request.Workspace},
               {"parts", sharedPartNames(context.Request)},
               {"request_key",
                fmt::format("{:x}", context.RepeatsHash & ~fleet::RequestBit)},
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -5,10 +5,15 @@
 #include "Gateway/State.h"
 #include "Peers/LoadExchange.h"
 #include "Sardineford/Fleet/FleetCodec.h"
+#include "Sardineford/Metrics/BoundedLabel.h"
 #include "Sardineford/Settings/Settings.h"
 
 namespace sardineford::gateway {
 
+/// Maximum number of workspaces with a series of their own in each metric, and
+/// "other".
+inline constexpr size_t MaxWorkspaceSeries = 50;
+
 /// Data path of one instance: accepts caller requests, finds their routes and
 /// forwards them to backend servers.
 class Gateway {
@@ -55,6 +60,8 @@
   /// Lets all open requests time out now, so that each caller learns whether
   /// its request may have been executed.
   void endOpenRequests();
+  /// Counts a request at the process that the caller sent it to.
+  void countForWorkspace(const std::string &workspace, unsigned status);
   void logRequest(const RequestContext &context);
   void registerGauges();
   /// Returns whether streams of a service, by its hashOfService, can have begun
@@ -70,6 +77,7 @@
   const settings::Settings &Options;
   const BackendProtocol &Protocol;
   metrics::Metrics Metrics;
+  metrics::BoundedLabel WorkspaceLabel{MaxWorkspaceSeries};
   http::Client Client;
   fleet::Directory Servers;
   fleet::FleetWatch Watch;
--- a/Source/Gateway/PlainCall.cpp
+++ b/Source/Gateway/PlainCall.cpp
@@ -315,9 +315,20 @@
   co_return true;
 }
 
-} // namespace
+/// Records the end of a request, by which shares are computed. Without an
+/// attempt that may have been executed, capacity did not suffice.
+void recordFairness(SharedState &shared, const RequestContext &context) {
+  if (!context.Workspace || context.CallerGone)
+    return;
+  admission::SizeFairness &fairness =
+      shared.RouteStates[context.Route->Name].Fairness;
+  bool isServed =
+      context.Status != 0 && context.Status < http::StatusInternalServerError;
+  fairness.recordCapacity(isServed || !context.Attempts.noneExecuted());
+  fairness.record(1, isServed, context.Workspace->Name);
+}
 
-Awaitable<void> servePlain(SharedState &shared, RequestContext &context) {
+Awaitable<void> runPlain(SharedState &shared, RequestContext &context) {
   PlainProgress progress;
   while (!context.CallerGone) {
     if (context.remainingTime() <= Milliseconds(0)) {
@@ -364,4 +375,19 @@
                        std::move(progress.Detail), std::nullopt);
 }
 
+} // namespace
+
+Awaitable<void> servePlain(SharedState &shared, RequestContext &context) {
+  // The process that the caller has sent the request to has decided.
+  if (!context.IsPassedOn && yieldsToOthers(shared, context)) {
+    shared.RouteStates[context.Route->Name].Fairness.record(
+        1, false, context.Workspace->Name);
+    co_await failRequest(shared, context, FailureCause::Overloaded,
+                         std::string(YieldsToOthers), YieldRetryAfter);
+    co_return;
+  }
+  co_await runPlain(shared, context);
+  recordFairness(shared, context);
+}
+
 } // namespace sardineford::gateway
--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -227,6 +227,14 @@
   shared.Client.closeIdle(server.Entry.Address);
 }
 
+bool yieldsToOthers(SharedState &shared, const RequestContext &context) {
+  if (!context.Workspace)
+    return false;
+  double ratio = shared.RouteStates[context.Route->Name].Fairness.yieldRatio(
+      context.Workspace->Name);
+  return ratio > 0 && std::bernoulli_distribution(ratio)(shared.Random);
+}
+
 Awaitable<void> failRequest(SharedState &shared, RequestContext &context,
                             FailureCause cause, std::string detail,
                             std::optional<Milliseconds> retryAfter) {
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -208,6 +208,16 @@
 std::string_view findRetryObstacle(SharedState &shared,
                                    const RequestContext &context);
 
+/// Outcome, and time in Retry-After, of a request for which yieldsToOthers
+/// holds.
+inline constexpr std::string_view YieldsToOthers =
+    "capacity does not suffice, and the workspace uses more than its share";
+inline constexpr Milliseconds YieldRetryAfter{1'000};
+
+/// Decides at random whether the request is rejected in favour of workspaces
+/// that use less (SizeFairness).
+bool yieldsToOthers(SharedState &shared, const RequestContext &context);
+
 /// Returns whether the request may be sent to a backend server, also for a
 /// separate prefill. Withdraws a retry from the budget if a call was already
 /// sent that counts.
--- a/Source/Gateway/StreamCall.cpp
+++ b/Source/Gateway/StreamCall.cpp
@@ -301,7 +301,7 @@
                    context.Status == http::StatusOk);
   if (result || progress.LastCause != FailureCause::Blocked)
     shared.RouteStates[context.Route->Name].Fairness.record(
-        fairnessSize(context), isServed);
+        fairnessSize(context), isServed, context.Request.Workspace);
   if (result == StreamAttemptResult::Complete) {
     context.Outcome = "answered";
     shared.Origins.forget(context.Service, context.Request.StreamId);
--- a/Source/Gateway/StreamPlan.cpp
+++ b/Source/Gateway/StreamPlan.cpp
@@ -228,10 +228,17 @@
   outlook.Objective = context.Route->Objective;
   outlook.CallerTimeout = fleet::estimatedCallerTimeout(*context.Route);
   outlook.RemainingTime = context.remainingTime();
+  admission::SizeFairness &fairness =
+      shared.RouteStates[context.Route->Name].Fairness;
   outlook.IsUnderserved =
-      shared.RouteStates[context.Route->Name].Fairness.isUnderserved(
-          fairnessSize(context));
+      fairness.isUnderserved(fairnessSize(context), context.Request.Workspace);
   admission::StreamDecision decision = admission::decideStream(outlook);
+  if (context.Workspace)
+    fairness.recordCapacity(decision.Priority.has_value());
+  bool yields = decision.Priority && !context.IsPassedOn &&
+                yieldsToOthers(shared, context);
+  if (yields)
+    decision = {std::nullopt, YieldRetryAfter};
   log::event(
       log::Category::Gateway, log::Level::Info, "admission",
       {{"request", context.Request.Id},
@@ -250,7 +257,8 @@
     progress.LastCause =
         last.Choice ? FailureCause::Overloaded : FailureCause::NoServer;
     progress.LastDetail =
-        last.Choice
+        yields ? std::string(YieldsToOthers)
+        : last.Choice
             ? "no engine can start the request before its caller times out"
             : (hasVersion ? "no engine of the software version that began the "
                             "stream is available"
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -193,6 +193,12 @@
                        {"routes", routes},
                        {"services", services},
                        {"limits", {{"idleTimeoutMs", 15'000}}}};
+  json::array workspaces;
+  for (const auto &[name, keys] : Workspaces)
+    workspaces.push_back(json::object{
+        {"name", name}, {"apiKeys", json::array(keys.begin(), keys.end())}});
+  if (!workspaces.empty())
+    spec["tenants"] = std::move(workspaces);
   std::string kind =
       std::string(names::ObjectsPath) + std::string(names::ConfigKind);
   http::Request r;
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardineford::standins {
@@ -112,6 +113,9 @@
   Awaitable<void> writeOddEntry(std::string name, size_t kind);
   /// Returns whether all daemons report readiness before the timeout.
   Awaitable<bool> waitReady(Milliseconds timeout);
+  /// Keys by workspace, from the next written configuration; none to require no
+  /// keys.
+  std::vector<std::pair<std::string, std::vector<std::string>>> Workspaces;
   std::string historyFile() const { return Options.Folder + "/history.jsonl"; }
 
   std::vector<DeployedDaemon> Daemons;
--- a/StandIns/Platform/PlatformWorker.cpp
+++ b/StandIns/Platform/PlatformWorker.cpp
@@ -219,6 +219,10 @@
     co_return;
   }
   recordEvent(id, "arrival");
+  if (request.Fields.find(names::Key))
+    recordEvent(id, "with a key");
+  if (std::optional<std::string> workspace = request.Fields.find(names::Tenant))
+    recordEvent(id, ("for " + *workspace).c_str());
   bool isPushedBack = !Options.Rejects.RetryAfter.empty() &&
                       isWithin(Options.Rejects.From, Options.Rejects.Length);
   if (isPushedBack || shedsNext() || Listener.openRequests() > Options.Slots) {
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -74,7 +74,11 @@
 /// service.
 class PlainCodec : public FleetCodec {
 public:
-  store::Object withoutKeys(store::Object o) const override { return o; }
+  /// Keys follow the version, after a space.
+  store::Object withoutKeys(store::Object o) const override {
+    o.Value = o.Value.substr(0, o.Value.find(' '));
+    return o;
+  }
   std::string configurationKind() const override { return "config"; }
   std::string configurationName() const override { return "main"; }
   std::string serverKind() const override { return "servers"; }
@@ -477,6 +481,23 @@
   CHECK(sent[1].Changes.Objects.size() == 2);
 }
 
+// Guards against keys of workspaces in datagrams to the peers.
+TEST_CASE("a watcher sends configurations without keys to the others") {
+  Fixture t;
+  Object changed = config(5, 12);
+  changed.Value += " secret";
+  t.Store.Watches["config"].push_back({std::nullopt, {changed}});
+  std::vector<PublishedChanges> sent;
+  t.Watch.onChanges([&](const PublishedChanges &it) { sent.push_back(it); });
+  t.Watch.setPosition({195, 0});
+  t.Watch.start();
+  t.runFor(Milliseconds(100));
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].Changes.Objects.size() == 1);
+  CHECK(sent[0].Changes.Objects[0].Value == "5");
+  CHECK(t.Watch.routes()->config().Version == 5);
+}
+
 namespace {
 
 /// The store of FollowerFixture after its restore.
--- a/Tests/Platform/NamesTest.cpp
+++ b/Tests/Platform/NamesTest.cpp
@@ -12,19 +12,34 @@
 
 /// Names of the platform's wire protocol that only the adapters in platform/
 /// may contain.
-const std::vector<std::string> WireNames = {
-    "Server-Seal",         "Not-Executed",
-    "Kv-Source",           "kvHandleId",
-    "fencingToken",        "Expect-Instance",
-    "\"Deadline-Ms",       "Request-Priority",
-    "Token-Counts",        "Prompt-Prefix",
-    "Instance-Id",         "Server-Load",
-    "sardineford/objects", "sardineford/order",
-    "sardineford/report",  "sardineford/readiness",
-    "coldRemainingMs",     "trafficSplit",
-    "pathPrefix",          "targetLatencyMs",
-    "maxAttempts",         "gapAimMs",
-    "storeRevision",       "\"Resumes\""};
+const std::vector<std::string> WireNames = {"Server-Seal",
+                                            "Not-Executed",
+                                            "Kv-Source",
+                                            "kvHandleId",
+                                            "fencingToken",
+                                            "Expect-Instance",
+                                            "\"Deadline-Ms",
+                                            "Request-Priority",
+                                            "Token-Counts",
+                                            "Prompt-Prefix",
+                                            "Instance-Id",
+                                            "Server-Load",
+                                            "sardineford/objects",
+                                            "sardineford/order",
+                                            "sardineford/report",
+                                            "sardineford/readiness",
+                                            "coldRemainingMs",
+                                            "trafficSplit",
+                                            "pathPrefix",
+                                            "targetLatencyMs",
+                                            "maxAttempts",
+                                            "gapAimMs",
+                                            "storeRevision",
+                                            "\"Resumes\"",
+                                            "apiKeys",
+                                            "\"Key\"",
+                                            "\"Tenant\"",
+                                            "\"tenants\""};
 
 std::string contents(const fs::path &file) {
   std::ifstream in(file);
--- a/include/Sardineford/Fleet/Workspace.h
+++ b/include/Sardineford/Fleet/Workspace.h
@@ -30,8 +30,9 @@
 /// Finds the workspace of a key.
 class WorkspaceTable {
 public:
-  /// Logs an error for each name or key that is not unique. A key of several
-  /// workspaces belongs to none of them.
+  /// Logs an error for each name or key that is not unique, and for each name
+  /// that cannot be sent as a header. A key of several workspaces belongs to
+  /// none of them; the keys of a workspace without a usable name are not valid.
   explicit WorkspaceTable(const std::vector<Workspace> &workspaces);
 
   /// Returns the workspace that holds the key, or nullptr.
--- a/include/Sardineford/Gateway/CallerRequest.h
+++ b/include/Sardineford/Gateway/CallerRequest.h
@@ -53,6 +53,12 @@
 /// whatever their ids: of method, host, path, credentials and body.
 uint64_t hashOfRepeats(const CallerRequest &request);
 
+/// Makes the ids of the prompt parts differ from those of other workspaces, so
+/// that no record of a cached part is credited to another workspace. The first
+/// part keeps its id: it may be common to all. Has no effect without a
+/// workspace.
+void separateParts(CallerRequest &request);
+
 /// Returns the parts of the prompt that other requests may share. The last part
 /// belongs to the request alone.
 inline std::span<const PromptPart> sharedParts(const CallerRequest &request) {
