--- a/Source/Gateway/State.cpp
+++ b/Source/Gateway/State.cpp
@@ -228,7 +228,8 @@
 }
 
 bool yieldsToOthers(SharedState &shared, const RequestContext &context) {
-  if (!context.Workspace)
+  // A stream that has begun is continued.
+  if (!context.Workspace || context.Request.ResumeAfter)
     return false;
   double ratio = shared.RouteStates[context.Route->Name].Fairness.yieldRatio(
       context.Workspace->Name);
