--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -204,10 +204,16 @@
                        {"routes", routes},
                        {"services", services},
                        {"limits", {{"idleTimeoutMs", 15'000}}}};
+  json::array workspaces;
+  for (const auto &[name, keys] : Workspaces)
+    workspaces.push_back(json::object{
+        {"name", name}, {"apiKeys", json::array(keys.begin(), keys.end())}});
   if (!Options.WorkspaceKey.empty())
-    spec["tenants"] = {
+    workspaces.push_back(
         json::object{{"name", WorkspaceName},
-                     {"apiKeys", json::array{Options.WorkspaceKey}}}};
+                     {"apiKeys", json::array{Options.WorkspaceKey}}});
+  if (!workspaces.empty())
+    spec["tenants"] = std::move(workspaces);
   std::string kind =
       std::string(names::ObjectsPath) + std::string(names::ConfigKind);
   http::Request r;
