Bound what callers make a process hold

Callers with large bodies that never end took 174 to 178 MB of a 64 MB instance, and 600 silent connections took 617 of 512 descriptors. Bodies now take memory from one budget as they arrive, and unread responses count in it; the largest gives way first, with 503 and Retry-After. Connections are bounded: idle ones give their place to new ones, then those that receive a request. A rejected caller is read for up to 2 s, so that a reset does not destroy the response. Requests that are being served are not given up until their response is unread for 250 ms.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/CallerBounds.h"
 #include "Sardineford/Http/Status.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -16,8 +17,11 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <csignal>
+#include <limits>
 
 namespace sardineford::gateway {
 
@@ -41,6 +45,26 @@
           toMilliseconds(Seconds(settings.get(RetryWindow)))};
 }
 
+/// Connections of peers, readiness checks and metrics readers. Callers cannot
+/// take these places.
+constexpr size_t PeerConnections = 128;
+constexpr size_t ReadinessConnections = 16;
+constexpr size_t MetricsConnections = 16;
+
+/// Log lines on callers outside the limits are at least this far apart.
+constexpr Milliseconds RejectionLogInterval{1'000};
+
+/// Larger blocks are returned to the system when they are freed. glibc raises
+/// its own threshold to the size of freed blocks, and keeps bodies of up to
+/// 32 MB in a heap that may not shrink.
+constexpr int ReturnedBlockBytes = 128 * 1024;
+
+http::InstanceSize instanceSizeOf(const settings::Settings &settings) {
+  constexpr uint64_t BytesPerMb = uint64_t{1024} * 1024;
+  return {static_cast<uint64_t>(settings.get(node::MemoryMb)) * BytesPerMb,
+          static_cast<uint64_t>(settings.get(node::MaxDescriptors))};
+}
+
 /// Closes the connections of a request to the backend servers.
 void abortAttempts(const RequestContext &context) {
   for (const std::weak_ptr<http::AbortHandle> &it : context.Guards)
@@ -189,32 +213,79 @@
   Metrics.gauge("sardineford_open_requests", {}, [this] {
     return static_cast<double>(RequestServer->openRequests());
   });
+  Metrics.gauge("sardineford_caller_memory_bytes", {},
+                [this] { return static_cast<double>(CallerMemory->held()); });
+  Metrics.gauges("sardineford_connections", [this] {
+    auto count = [](const http::Server &server) {
+      return static_cast<double>(server.connections());
+    };
+    return metrics::Metrics::Family{
+        {{{"listener", "callers"}}, count(*RequestServer)},
+        {{{"listener", "peers"}}, count(*PeerServer)},
+        {{{"listener", "readiness"}}, count(*ReadinessServer)},
+        {{{"listener", "metrics"}}, count(*MetricsServer)}};
+  });
+}
+
+void Gateway::recordCallerRejection(std::string_view reason) {
+  Metrics.count("sardineford_caller_rejections_total",
+                {{"reason", std::string(reason)}});
+  ++CallerRejections;
+  MonoTime now = MonoClock::now();
+  if (now - RejectionsLoggedAt < RejectionLogInterval)
+    return;
+  log::event(Category::Http, log::Level::Warning, "callers_rejected",
+             {{"reason", reason},
+              {"rejections", CallerRejections - LoggedRejections},
+              {"memory_bytes", CallerMemory->held()},
+              {"connections", RequestServer->connections()}});
+  RejectionsLoggedAt = now;
+  LoggedRejections = CallerRejections;
 }
 
 void Gateway::start() {
-  auto startServer = [this](const std::string &address, http::Handler handler) {
+  http::InstanceSize instance = instanceSizeOf(Options);
+  std::optional<size_t> memory = http::callerMemoryLimit(
+      static_cast<uint64_t>(Options.get(CallerMemoryBytes)), instance);
+  std::optional<size_t> connections = http::callerConnectionLimit(
+      static_cast<uint64_t>(Options.get(MaxConnections)), instance);
+  if (memory && mallopt(M_MMAP_THRESHOLD, ReturnedBlockBytes) == 0)
+    log::warn(Category::Http, "freed memory may not be returned to the system");
+  CallerMemory = std::make_shared<http::ReceiveMemory>(
+      memory.value_or(std::numeric_limits<size_t>::max()),
+      [this](const http::GivenUpShare & /*share*/) {
+        recordCallerRejection("memory");
+      });
+  auto startServer = [&](const std::string &address, size_t reserved,
+                         http::Handler handler) {
     http::ServerOptions o;
     o.Listen = http::parseEndpoint(address);
+    o.Memory = CallerMemory;
+    if (connections)
+      o.MaxConnections = reserved > 0 ? reserved : *connections;
+    o.OnRejected = [this](std::string_view reason) {
+      recordCallerRejection(reason);
+    };
     auto server = std::make_unique<http::Server>(Io, o, std::move(handler));
     server->start();
     return server;
   };
   RequestServer =
-      startServer(Options.get(node::HttpListen),
+      startServer(Options.get(node::HttpListen), 0,
                   [this](http::Request &r, http::ResponseWriter &out) {
                     return handle(r, out, false);
                   });
-  PeerServer = startServer(Options.get(PeerListen),
+  PeerServer = startServer(Options.get(PeerListen), PeerConnections,
                            [this](http::Request &r, http::ResponseWriter &out) {
                              return handle(r, out, true);
                            });
   ReadinessServer =
-      startServer(Options.get(ReadinessListen),
+      startServer(Options.get(ReadinessListen), ReadinessConnections,
                   [this](http::Request &r, http::ResponseWriter &out) {
                     return respondReadiness(r, out);
                   });
   MetricsServer =
-      startServer(Options.get(MetricsListen),
+      startServer(Options.get(MetricsListen), MetricsConnections,
                   [this](http::Request &r, http::ResponseWriter &out) {
                     return respondMetrics(r, out);
                   });
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -57,6 +57,9 @@
   void endOpenRequests();
   void logRequest(const RequestContext &context);
   void registerGauges();
+  /// Counts a rejection of a caller outside the limits, and logs the number of
+  /// rejections at a bounded rate.
+  void recordCallerRejection(std::string_view reason);
   /// Returns whether streams of a service, by its hashOfService, can have begun
   /// at several versions; empty if this process does not know.
   std::optional<bool> hasSeveralVersions(uint64_t service) const;
@@ -76,6 +79,11 @@
   fleet::VersionRecorder Versions;
   peers::LoadExchange Peers;
   SharedState Shared;
+  /// Memory that callers and peers make this process hold.
+  std::shared_ptr<http::ReceiveMemory> CallerMemory;
+  uint64_t CallerRejections = 0;
+  uint64_t LoggedRejections = 0;
+  MonoTime RejectionsLoggedAt{};
   std::unique_ptr<http::Server> RequestServer;
   /// Accepts requests of peers that cannot reach the backend servers.
   std::unique_ptr<http::Server> PeerServer;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -15,6 +15,22 @@
 inline const Setting<std::string> PeerListen{
     "gateway.peer_listen", "127.0.0.1:8083",
     "UDP address for the load reports of peers"};
+inline const Setting<int64_t> CallerMemoryBytes{
+    "http.caller_memory_bytes",
+    0,
+    0,
+    int64_t{1} << 40,
+    "bytes",
+    "memory for bodies and unread responses of callers; 0: a quarter of "
+    "node.memory_mb"};
+inline const Setting<int64_t> MaxConnections{
+    "http.max_connections",
+    0,
+    0,
+    1 << 24,
+    "",
+    "connections of callers; 0: what node.max_descriptors and node.memory_mb "
+    "allow"};
 inline const Setting<double> RetryRatio =
     Setting<double>{"gateway.retry_ratio",
                     0.2,
--- a/Source/Http/ReceiveMemory.cpp
+++ b/Source/Http/ReceiveMemory.cpp
@@ -17,20 +17,31 @@
 
 void ReceiveMemory::enforceLimit() {
   while (Held > Limit) {
-    std::vector<MemoryShare *> shares(Shares.begin(), Shares.end());
+    MonoTime now = MonoClock::now();
+    std::vector<MemoryShare *> shares;
     std::vector<size_t> bytes;
-    bytes.reserve(shares.size());
-    for (const MemoryShare *it : shares)
+    size_t kept = Held;
+    for (MemoryShare *it : Shares) {
+      if (it->Bytes == 0 || it->KeptUntil > now)
+        continue;
+      shares.push_back(it);
       bytes.push_back(it->Bytes);
-    std::optional<size_t> largest = chooseShareToGiveUp(bytes, Limit);
+      kept -= it->Bytes;
+    }
+    std::optional<size_t> largest =
+        chooseShareToGiveUp(bytes, Limit - std::min(Limit, kept));
     if (!largest)
       return;
     MemoryShare &share = *shares[*largest];
-    log::event(log::Category::Http, log::Level::Warning, "response_given_up",
-               {{"bytes", static_cast<int64_t>(share.Bytes)},
-                {"all_bytes", static_cast<int64_t>(Held)},
-                {"limit", static_cast<int64_t>(Limit)},
-                {"responses", static_cast<int64_t>(shares.size())}});
+    GivenUpShare givenUp{share.Bytes, Held, Limit, shares.size()};
+    if (Report)
+      Report(givenUp);
+    else
+      log::event(log::Category::Http, log::Level::Warning, "response_given_up",
+                 {{"bytes", static_cast<int64_t>(givenUp.Bytes)},
+                  {"all_bytes", static_cast<int64_t>(givenUp.AllBytes)},
+                  {"limit", static_cast<int64_t>(givenUp.Limit)},
+                  {"responses", static_cast<int64_t>(givenUp.Shares)}});
     share.GivenUp = true;
     share.setBytes(0);
     share.OnGivenUp();
--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -1,6 +1,8 @@
 #include "Sardineford/Http/Server.h"
 
+#include "Http/GrowingBody.h"
 #include "Sardineford/Common/Log.h"
+#include "Sardineford/Http/CallerBounds.h"
 #include "Sardineford/Http/Status.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -15,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
 
 namespace sardineford::http {
@@ -27,7 +30,7 @@
 
 namespace {
 
-Request toRequest(bhttp::request<bhttp::string_body> &&in) {
+Request toRequest(bhttp::request<GrowingBody> &&in) {
   Request out;
   out.Method = std::string(in.method_string());
   out.Target = std::string(in.target());
@@ -75,6 +78,30 @@
   return std::nullopt;
 }
 
+/// Returns why a failed read is rejected, for the metrics.
+std::string_view reasonForReadError(beast::error_code ec) {
+  if (ec == bhttp::error::body_limit)
+    return "body_size";
+  if (ec == bhttp::error::header_limit || ec == bhttp::error::buffer_overflow)
+    return "header_size";
+  if (ec == beast::error::timeout)
+    return "read_timeout";
+  return "invalid";
+}
+
+/// Time until a caller that gave way may find memory or a connection again.
+constexpr Milliseconds RetryAfterOverload{1'000};
+
+/// Returns the response to a request that gives way to others.
+Response overloadResponse() {
+  return problem(StatusUnavailable,
+                 Error(ErrorKind::NotReady,
+                       "the requests that are being received take too much "
+                       "memory or too many connections",
+                       "send the request again later"),
+                 Executed::No, RetryAfterOverload);
+}
+
 /// Returns the response to a request that a stopping process has received in
 /// part.
 Response stoppedResponse() {
@@ -85,7 +112,7 @@
                  Executed::No);
 }
 
-using Parser = bhttp::request_parser<bhttp::string_body>;
+using Parser = bhttp::request_parser<GrowingBody>;
 
 /// Returns whether the body's length cannot be told: it has a transfer coding
 /// that does not end in "chunked".
@@ -101,6 +128,67 @@
 /// heads.
 constexpr size_t FirstReadBytes = 2048;
 
+/// A request being served holds its body and the copy that is sent to a server.
+constexpr size_t CopiesOfBody = 2;
+
+/// A response that its caller has not read for this long may be given up.
+constexpr Milliseconds UnreadGrace{250};
+
+/// Bounds on what is still read after a rejection, so that the reset of a
+/// closed connection with unread bytes does not destroy the response.
+constexpr Milliseconds DrainTime{2'000};
+constexpr size_t MaxDrainBytes = size_t{16} * 1024 * 1024;
+constexpr size_t DrainBufferBytes = size_t{16} * 1024;
+
+/// One connection, its use and the memory that it holds.
+struct Connection {
+  Connection(tcp::socket socket, ReceiveMemory &memory)
+      : Stream(std::move(socket)), Share(memory, [this] { endForMemory(); }) {}
+
+  beast::tcp_stream Stream;
+  MemoryShare Share;
+  ConnectionState State{ConnectionUse::Idle, MonoClock::now()};
+  /// The connection gives its place to a new one.
+  bool Evicted = false;
+  /// The peer may still send the rest of a request that was rejected.
+  bool HasUnreadRequest = false;
+  size_t BodyBytes = 0;
+
+  void use(ConnectionUse u) { State = {u, MonoClock::now()}; }
+
+  /// Sets the memory that is held. The share is given up if it is the largest.
+  void hold(size_t bytes) {
+    Share.resize(bytes - std::min(bytes, ConnectionReserveBytes));
+  }
+
+  /// Counts a part of a response in the scope.
+  class Unread {
+  public:
+    Unread(Connection &c, size_t bytes) : At(c) {
+      At.Share.keepUntil(MonoClock::now() + UnreadGrace);
+      At.hold(At.BodyBytes + bytes);
+    }
+    ~Unread() {
+      At.Share.keepUntil(MonoTime::max());
+      At.hold(At.BodyBytes);
+    }
+    Unread(const Unread &) = delete;
+    Unread &operator=(const Unread &) = delete;
+
+  private:
+    Connection &At;
+  };
+
+private:
+  void endForMemory() {
+    beast::error_code ec;
+    if (State.Use == ConnectionUse::Serving)
+      Stream.socket().close(ec);
+    else
+      Stream.cancel();
+  }
+};
+
 /// Detects that the peer closes the connection while a request is handled.
 struct DisconnectWatch {
   std::function<void()> OnDisconnect;
@@ -147,9 +235,9 @@
 public:
   /// shouldKeepAlive is called when the response head is sent and returns
   /// whether the connection stays open after the response.
-  Writer(beast::tcp_stream &stream, const ServerOptions &options,
+  Writer(Connection &connection, const ServerOptions &options,
          std::function<bool()> shouldKeepAlive)
-      : Stream(stream), Options(options),
+      : At(connection), Stream(connection.Stream), Options(options),
         ShouldKeepAlive(std::move(shouldKeepAlive)) {}
 
   Awaitable<void> send(Response r) override {
@@ -160,6 +248,7 @@
     out.keep_alive(decideKeepAlive());
     out.prepare_payload();
     Started = true;
+    Connection::Unread unread(At, out.body().size());
     Stream.expires_after(Options.WriteTimeout);
     co_await bhttp::async_write(Stream, out, use_awaitable);
     Complete = true;
@@ -180,6 +269,7 @@
   Awaitable<void> write(std::string data) override {
     if (data.empty())
       co_return;
+    Connection::Unread unread(At, data.size());
     Stream.expires_after(Options.WriteTimeout);
     co_await asio::async_write(Stream, bhttp::make_chunk(asio::buffer(data)),
                                use_awaitable);
@@ -235,6 +325,7 @@
     return KeepAlive;
   }
 
+  Connection &At;
   beast::tcp_stream &Stream;
   const ServerOptions &Options;
   std::shared_ptr<DisconnectWatch> Watch = std::make_shared<DisconnectWatch>();
@@ -249,7 +340,11 @@
 struct Server::Impl : std::enable_shared_from_this<Server::Impl> {
   Impl(IoContext &io, ServerOptions options, Handler handler)
       : Io(io), Acceptor(io), Options(std::move(options)),
-        Handle(std::move(handler)) {}
+        Handle(std::move(handler)) {
+    if (!Options.Memory)
+      Options.Memory =
+          std::make_shared<ReceiveMemory>(std::numeric_limits<size_t>::max());
+  }
 
   IoContext &Io;
   tcp::acceptor Acceptor;
@@ -262,6 +357,9 @@
   bool ReceivingStopped = false;
   /// Connections on which a part of a request has been received.
   std::set<beast::tcp_stream *> Receiving;
+  std::set<Connection *> Connections;
+  /// Takes bytes that are discarded.
+  std::array<char, DrainBufferBytes> DrainBuffer{};
 
   void bind() {
     tcp::endpoint at(asio::ip::make_address(Options.Listen.Host),
@@ -283,10 +381,46 @@
         co_await sleepFor(Milliseconds(10));
         continue;
       }
-      asio::co_spawn(Io, serve(std::move(socket)), asio::detached);
+      accept(std::move(socket));
     }
   }
 
+  void reportRejection(std::string_view reason) {
+    if (Options.OnRejected)
+      Options.OnRejected(reason);
+  }
+
+  /// Closes the connection that is needed least. Returns false if there is none
+  /// that may be closed.
+  bool closeOneConnection() {
+    std::vector<Connection *> all;
+    std::vector<ConnectionState> states;
+    for (Connection *it : Connections) {
+      if (it->Evicted)
+        continue;
+      all.push_back(it);
+      states.push_back(it->State);
+    }
+    std::optional<size_t> chosen = chooseConnectionToClose(states);
+    if (!chosen)
+      return false;
+    all[*chosen]->Evicted = true;
+    all[*chosen]->Stream.cancel();
+    return true;
+  }
+
+  /// Serves a new connection. If there are too many, another one is closed or,
+  /// where all are in use, the new one.
+  void accept(tcp::socket socket) {
+    if (Options.MaxConnections > 0 &&
+        Connections.size() >= Options.MaxConnections) {
+      reportRejection("connections");
+      if (!closeOneConnection())
+        return;
+    }
+    asio::co_spawn(Io, serve(std::move(socket)), asio::detached);
+  }
+
   /// Accepts the connections that wait, since their requests may have arrived
   /// already: a closed listening socket resets them.
   void acceptWaiting() {
@@ -296,7 +430,7 @@
       tcp::socket socket(Io);
       Acceptor.accept(socket, ec);
       if (!ec)
-        asio::co_spawn(Io, serve(std::move(socket)), asio::detached);
+        accept(std::move(socket));
     }
   }
 
@@ -312,22 +446,51 @@
     socket.set_option(tcp::no_delay(true), ec);
     // The check for a disconnected peer must not block the process.
     socket.non_blocking(true, ec);
-    beast::tcp_stream stream(std::move(socket));
+    Connection c(std::move(socket), *Options.Memory);
+    Connections.insert(&c);
     beast::flat_buffer buf;
     try {
-      while (co_await serveOne(stream, buf)) {
+      while (co_await serveOne(c, buf)) {
+        // Idle connections hold no buffer.
+        buf.shrink_to_fit();
       }
     } catch (const std::exception &e) {
       log::debug(log::Category::Http, "connection closed after an error: {}",
                  e.what());
     }
-    stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+    if (c.HasUnreadRequest)
+      co_await drain(c);
+    Connections.erase(&c);
+    c.Stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+  }
+
+  /// Reads and discards what the peer still sends, within bounds.
+  Awaitable<void> drain(Connection &c) {
+    c.use(ConnectionUse::Closing);
+    beast::error_code ec;
+    c.Stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    c.Stream.expires_after(DrainTime);
+    size_t all = 0;
+    while (!ec && !c.Evicted && all < MaxDrainBytes) {
+      size_t n = 0;
+      std::tie(ec, n) = co_await c.Stream.async_read_some(
+          asio::buffer(DrainBuffer), asio::as_tuple(use_awaitable));
+      all += n;
+    }
+  }
+
+  /// Rejects a request that has not been received completely.
+  Awaitable<void> rejectUnread(Connection &c, Response response) {
+    Writer writer(c, Options, [] { return false; });
+    co_await writer.send(std::move(response));
+    c.HasUnreadRequest = true;
   }
 
   /// Waits for the first byte of the next request. Returns false when the idle
   /// timeout passes or the peer closes the connection.
-  Awaitable<bool> waitForRequest(beast::tcp_stream &stream,
-                                 beast::flat_buffer &buf) {
+  Awaitable<bool> waitForRequest(Connection &c, beast::flat_buffer &buf) {
+    beast::tcp_stream &stream = c.Stream;
+    c.use(ConnectionUse::Idle);
     if (buf.size() > 0)
       co_return true;
     // A raised timeout also holds for connections that are idle already.
@@ -338,13 +501,15 @@
                                  wait->Ended = true;
                                  wait->Timer.cancel();
                                });
-    while (!wait->Ended) {
+    while (!wait->Ended && !c.Evicted) {
       MonoTime end = start + Options.IdleTimeout;
       if (MonoClock::now() >= end)
         co_return false;
       wait->Timer.expires_at(end);
       co_await wait->Timer.async_wait(asio::as_tuple(use_awaitable));
     }
+    if (c.Evicted)
+      co_return false;
     stream.expires_after(Options.ReadTimeout);
     auto [ec, n] = co_await stream.async_read_some(
         buf.prepare(FirstReadBytes), asio::as_tuple(use_awaitable));
@@ -364,53 +529,102 @@
     co_await bhttp::async_write(stream, continueResponse, use_awaitable);
   }
 
-  /// Receives a request of which a part may be in the buffer.
-  Awaitable<beast::error_code>
-  receive(beast::tcp_stream &stream, beast::flat_buffer &buf, Parser &parser) {
-    ReceivingMark mark(Receiving, stream);
+  /// Receives a request of which a part may be in the buffer. The body takes
+  /// its memory from the budget as it arrives.
+  Awaitable<beast::error_code> receive(Connection &c, beast::flat_buffer &buf,
+                                       Parser &parser) {
+    ReceivingMark mark(Receiving, c.Stream);
     auto [ec, n] = co_await bhttp::async_read_header(
-        stream, buf, parser, asio::as_tuple(use_awaitable));
+        c.Stream, buf, parser, asio::as_tuple(use_awaitable));
     if (!ec && hasUnknownLength(parser))
       co_return bhttp::error::bad_transfer_encoding;
-    if (!ec && !parser.is_done() && !ReceivingStopped) {
-      co_await sendContinue(stream, parser);
-      std::tie(ec, n) = co_await bhttp::async_read(
-          stream, buf, parser, asio::as_tuple(use_awaitable));
+    if (!ec && !parser.is_done() && !ReceivingStopped && !c.Evicted)
+      co_await sendContinue(c.Stream, parser);
+    parser.eager(true);
+    while (!ec && !parser.is_done() && !ReceivingStopped && !c.Evicted) {
+      std::tie(ec, n) = co_await bhttp::async_read_some(
+          c.Stream, buf, parser, asio::as_tuple(use_awaitable));
+      c.hold(parser.get().body().capacity());
+      if (c.Share.isGivenUp())
+        co_return asio::error::no_buffer_space;
     }
     if (!ec && !parser.is_done())
       ec = asio::error::operation_aborted;
     co_return ec;
   }
 
+  /// Takes the memory for serving a request that has been received. Others that
+  /// are still being received give way. Returns false if that does not suffice.
+  bool admit(Connection &c, size_t bodyBytes) {
+    c.Share.keepUntil(MonoTime::max());
+    c.BodyBytes = bodyBytes * CopiesOfBody;
+    c.hold(c.BodyBytes);
+    return c.BodyBytes <= ConnectionReserveBytes ||
+           !Options.Memory->isExceeded();
+  }
+
+  /// Ends a request that could not be received, with a response where the peer
+  /// can read one.
+  Awaitable<void> endUnreceived(Connection &c, beast::error_code ec) {
+    std::optional<Response> response;
+    std::string_view reason;
+    if (ReceivingStopped) {
+      response = stoppedResponse();
+      reason = "stopping";
+    } else if (c.Evicted || c.Share.isGivenUp()) {
+      response = overloadResponse();
+      // Connections and shares that give way are counted when they are chosen.
+    } else {
+      response = responseForReadError(ec);
+      reason = reasonForReadError(ec);
+    }
+    if (!response)
+      co_return;
+    if (!reason.empty())
+      reportRejection(reason);
+    co_await rejectUnread(c, std::move(*response));
+  }
+
   /// Reads and handles one request. Returns false when the connection is to be
   /// closed.
-  Awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buf) {
-    if (!co_await waitForRequest(stream, buf))
+  Awaitable<bool> serveOne(Connection &c, beast::flat_buffer &buf) {
+    if (!co_await waitForRequest(c, buf))
       co_return false;
+    c.use(ConnectionUse::Receiving);
     OpenRequest open(OpenRequests);
     // The limits may have become smaller than what has arrived.
     buf.max_size(
         std::max({Options.MaxHeaderBytes, MaxChunkHeaderBytes, buf.size()}) +
         FirstReadBytes);
-    Parser parser;
-    parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
-    parser.body_limit(Options.MaxBodyBytes);
-    stream.expires_after(Options.ReadTimeout);
-    beast::error_code ec = co_await receive(stream, buf, parser);
+    std::optional<Parser> parser(std::in_place);
+    parser->header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
+    parser->body_limit(Options.MaxBodyBytes);
+    c.Stream.expires_after(Options.ReadTimeout);
+    c.Share.keepUntil(MonoTime{});
+    beast::error_code ec = co_await receive(c, buf, *parser);
     if (ec) {
-      std::optional<Response> response =
-          ReceivingStopped ? stoppedResponse() : responseForReadError(ec);
-      if (response) {
-        Writer writer(stream, Options, [] { return false; });
-        co_await writer.send(std::move(*response));
-      }
+      // Memory that others may use now.
+      parser.reset();
+      buf = beast::flat_buffer();
+      c.hold(0);
+      co_await endUnreceived(c, ec);
       co_return false;
     }
-    stream.expires_never();
-    bool keepAlive = parser.get().keep_alive();
-    Writer writer(stream, Options,
+    c.use(ConnectionUse::Serving);
+    bool keepAlive = parser->get().keep_alive();
+    if (!admit(c, parser->get().body().capacity())) {
+      parser.reset();
+      c.BodyBytes = 0;
+      c.hold(0);
+      reportRejection("memory");
+      co_await rejectUnread(c, overloadResponse());
+      co_return false;
+    }
+    c.Stream.expires_never();
+    Writer writer(c, Options,
                   [this, keepAlive] { return keepAlive && !Draining; });
-    Request request = toRequest(parser.release());
+    Request request = toRequest(parser->release());
+    parser.reset();
     try {
       co_await Handle(request, writer);
     } catch (...) {
@@ -418,7 +632,9 @@
       throw;
     }
     writer.stopDisconnectWatch();
-    co_return writer.mayServeNextRequest();
+    c.BodyBytes = 0;
+    c.hold(0);
+    co_return writer.mayServeNextRequest() && !c.Evicted;
   }
 };
 
@@ -456,6 +672,8 @@
 
 size_t Server::openRequests() const { return Shared->OpenRequests; }
 
+size_t Server::connections() const { return Shared->Connections.size(); }
+
 uint16_t Server::port() const {
   return Shared->Acceptor.local_endpoint().port();
 }
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -10,6 +10,20 @@
     "node.name", "", "name of this process, unique in the deployment", true};
 inline const Setting<std::string> FailureDomain{
     "node.failure_domain", "", "failure domain that the instance is in", true};
+inline const Setting<int64_t> MemoryMb{
+    "node.memory_mb",
+    0,
+    0,
+    1 << 20,
+    "MB",
+    "memory of the instance; 0: not known, callers get no limit by it"};
+inline const Setting<int64_t> MaxDescriptors{
+    "node.max_descriptors",
+    0,
+    0,
+    1 << 24,
+    "",
+    "descriptors of the instance; 0: not known, callers get no limit by them"};
 inline const Setting<std::string> HttpListen{
     "node.http_listen", "127.0.0.1:8080",
     "address for callers, operators and health checks"};
--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -119,6 +119,11 @@
           {"retry_slack", Options.RetrySlack},
           {"stop_grace_s", Options.DaemonStopGrace.count()}}},
         {"log", {{"json", true}, {"stdout", true}}}};
+    json::object &node = settings.at("node").as_object();
+    if (Options.DaemonMemoryMb > 0)
+      node["memory_mb"] = Options.DaemonMemoryMb;
+    if (Options.DaemonDescriptors > 0)
+      node["max_descriptors"] = Options.DaemonDescriptors;
     std::ofstream(file) << json::serialize(settings);
     d.ChildProcess = std::make_unique<Process>(
         ProcessSpec{name,
--- a/StandIns/Platform/PlatformDeployment.h
+++ b/StandIns/Platform/PlatformDeployment.h
@@ -44,6 +44,9 @@
   NamedLimit Limit;
   /// Maximum time from SIGTERM to the exit of a daemon.
   std::chrono::seconds DaemonStopGrace = StopGrace;
+  /// Size of the instance that the settings of a daemon name; 0 for none.
+  unsigned DaemonMemoryMb = 0;
+  unsigned DaemonDescriptors = 0;
   /// Each pair of daemon and backend server has a relay of its own
   /// (DeployedDaemon::Links) before that of the server; MaxSeparateDaemons.
   bool SeparateLinks = false;
--- a/Tests/Http/ReceiveMemoryTest.cpp
+++ b/Tests/Http/ReceiveMemoryTest.cpp
@@ -42,3 +42,22 @@
   next.resize(100);
   CHECK_FALSE(next.isGivenUp());
 }
+
+// Guards against giving up a request that has been sent to a server.
+TEST_CASE("kept shares are counted but not given up") {
+  ReceiveMemory memory(100);
+  int keptGivenUp = 0;
+  MemoryShare kept(memory, [&] { ++keptGivenUp; });
+  MemoryShare other(memory, [] {});
+  kept.keepUntil(sardineford::MonoTime::max());
+  kept.resize(90);
+  other.resize(20);
+  CHECK(other.isGivenUp());
+  CHECK_FALSE(memory.isExceeded());
+  kept.resize(110);
+  CHECK(memory.isExceeded());
+  CHECK(keptGivenUp == 0);
+  kept.keepUntil({});
+  kept.resize(101);
+  CHECK(keptGivenUp == 1);
+}
--- a/Tests/Http/ServerTest.cpp
+++ b/Tests/Http/ServerTest.cpp
@@ -198,3 +198,139 @@
   CHECK(out == "HTTP/1.1 503");
   CHECK(c.Server.openRequests() == 0);
 }
+
+namespace {
+
+constexpr size_t SmallBudget = size_t{256} * 1024;
+
+/// A server with a small budget, and what its callers receive.
+struct BoundedServer {
+  explicit BoundedServer(size_t maxConnections = 0)
+      : Memory(std::make_shared<http::ReceiveMemory>(
+            SmallBudget, [](const http::GivenUpShare &) {})),
+        Server(Io, options(maxConnections, Memory),
+               [this](http::Request &r, http::ResponseWriter &out) {
+                 ++Handled;
+                 http::Response response;
+                 response.Body.assign(r.Method == "GET" ? ResponseBytes : 2,
+                                      'x');
+                 return out.send(std::move(response));
+               }) {
+    Server.start();
+  }
+
+  static http::ServerOptions
+  options(size_t maxConnections, std::shared_ptr<http::ReceiveMemory> memory) {
+    http::ServerOptions o;
+    o.Listen = {"127.0.0.1", 0};
+    o.Memory = std::move(memory);
+    o.MaxConnections = maxConnections;
+    return o;
+  }
+
+  tcp::socket connect() {
+    tcp::socket out(Io);
+    out.connect({boost::asio::ip::make_address("127.0.0.1"), Server.port()});
+    return out;
+  }
+
+  /// Sends the text, while the server runs, and returns the first line of the
+  /// response; empty if there is none.
+  std::string call(tcp::socket &socket, const std::string &text,
+                   Milliseconds time = Milliseconds(500)) {
+    std::string out(12, '\0');
+    bool done = false;
+    spawn(Io, "call", [&]() -> Awaitable<void> {
+      auto token = boost::asio::as_tuple(use_awaitable);
+      co_await boost::asio::async_write(socket, boost::asio::buffer(text),
+                                        token);
+      auto [ec, n] = co_await boost::asio::async_read(
+          socket, boost::asio::buffer(out), token);
+      out.resize(n);
+      done = true;
+    });
+    MonoTime end = MonoClock::now() + time;
+    while (!done && MonoClock::now() < end)
+      Io.run_for(Milliseconds(5));
+    if (!done) {
+      socket.cancel();
+      while (!done)
+        Io.run_for(Milliseconds(5));
+    }
+    return out;
+  }
+
+  static std::string post(size_t announced, size_t sent) {
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(announced) + "\r\n\r\n" + std::string(sent, 'x');
+  }
+
+  IoContext Io{1};
+  int Handled = 0;
+  size_t ResponseBytes = size_t{16} * 1024 * 1024;
+  std::shared_ptr<http::ReceiveMemory> Memory;
+  http::Server Server;
+};
+
+} // namespace
+
+// Guards against bodies that together exceed the budget, and against rejecting
+// ordinary requests because of them.
+TEST_CASE("the largest body gives way when bodies exceed the budget") {
+  BoundedServer s;
+  tcp::socket large = s.connect();
+  tcp::socket small = s.connect();
+  CHECK(s.call(large, BoundedServer::post(300'000, 299'000)) == "HTTP/1.1 503");
+  CHECK(s.Memory->held() == 0);
+  CHECK(s.Handled == 0);
+  tcp::socket stopped = s.connect();
+  CHECK(s.call(stopped, BoundedServer::post(250'000, 200'000)).empty());
+  CHECK(s.Memory->held() > 0);
+  CHECK(s.call(small, BoundedServer::post(4'000, 4'000)) == "HTTP/1.1 200");
+  CHECK(s.Memory->held() <= SmallBudget);
+}
+
+// Guards against a budget that counts bytes which are announced only.
+TEST_CASE("an announced body takes no memory before it arrives") {
+  BoundedServer s;
+  tcp::socket socket = s.connect();
+  CHECK(s.call(socket, BoundedServer::post(4'000'000, 10)).empty());
+  CHECK(s.Memory->held() == 0);
+}
+
+// Guards against a reset that destroys the response to a caller which still
+// sends its body.
+TEST_CASE("a caller that still sends a body gets its rejection") {
+  BoundedServer s;
+  tcp::socket socket = s.connect();
+  CHECK(s.call(socket, BoundedServer::post(8'000'000, 8'000'000),
+               Milliseconds(5'000)) == "HTTP/1.1 413");
+}
+
+// Guards against responses that callers never read and that hold memory.
+TEST_CASE("a response that is not read gives way") {
+  BoundedServer s;
+  tcp::socket unread = s.connect();
+  std::string get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  boost::asio::write(unread, boost::asio::buffer(get));
+  s.Io.run_for(Milliseconds(400));
+  CHECK(s.Memory->held() > SmallBudget);
+  // The next change of the memory finds the unread response.
+  tcp::socket other = s.connect();
+  CHECK(s.call(other, BoundedServer::post(20'000, 20'000)) == "HTTP/1.1 200");
+  CHECK(s.Memory->held() <= SmallBudget);
+}
+
+// Guards against connections without a request that keep others out.
+TEST_CASE("the longest idle connection gives its place to a new one") {
+  BoundedServer s(2);
+  tcp::socket first = s.connect();
+  tcp::socket second = s.connect();
+  s.Io.run_for(Milliseconds(20));
+  CHECK(s.Server.connections() == 2);
+  tcp::socket third = s.connect();
+  CHECK(s.call(third, BoundedServer::post(2, 2)) == "HTTP/1.1 200");
+  CHECK(s.Server.connections() <= 2);
+  CHECK(s.call(second, BoundedServer::post(2, 2)) == "HTTP/1.1 200");
+  CHECK(s.call(first, BoundedServer::post(2, 2)).empty());
+}
--- a/Tests/Process/CallerLimitTest.cpp
+++ b/Tests/Process/CallerLimitTest.cpp
@@ -96,7 +96,9 @@
                                      .Daemons = 1,
                                      .PlainServers = 1,
                                      .PrefillEngines = 0,
-                                     .DecodeEngines = 1});
+                                     .DecodeEngines = 1,
+                                     .DaemonMemoryMb = MemoryMb,
+                                     .DaemonDescriptors = MaxDescriptors});
   CrowdResult out;
   http::Client client(io);
   std::vector<std::unique_ptr<tcp::socket>> sockets;
--- a/include/Sardineford/Http/ReceiveMemory.h
+++ b/include/Sardineford/Http/ReceiveMemory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Sardineford/Common/Time.h"
+
 #include <cstddef>
 #include <functional>
 #include <optional>
@@ -20,17 +22,30 @@
 
 class MemoryShare;
 
-/// Memory for the parts of responses that a process holds until they can be
-/// used or forwarded. All responses share one limit, in bytes. Runs on one
-/// thread.
+/// A share that was given up.
+struct GivenUpShare {
+  size_t Bytes = 0;
+  size_t AllBytes = 0;
+  size_t Limit = 0;
+  size_t Shares = 0;
+};
+
+/// Memory for the parts of messages that a process holds until they can be
+/// used or forwarded: responses of servers, or bodies and unread responses of
+/// callers. All messages share one limit, in bytes. Runs on one thread.
 class ReceiveMemory {
 public:
-  explicit ReceiveMemory(size_t limit) : Limit(limit) {}
+  /// `report` is called for each share that is given up, instead of a log line.
+  explicit ReceiveMemory(
+      size_t limit, std::function<void(const GivenUpShare &)> report = nullptr)
+      : Limit(limit), Report(std::move(report)) {}
   ReceiveMemory(const ReceiveMemory &) = delete;
   ReceiveMemory &operator=(const ReceiveMemory &) = delete;
 
   /// Number of bytes that are held.
   size_t held() const { return Held; }
+  /// Returns whether the shares that cannot be given up exceed the limit.
+  bool isExceeded() const { return Held > Limit; }
 
 private:
   friend class MemoryShare;
@@ -39,11 +54,12 @@
   void enforceLimit();
 
   size_t Limit;
+  std::function<void(const GivenUpShare &)> Report;
   size_t Held = 0;
   std::set<MemoryShare *> Shares;
 };
 
-/// The bytes that are held for one response.
+/// The bytes that are held for one message.
 class MemoryShare {
 public:
   /// `onGivenUp` frees the bytes. It is called at most once.
@@ -55,6 +71,8 @@
   /// Sets the number of bytes. The share is given up if it is the largest one
   /// when the limit is exceeded, now or at a change of another share.
   void resize(size_t bytes);
+  /// The share is counted but not given up before this time.
+  void keepUntil(MonoTime t) { KeptUntil = t; }
   bool isGivenUp() const { return GivenUp; }
 
 private:
@@ -65,6 +83,7 @@
   ReceiveMemory &Memory;
   std::function<void()> OnGivenUp;
   size_t Bytes = 0;
+  MonoTime KeptUntil{};
   bool GivenUp = false;
 };
 
--- a/include/Sardineford/Http/Server.h
+++ b/include/Sardineford/Http/Server.h
@@ -2,6 +2,7 @@
 
 #include "Sardineford/Common/Async.h"
 #include "Sardineford/Http/Message.h"
+#include "Sardineford/Http/ReceiveMemory.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,14 @@
   Milliseconds IdleTimeout{30'000};
   /// Time limit of one write to a slow peer.
   Milliseconds WriteTimeout{10'000};
+  /// Budget for bodies and unread responses, which servers may share; none if
+  /// empty.
+  std::shared_ptr<ReceiveMemory> Memory;
+  /// Maximum number of connections; 0 for no limit.
+  size_t MaxConnections = 0;
+  /// Called with the reason when a request that is not received completely is
+  /// rejected, or a connection is closed for a new one.
+  std::function<void(std::string_view reason)> OnRejected;
 };
 
 /// Sends the response to one request, either at once or in chunks.
@@ -69,6 +78,7 @@
   /// Number of requests of which at least a part has been read, without a
   /// complete response.
   size_t openRequests() const;
+  size_t connections() const;
   /// Returns the port that the server is bound to.
   uint16_t port() const;
 
