--- a/Tests/Http/CallerBoundsTest.cpp
+++ b/Tests/Http/CallerBoundsTest.cpp
@@ -29,7 +29,7 @@
   InstanceSize smallest{120 * Mb, 3'075};
   size_t memory = callerMemoryLimit(0, smallest).value();
   size_t connections = callerConnectionLimit(0, smallest).value();
-  CHECK(memory >= 4 * 4 * Mb);
+  CHECK(memory >= 16 * Mb);
   CHECK(memory + connections * Mb / 32 <= 120 * Mb * 2 / 3);
   CHECK(connections >= 1'000);
   CHECK(connections <= 3'075 / 2);
