--- a/StandIns/Platform/PlatformDeployment.cpp
+++ b/StandIns/Platform/PlatformDeployment.cpp
@@ -125,6 +125,11 @@
                             {"names", "usage_report"},
                             {"lease_ms", 1'000},
                             {"usage_window_s", 1}};
+    json::object &node = settings.at("node").as_object();
+    if (Options.DaemonMemoryMb > 0)
+      node["memory_mb"] = Options.DaemonMemoryMb;
+    if (Options.DaemonDescriptors > 0)
+      node["max_descriptors"] = Options.DaemonDescriptors;
     std::ofstream(file) << json::serialize(settings);
     d.ChildProcess = std::make_unique<Process>(
         ProcessSpec{name,
--- a/Tests/Duties/DutyRunnerTest.cpp
+++ b/Tests/Duties/DutyRunnerTest.cpp
@@ -60,6 +60,9 @@
     bool isFirst = Sent[call.Body]++ == 0;
     co_return isFirst ? CallResult::NoAnswer : CallResult::Done;
   }
+  Awaitable<CallResult> orderServers(OrderCall /*call*/) override {
+    co_return CallResult::NotSent;
+  }
 
   std::map<std::string, int> Sent;
   std::vector<std::pair<uint64_t, std::string>> Holders;
--- a/include/Sardineford/Duties/Lease.h
+++ b/include/Sardineford/Duties/Lease.h
@@ -69,9 +69,9 @@
   int64_t LastFixed = 0;
   /// Fixed reports that are not answered yet, oldest first.
   std::vector<FixedReport> Pending;
-  std::vector<PlacedOrder> Orders;
   /// Id of the write.
   std::string WriteId;
+  std::vector<PlacedOrder> Orders = {};
 
   bool operator==(const LeaseRecord &) const = default;
 };
