Let the orders' test observe a demand over time

The test recorded all intervals at one moment, so none had a length and the demand stayed unknown: it failed on its first run. The check is as it was.

--- a/Tests/Duties/OrderPlanTest.cpp
+++ b/Tests/Duties/OrderPlanTest.cpp
@@ -18,9 +18,11 @@
 
 /// Lets the plan observe a small demand for longer than a swing.
 void observe(OrderPlan &plan) {
-  MonoTime now = MonoClock::now();
+  constexpr int Intervals = 12;
+  MonoTime now = MonoClock::now() - std::chrono::seconds(Intervals);
   WorkDone done;
-  for (int i = 0; i < 12; ++i) {
+  for (int i = 0; i < Intervals; ++i) {
+    now += std::chrono::seconds(1);
     done.Prefills += Seconds(1);
     done.InFlight += Seconds(10);
     plan.merge("p", {{"models", done}}, now);
