--- a/Source/Duties/OrderPlan.cpp
+++ b/Source/Duties/OrderPlan.cpp
@@ -42,6 +42,7 @@
     if (it.Service == service.Name)
       present.try_emplace(it.FailureDomain, 0);
   std::vector<DomainServers> out;
+  out.reserve(present.size());
   for (const auto &[domain, n] : present)
     out.push_back({domain, n, recordedNumber(recorded, service.Name, domain)});
   return out;
--- a/Tests/Duties/UsageTest.cpp
+++ b/Tests/Duties/UsageTest.cpp
@@ -108,6 +108,7 @@
 
 TEST_CASE("counts are split into datagrams below the size limit") {
   std::vector<WindowCount> counts;
+  counts.reserve(500);
   for (int i = 0; i < 500; ++i)
     counts.push_back({Present, "workspace" + std::to_string(i), 1});
   std::vector<std::vector<WindowCount>> groups = splitCounts(counts);
--- a/Tests/Fleet/ConnectionBudgetTest.cpp
+++ b/Tests/Fleet/ConnectionBudgetTest.cpp
@@ -23,7 +23,7 @@
 /// connection for three steps; requests executed at most once need new ones.
 class Simulation {
 public:
-  explicit Simulation(Fleet f) : F(f), Links(f.Processes * f.Servers) {
+  explicit Simulation(Fleet f) : F(f), Links(size_t{f.Processes} * f.Servers) {
     for (Link &it : Links)
       it.Ends.fill(0);
   }
--- a/Tests/Platform/WorkspaceKeysTest.cpp
+++ b/Tests/Platform/WorkspaceKeysTest.cpp
@@ -182,7 +182,9 @@
   // On an anonymous route nothing is passed on.
   http::Request anonymous =
       a.makePassedOnRequest(authenticated(""), Milliseconds(100), 12);
-  CHECK_FALSE(a.decodePassedOnRequest(std::move(anonymous)).Key);
+  gateway::CallerRequest received =
+      a.decodePassedOnRequest(std::move(anonymous));
+  CHECK_FALSE(received.Key);
 }
 
 // Guards against a fleet of two builds in which passed-on requests get 401.
--- a/Tests/Process/ConnectionLimitTest.cpp
+++ b/Tests/Process/ConnectionLimitTest.cpp
@@ -55,7 +55,7 @@
   });
   io.run();
   REQUIRE(ready);
-  CHECK(calls.size() == Bursts * o.Daemons * CallersPerDaemon);
+  CHECK(calls.size() == size_t{Bursts} * o.Daemons * CallersPerDaemon);
   for (const CallResult &it : calls) {
     INFO("status " << it.Status);
     CHECK(it.Outcome == DaemonCallOutcome::Correct);
