--- a/review/lab/Lab.hh
+++ b/review/lab/Lab.hh
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -48,9 +49,18 @@
   return std::chrono::duration<double>(Clock::now() - t).count();
 }
 
+/// Returns a free port below those of outgoing connections.
 inline uint16_t freePort() {
-  tcp::acceptor a(Io, {asio::ip::address_v4::loopback(), 0});
-  return a.local_endpoint().port();
+  static std::mt19937 random(std::random_device{}());
+  for (;;) {
+    auto port = static_cast<uint16_t>(20'000 + random() % 12'000);
+    boost::system::error_code ec;
+    tcp::acceptor a(Io);
+    a.open(tcp::v4());
+    a.bind({asio::ip::address_v4::loopback(), port}, ec);
+    if (!ec)
+      return port;
+  }
 }
 
 /// True unless the script runs with TROUBLE=0.
@@ -190,16 +200,29 @@
   std::vector<std::weak_ptr<Connection>> Open;
 };
 
+/// How one daemon reaches the store.
+struct StoreLink {
+  /// The daemon is partitioned from the store: nothing passes.
+  bool Cut = false;
+  /// Addresses at which the daemon reaches others, by their own addresses.
+  std::map<std::string, std::string> Addresses;
+  std::shared_ptr<Listener> Server;
+};
+
 /// The platform's store.
 class Store {
 public:
-  Store()
-      : Changed(Io, Clock::time_point::max()),
-        Server(std::make_shared<Listener>(
-            [this](ConnectionPtr c) { return serve(c); })) {
-    Server->start(Server);
+  Store() { addLink(); }
+  /// Port for a daemon without a link of its own.
+  uint16_t port() const { return Links.front()->Server->Port; }
+  StoreLink &addLink() {
+    auto link = std::make_shared<StoreLink>();
+    link->Server = std::make_shared<Listener>(
+        [this, link](ConnectionPtr c) { return serve(*link, c); });
+    link->Server->start(link->Server);
+    Links.push_back(link);
+    return *link;
   }
-  uint16_t port() const { return Server->Port; }
 
   void put(const std::string &kind, const std::string &name, json::value spec) {
     Entry &e = Kinds[kind][name];
@@ -226,6 +249,15 @@
     json::value Value;
   };
 
+  /// Writes the addresses of the daemons as the daemon of the link knows them.
+  static std::string translated(const StoreLink &link, std::string text) {
+    for (const auto &[from, to] : link.Addresses)
+      for (size_t at = text.find('"' + from + '"'); at != std::string::npos;
+           at = text.find('"' + from + '"', at + 1))
+        text.replace(at + 1, from.size(), to);
+    return text;
+  }
+
   json::object toJson(const std::string &name, const Entry &e) const {
     return {{"metadata",
              {{"name", name}, {"revision", e.Revision}, {"createdRev", 1}}},
@@ -236,13 +268,15 @@
     History.push_back({Revision, kind,
                        json::object{{"object", toJson(name, Kinds[kind][name])},
                                     {"deleted", deleted}}});
-    Changed.expires_at(Clock::time_point::max());
   }
 
-  Task<void> serve(ConnectionPtr c) {
+  Task<void> serve(StoreLink &link, ConnectionPtr c) {
     for (;;) {
       Message m;
       co_await c->read(m);
+      // What a partition holds up is lost.
+      if (link.Cut)
+        co_await silence(link);
       std::string target = m.word(1);
       std::string query =
           target.find('?') == std::string::npos ? "" : target.substr(target.find('?') + 1);
@@ -258,8 +292,10 @@
         a = co_await watch(kind, query);
       else
         a = answer(m, kind, name, query);
+      if (link.Cut)
+        co_await silence(link);
       co_await c->write(
-          response(a.first, json::serialize(a.second),
+          response(a.first, translated(link, json::serialize(a.second)),
                    "Store-Era: 1\r\nContent-Type: application/json\r\n"));
     }
   }
@@ -304,6 +340,13 @@
     return {"200 OK", toJson(name, all[name])};
   }
 
+  /// Ends the connection after the partition.
+  static Task<void> silence(StoreLink &link) {
+    while (link.Cut)
+      co_await sleepFor(milliseconds(50));
+    throw std::runtime_error("partitioned");
+  }
+
   Task<Answer> watch(std::string kind, std::string query) {
     uint64_t after = std::stoull(query.substr(6));
     auto end = Clock::now() + milliseconds(std::stoll(
@@ -324,8 +367,7 @@
   std::map<std::string, std::map<std::string, Entry>> Kinds;
   std::vector<Event> History;
   uint64_t Revision = 1;
-  asio::steady_timer Changed;
-  std::shared_ptr<Listener> Server;
+  std::vector<std::shared_ptr<StoreLink>> Links;
 };
 
 /// A backend server with an entry in the store.
@@ -341,11 +383,13 @@
   static std::shared_ptr<Worker> start(Store &store, std::string id,
                                        std::string service, Serve serve,
                                        std::string stage = "",
-                                       unsigned slots = 64) {
+                                       unsigned slots = 64,
+                                       std::string version = "v1") {
     auto w = std::make_shared<Worker>(store, std::move(id), std::move(service),
                                       std::move(serve));
     w->Stage = std::move(stage);
     w->Slots = slots;
+    w->Version = std::move(version);
     w->Born = std::chrono::duration_cast<milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count();
@@ -506,6 +550,40 @@
   std::string Log;
 };
 
+/// The path of datagrams between two daemons, which know each other by the
+/// ports of this relay.
+class DatagramLink {
+public:
+  DatagramLink(uint16_t a, uint16_t b) {
+    go(copy(ForA, ForB, b));
+    go(copy(ForB, ForA, a));
+  }
+  /// Address of the second daemon for the first one, and the reverse.
+  std::string addressForFirst() const { return addressOf(ForA); }
+  std::string addressForSecond() const { return addressOf(ForB); }
+  bool Cut = false;
+
+private:
+  using Udp = asio::ip::udp;
+  static std::string addressOf(const Udp::socket &s) {
+    return "127.0.0.1:" + std::to_string(s.local_endpoint().port());
+  }
+  Task<void> copy(Udp::socket &in, Udp::socket &out, uint16_t to) {
+    std::string buf(65536, '\0');
+    for (;;) {
+      boost::system::error_code ec;
+      Udp::endpoint from;
+      size_t n = co_await in.async_receive_from(
+          asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
+      if (!ec && !Cut)
+        out.send_to(asio::buffer(buf, n), {asio::ip::address_v4::loopback(), to},
+                    0, ec);
+    }
+  }
+  Udp::socket ForA{Io, {asio::ip::address_v4::loopback(), 0}};
+  Udp::socket ForB{Io, {asio::ip::address_v4::loopback(), 0}};
+};
+
 /// Connects within a second, as clients do. Returns nothing otherwise.
 inline Task<ConnectionPtr> connect(uint16_t port,
                                    milliseconds limit = milliseconds(1000)) {
