Let the stand-ins of the review raise their own descriptor limit

The driver of case 6 needs about 3,000 descriptors; with the usual soft limit of 1,024 it could not run.

--- a/review/lab/Lab.hh
+++ b/review/lab/Lab.hh
@@ -520,8 +520,7 @@
     if (!std::freopen(Log.c_str(), "a", stdout) ||
         !std::freopen(Log.c_str(), "a", stderr))
       _exit(127);
-    for (int fd = 3; fd < 4096; ++fd)
-      ::close(fd);
+    close_range(3, ~0U, 0);
     execl("target/sardineford", "target/sardineford", nullptr);
     _exit(127);
   }
@@ -671,6 +670,13 @@
 inline int run(std::function<Task<int>(std::string folder)> body,
                std::chrono::seconds limit = std::chrono::seconds(115)) {
   std::signal(SIGPIPE, SIG_IGN);
+  // The clients and workers of this process need some thousand descriptors.
+  rlimit descriptors{};
+  getrlimit(RLIMIT_NOFILE, &descriptors);
+  descriptors.rlim_cur = std::min<rlim_t>(descriptors.rlim_max, 20'000);
+  if (descriptors.rlim_cur < 5'000 ||
+      setrlimit(RLIMIT_NOFILE, &descriptors) != 0)
+    return 2;
   std::string folder = "/tmp/review-case-XXXXXX";
   if (!mkdtemp(folder.data()))
     return 2;
