--- a/review/Lab.hh
+++ b/review/Lab.hh
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,7 +59,8 @@
     tcp::acceptor a(Io);
     a.open(tcp::v4());
     a.bind({asio::ip::address_v4::loopback(), port}, ec);
-    if (!ec)
+    static std::set<uint16_t> given;
+    if (!ec && given.insert(port).second)
       return port;
   }
 }
