Take the only version that peers know as proof only if it is recent

Cause: a take-up of unknown origin went on at the only known version if the process's own view was at most 1 s old or any peer had said that it knows no other version. An answer told neither how old the view of its sender was nor which version it knows, so two processes that are cut off together confirmed each other.

Change: an answer names the only version and the age of the view. Own and told views must name the same version, and one of them must be at most 1 s old. A process for which only the age is missing reads the store, one read for all that wait, for at most 150 ms; while it knows that the store is lost it rejects at once.

Old builds ignore the new fields; their answer "one version" has no age and proves nothing, "several versions" counts as before.

Two tests are replaced by stricter ones: "a stream of the only version goes on while some peers are silent" took an answer as proof at an age of 20 s, which is the fault; it now names the age of the peer's view. Tests that name what peers know name the version too.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -48,6 +48,7 @@
 /// store fails.
 constexpr Milliseconds MaxPositionWait{800};
 constexpr Milliseconds PositionCheckInterval{50};
+constexpr Milliseconds ConfirmationCheckInterval{5};
 /// Interval at which a process that learns changes from its peers checks
 /// whether it has to watch the store.
 constexpr Milliseconds DutyCheckInterval{100};
@@ -92,6 +93,15 @@
       std::max(ServerFeed.ConfirmedAt, ServerFeed.Duty.peerAnsweredAt()));
 }
 
+Awaitable<void> FleetWatch::confirmServers(Milliseconds timeout) {
+  MonoTime startedAt = MonoClock::now();
+  if (ServerFeed.IsWatching)
+    restartWatch(ServerFeed, "servers must be confirmed");
+  while (!ServerFeed.Lost && ServerFeed.ConfirmedAt < startedAt &&
+         MonoClock::now() - startedAt < timeout)
+    co_await sleepFor(ConfirmationCheckInterval);
+}
+
 void FleetWatch::setPosition(FleetPosition position) {
   Position = position;
   ConfigurationFeed.Duty.setPosition(position);
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -65,6 +65,9 @@
   /// reports it; -1 ms before the first answer.
   Milliseconds configurationAge() const;
   Milliseconds serversAge() const;
+  /// Reads the servers again and waits until the store has answered or the
+  /// timeout is over. Returns at once while the store is known to be lost.
+  Awaitable<void> confirmServers(Milliseconds timeout);
 
 private:
   /// A feed whose waiting for changes can be interrupted.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -7,6 +7,7 @@
 #include "Gateway/ReturnCheck.h"
 #include "Gateway/StateGauges.h"
 #include "Gateway/StopDecision.h"
+#include "Gateway/StreamOrigin.h"
 #include "Gateway/StreamTiming.h"
 #include "Node/NodeSettings.h"
 #include "Sardineford/Common/Log.h"
@@ -152,8 +153,8 @@
   });
   Versions.onApplied(
       [this](const std::string &service) { publishOrigins(service); });
-  Peers.origins().setSeveralVersions(
-      [this](uint64_t service) { return hasSeveralVersions(service); });
+  Peers.origins().setViewSource(
+      [this](uint64_t service) { return versionView(service); });
   Peers.onVersionRecord([this](const fleet::VersionRecord &record) {
     Versions.applyPublished(record);
   });
@@ -223,14 +224,19 @@
   };
 }
 
-std::optional<bool> Gateway::hasSeveralVersions(uint64_t service) const {
+std::optional<peers::VersionView> Gateway::versionView(uint64_t service) const {
   if (!Watch.isLoaded() || !Servers.isVersionHistoryKnown())
     return std::nullopt;
   MonoTime now = MonoClock::now();
-  for (const std::string &it : Versions.services())
-    if (peers::hashOfService(it) == service)
-      return Servers.softwareVersions(it, now).size() > 1 ||
-             Watch.routeHistory().sharesStreams(it, now);
+  for (const std::string &it : Versions.services()) {
+    if (peers::hashOfService(it) != service)
+      continue;
+    std::set<std::string> versions = Servers.softwareVersions(it, now);
+    if (versions.empty())
+      return std::nullopt;
+    return versionViewOf(versions, Watch.routeHistory().sharesStreams(it, now),
+                         Watch.serversAge());
+  }
   return std::nullopt;
 }
 
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -72,9 +72,9 @@
   /// Counts a rejection of a caller outside the limits, and logs the number of
   /// rejections at a bounded rate.
   void recordCallerRejection(std::string_view reason);
-  /// Returns whether streams of a service, by its hashOfService, can have begun
-  /// at several versions; empty if this process does not know.
-  std::optional<bool> hasSeveralVersions(uint64_t service) const;
+  /// Returns what this process knows of the versions at which streams of a
+  /// service, by its hashOfService, can have begun; empty if it cannot tell.
+  std::optional<peers::VersionView> versionView(uint64_t service) const;
   /// Tells the peers where the streams of a service began once it has several
   /// versions.
   void publishOrigins(const std::string &service);
--- a/Source/Gateway/State.h
+++ b/Source/Gateway/State.h
@@ -73,7 +73,7 @@
   http::Client &Client;
   const BackendProtocol &Protocol;
   fleet::Directory &Servers;
-  const fleet::FleetWatch &Watch;
+  fleet::FleetWatch &Watch;
   const fleet::VersionRecorder &Versions;
   metrics::Metrics &Metrics;
   std::mt19937_64 &Random;
--- a/Source/Gateway/StreamOrigin.cpp
+++ b/Source/Gateway/StreamOrigin.cpp
@@ -9,29 +9,41 @@
 
 namespace sardineford::gateway {
 
-namespace {
+peers::VersionView versionViewOf(const std::set<std::string> &versions,
+                                 bool sharesStreams, Milliseconds age) {
+  peers::VersionView out{.Age = age};
+  if (versions.size() == 1 && !sharesStreams)
+    out.OnlyVersion = peers::hashOfVersion(*versions.begin());
+  return out;
+}
 
-/// A stream cannot have begun at a server that joined later than this and have
-/// been broken and taken up already.
-constexpr Milliseconds MaxViewAge{1'000};
+namespace {
 
-/// Returns whether the process may have missed that a version has joined: it
-/// hears no peer, and has not read the list of servers lately.
-bool isOutOfStep(const TakeUpEvidence &evidence) {
-  return evidence.MayHavePeers && evidence.PeersTold == 0 &&
-         evidence.ViewAge > MaxViewAge;
+/// Returns whether the stream can have begun at one version alone.
+bool hasOnlyVersion(const TakeUpEvidence &evidence) {
+  bool isOnlyKnown = evidence.Versions.size() == 1 && evidence.IsHistoryKnown &&
+                     !evidence.HasOtherServices;
+  if (!isOnlyKnown || !evidence.MayHavePeers)
+    return isOnlyKnown;
+  return peers::isOnlyVersion(
+      versionViewOf(evidence.Versions, false, evidence.ViewAge),
+      evidence.PeerViews);
 }
 
 } // namespace
 
+bool mayBeOutOfDate(const TakeUpEvidence &evidence) {
+  TakeUpEvidence confirmed = evidence;
+  confirmed.ViewAge = Milliseconds(0);
+  return !evidence.Found && !hasOnlyVersion(evidence) &&
+         hasOnlyVersion(confirmed);
+}
+
 std::optional<std::string> chooseTakeUpVersion(const TakeUpEvidence &evidence) {
   const std::set<std::string> &versions = evidence.Versions;
-  if (!evidence.Found) {
-    bool isOnlyOne = versions.size() == 1 && evidence.IsHistoryKnown &&
-                     !evidence.PeersKnowSeveral && !evidence.HasOtherServices &&
-                     !isOutOfStep(evidence);
-    return isOnlyOne ? std::make_optional(*versions.begin()) : std::nullopt;
-  }
+  if (!evidence.Found)
+    return hasOnlyVersion(evidence) ? std::make_optional(*versions.begin())
+                                    : std::nullopt;
   auto it =
       std::find_if(versions.begin(), versions.end(), [&](const std::string &v) {
         return peers::hashOfVersion(v) == *evidence.Found;
@@ -41,6 +53,9 @@
 
 namespace {
 
+/// A store that is not overloaded answers a read within this time.
+constexpr Milliseconds ConfirmationTimeout{150};
+
 /// What the processes know of the begin of a stream.
 struct OriginSearch {
   peers::FoundOrigin Origin;
@@ -61,10 +76,7 @@
   for (const fleet::Target &it : context.Route->Targets)
     out.Services.insert(it.Service);
   for (const std::string &it : out.Services) {
-    bool peersKnowSeveral = out.Origin.PeersKnowSeveral;
     out.Origin = co_await shared.Origins.find(it, context.Request.StreamId);
-    out.Origin.PeersKnowSeveral =
-        out.Origin.PeersKnowSeveral || peersKnowSeveral;
     if (!out.Origin.Version)
       continue;
     const std::vector<fleet::Target> &targets = context.Route->Targets;
@@ -87,14 +99,23 @@
   if (!search.IsFormerService)
     out.Found = search.Origin.Version;
   out.IsHistoryKnown = shared.Servers.isVersionHistoryKnown();
-  out.PeersKnowSeveral = search.Origin.PeersKnowSeveral;
   out.HasOtherServices = search.Services.size() > 1;
-  out.PeersTold = search.Origin.Told;
   out.MayHavePeers = shared.Processes != 1;
   out.ViewAge = shared.Watch.serversAge();
+  out.PeerViews = search.Origin.PeerViews;
   return out;
 }
 
+/// Returns the age of the newest view of a peer; -1 ms if none has told it.
+Milliseconds newestPeerView(const TakeUpEvidence &evidence) {
+  auto it = std::min_element(
+      evidence.PeerViews.begin(), evidence.PeerViews.end(),
+      [](const auto &a, const auto &b) { return a.Age < b.Age; });
+  bool isTold =
+      it != evidence.PeerViews.end() && it->Age != Milliseconds::max();
+  return isTold ? it->Age : Milliseconds(-1);
+}
+
 void logOrigin(const RequestContext &context, const StreamProgress &progress,
                const OriginSearch &search, const TakeUpEvidence &evidence,
                std::string_view outcome) {
@@ -111,8 +132,9 @@
        {"history_known", evidence.IsHistoryKnown},
        {"not_known", search.Origin.NotKnown},
        {"silent", search.Origin.Silent},
-       {"told", evidence.PeersTold},
+       {"told", evidence.PeerViews.size()},
        {"servers_age_ms", evidence.ViewAge.count()},
+       {"peers_age_ms", newestPeerView(evidence).count()},
        {"outcome", outcome}});
 }
 
@@ -124,6 +146,10 @@
     co_return true;
   OriginSearch search = co_await findAtServices(shared, context);
   TakeUpEvidence evidence = collectEvidence(shared, context, search);
+  if (mayBeOutOfDate(evidence)) {
+    co_await shared.Watch.confirmServers(ConfirmationTimeout);
+    evidence = collectEvidence(shared, context, search);
+  }
   progress.Filter.SoftwareVersion = chooseTakeUpVersion(evidence);
   bool goesOn = progress.Filter.SoftwareVersion.has_value();
   logOrigin(context, progress, search, evidence,
--- a/Source/Gateway/StreamOrigin.h
+++ b/Source/Gateway/StreamOrigin.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Peers/VersionView.h"
 #include "Sardineford/Common/Time.h"
 
 #include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace sardineford::gateway {
 
@@ -17,18 +19,25 @@
   std::optional<uint32_t> Found;
   /// `Versions` has all that were in service while it can have begun.
   bool IsHistoryKnown = false;
-  /// Another process knows of more versions.
-  bool PeersKnowSeveral = false;
   /// It may have begun at a service that the request does not go to.
   bool HasOtherServices = false;
-  /// Processes that said whether they know of more versions, and whether there
-  /// may be any other process.
-  unsigned PeersTold = 0;
+  /// There may be other processes, which can have begun it.
   bool MayHavePeers = false;
   /// Age of what this process knows of the servers.
   Milliseconds ViewAge{0};
+  /// What the processes that were asked know of the versions.
+  std::vector<peers::VersionView> PeerViews;
 };
 
+/// Returns what a process with these versions tells its peers. A service that
+/// shares its streams with another one counts as one with several versions.
+peers::VersionView versionViewOf(const std::set<std::string> &versions,
+                                 bool sharesStreams, Milliseconds age);
+
+/// Returns whether nothing but the age of what the processes know speaks
+/// against the only version.
+bool mayBeOutOfDate(const TakeUpEvidence &evidence);
+
 /// Chooses the software version at which a stream that is taken up goes on.
 /// Returns nothing if the request must be rejected: no server has the version,
 /// or it is not known and others are possible.
--- a/Source/Peers/OriginCodec.cpp
+++ b/Source/Peers/OriginCodec.cpp
@@ -3,6 +3,7 @@
 #include "Messages/Messages.pb.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace sardineford::peers {
 
@@ -37,16 +38,35 @@
 
 messages::LoadShare encodeOriginAnswer(uint64_t id,
                                        std::optional<uint32_t> version,
-                                       std::optional<bool> hasSeveralVersions) {
+                                       const std::optional<VersionView> &view) {
   messages::LoadShare out = makeDatagram();
   out.mutable_origins()->set_answer(id);
-  if (hasSeveralVersions)
-    out.mutable_origins()->set_has_several_versions(*hasSeveralVersions);
+  if (view) {
+    out.mutable_origins()->set_has_several_versions(!view->OnlyVersion);
+    if (view->OnlyVersion)
+      out.mutable_origins()->set_only_version(*view->OnlyVersion);
+    if (view->Age.count() >= 0 &&
+        view->Age.count() <= std::numeric_limits<uint32_t>::max())
+      out.mutable_origins()->set_view_age_ms(
+          static_cast<uint32_t>(view->Age.count()));
+  }
   if (version)
     out.mutable_origins()->add_versions(*version);
   return out;
 }
 
+std::optional<VersionView> decodeVersionView(const messages::LoadShare &in) {
+  const messages::StreamOrigins &origins = in.origins();
+  if (!origins.has_several_versions() && !origins.has_only_version())
+    return std::nullopt;
+  VersionView out;
+  if (!origins.has_several_versions())
+    out.OnlyVersion = origins.only_version();
+  if (origins.has_view_age_ms())
+    out.Age = Milliseconds(origins.view_age_ms());
+  return out;
+}
+
 std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in) {
   std::vector<OriginRecord> out;
   int n = std::min(in.origins().streams_size(), in.origins().versions_size());
--- a/Source/Peers/OriginCodec.h
+++ b/Source/Peers/OriginCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Peers/OriginTable.h"
+#include "Peers/VersionView.h"
 
 #include <span>
 #include <string>
@@ -19,7 +20,11 @@
                                       uint64_t stream);
 messages::LoadShare encodeOriginAnswer(uint64_t id,
                                        std::optional<uint32_t> version,
-                                       std::optional<bool> hasSeveralVersions);
+                                       const std::optional<VersionView> &view);
+/// Reads what the sender of an answer knows of the versions. Nothing if it
+/// cannot tell, or if it is of an earlier build that knows one version and does
+/// not say which.
+std::optional<VersionView> decodeVersionView(const messages::LoadShare &in);
 
 /// Reads the records of a datagram. Streams without a version are skipped.
 std::vector<OriginRecord> decodeOrigins(const messages::LoadShare &in);
--- a/Source/Peers/StreamOrigins.cpp
+++ b/Source/Peers/StreamOrigins.cpp
@@ -44,8 +44,7 @@
 
   std::optional<uint32_t> Version;
   unsigned NotKnown = 0;
-  unsigned Told = 0;
-  bool PeersKnowSeveral = false;
+  std::vector<VersionView> PeerViews;
   /// Processes that were asked and have not answered.
   std::set<http::Endpoint> Silent;
   asio::steady_timer Done;
@@ -292,9 +291,11 @@
   Pending[id] = query;
   messages::LoadShare datagram = encodeOriginQuery(id, service, stream);
   co_await ask(*query, datagram, std::move(first));
-  bool isOnlyVersion = hasSeveralVersions(service) == false &&
-                       !query->PeersKnowSeveral && query->Told >= n;
-  if (!query->Version && !isOnlyVersion) {
+  bool isVersionKnown =
+      query->Version || (query->PeerViews.size() >= n &&
+                         isOnlyVersion(viewOf(service).value_or(VersionView{}),
+                                       query->PeerViews));
+  if (!isVersionKnown) {
     // The question or its answer may have been lost.
     further.insert(further.end(), query->Silent.begin(), query->Silent.end());
     co_await ask(*query, datagram, std::move(further));
@@ -303,8 +304,7 @@
   out.Version = query->Version;
   out.NotKnown = query->NotKnown;
   out.Silent = static_cast<unsigned>(query->Silent.size());
-  out.Told = query->Told;
-  out.PeersKnowSeveral = query->PeersKnowSeveral;
+  out.PeerViews = std::move(query->PeerViews);
 }
 
 Awaitable<void> StreamOrigins::ask(PendingQuery &query,
@@ -320,9 +320,8 @@
     co_await query.Done.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-std::optional<bool> StreamOrigins::hasSeveralVersions(uint64_t service) const {
-  return service != 0 && HasSeveralVersions ? HasSeveralVersions(service)
-                                            : std::nullopt;
+std::optional<VersionView> StreamOrigins::viewOf(uint64_t service) const {
+  return service != 0 && LocalView ? LocalView(service) : std::nullopt;
 }
 
 void StreamOrigins::applyAnswer(const messages::LoadShare &in,
@@ -333,10 +332,8 @@
   PendingQuery &query = *it->second;
   if (query.Silent.erase(from) == 0)
     return;
-  if (in.origins().has_has_several_versions()) {
-    ++query.Told;
-    query.PeersKnowSeveral |= in.origins().has_several_versions();
-  }
+  if (std::optional<VersionView> view = decodeVersionView(in))
+    query.PeerViews.push_back(*view);
   if (in.origins().versions_size() > 0)
     query.Version = in.origins().versions(0);
   else
@@ -360,7 +357,7 @@
     if (in.origins().streams_size() > 0)
       version = Table.find(in.origins().streams(0), now);
     SendTo(encodeOriginAnswer(in.origins().query(), version,
-                              hasSeveralVersions(in.origins().service())),
+                              viewOf(in.origins().service())),
            from);
   } else if (in.origins().ages_s_size() > 0) {
     for (const KnownOrigin &it : decodeHandover(in, now))
--- a/Source/Peers/StreamOrigins.h
+++ b/Source/Peers/StreamOrigins.h
@@ -3,6 +3,7 @@
 #include "Peers/OriginHandover.h"
 #include "Peers/OriginHolders.h"
 #include "Peers/OriginTable.h"
+#include "Peers/VersionView.h"
 #include "Sardineford/Common/Async.h"
 #include "Sardineford/Metrics/Metrics.h"
 
@@ -31,10 +32,9 @@
   /// Processes that do not know the stream, and that did not answer in time.
   unsigned NotKnown = 0;
   unsigned Silent = 0;
-  /// Processes that said whether several versions may have begun streams of the
-  /// service, and whether one said so.
-  unsigned Told = 0;
-  bool PeersKnowSeveral = false;
+  /// What the processes that answered know of the versions of the service;
+  /// without those that cannot tell.
+  std::vector<VersionView> PeerViews;
 };
 
 /// Knowledge of the software versions that began the streams of the fleet, so
@@ -45,18 +45,17 @@
 public:
   using Send =
       std::function<void(const messages::LoadShare &, const http::Endpoint &)>;
-  /// Returns whether several versions may have begun streams of a service,
-  /// known by its hashOfService; nothing while this process cannot tell.
-  using SeveralVersions = std::function<std::optional<bool>(uint64_t service)>;
+  /// Returns what this process knows of the versions of a service, known by its
+  /// hashOfService; nothing while it cannot tell.
+  using ViewSource =
+      std::function<std::optional<VersionView>(uint64_t service)>;
 
   StreamOrigins(IoContext &io, metrics::Metrics &metrics,
                 http::Endpoint address, Send send);
   ~StreamOrigins();
 
   /// Sets the source of what this process tells its peers of a service.
-  void setSeveralVersions(SeveralVersions f) {
-    HasSeveralVersions = std::move(f);
-  }
+  void setViewSource(ViewSource f) { LocalView = std::move(f); }
   /// Sets the running processes, including this one. Records of those that have
   /// gone are given to the processes that hold them now; a process that has
   /// just started asks each of the others for the records that it is to hold.
@@ -90,7 +89,7 @@
                              FoundOrigin &out);
   Awaitable<void> ask(PendingQuery &query, const messages::LoadShare &datagram,
                       std::vector<http::Endpoint> holders);
-  std::optional<bool> hasSeveralVersions(uint64_t service) const;
+  std::optional<VersionView> viewOf(uint64_t service) const;
   void applyAnswer(const messages::LoadShare &in, const http::Endpoint &from);
   /// Queues the record of a stream for holders by their position.
   void queue(uint64_t stream, size_t firstHolder, size_t count);
@@ -109,7 +108,7 @@
   metrics::Metrics &Metrics;
   http::Endpoint Address;
   Send SendTo;
-  SeveralVersions HasSeveralVersions;
+  ViewSource LocalView;
   std::vector<RunningProcess> Processes;
   std::vector<HashedProcess> Candidates;
   OriginTable Table;
--- a/StandIns/Placement/OriginSimulation.cpp
+++ b/StandIns/Placement/OriginSimulation.cpp
@@ -177,7 +177,9 @@
         return;
       }
       auto version = Tables[holder].find(Stream, t);
-      if (!send(Out.Questions, encodeOriginAnswer(1'000'000, version, false),
+      if (!send(Out.Questions,
+                encodeOriginAnswer(1'000'000, version,
+                                   VersionView{1, Milliseconds(400)}),
                 local, t))
         silent.push_back(holder);
       else if (version)
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -35,12 +35,16 @@
   std::map<std::string, int> ListCalls;
   int WatchCalls = 0;
   uint64_t Revision = 10;
+  /// Lists are answered; otherwise they wait.
+  bool Answers = true;
 
   Awaitable<std::optional<Object>> get(std::string, std::string) override {
     co_return std::nullopt;
   }
   Awaitable<ObjectList> list(std::string kind) override {
     ++ListCalls[kind];
+    if (!Answers)
+      co_await sleepFor(std::chrono::seconds(60));
     ObjectList out;
     out.Revision = Revision;
     out.Objects = Lists[kind];
@@ -648,3 +652,56 @@
   CHECK(t.Servers.ofService("model").size() == 2);
   CHECK(skipped(2));
 }
+
+namespace {
+
+/// Lets the process confirm its servers and returns how long that takes.
+Milliseconds confirmServers(Fixture &t, Milliseconds timeout) {
+  MonoTime startedAt = MonoClock::now();
+  MonoTime endedAt{};
+  spawn(t.Io, "confirm", [&]() -> Awaitable<void> {
+    co_await t.Watch.confirmServers(timeout);
+    endedAt = MonoClock::now();
+  });
+  t.runFor(timeout + Milliseconds(100));
+  REQUIRE(endedAt != MonoTime{});
+  return toMilliseconds(endedAt - startedAt);
+}
+
+} // namespace
+
+TEST_CASE("servers are confirmed by one read for all that ask together") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(300));
+  t.Store.Lists["servers"] = {{"servers", "a", 12, "model"}};
+  for (int i = 0; i < 10; ++i)
+    spawn(t.Io, "confirm", [&]() -> Awaitable<void> {
+      co_await t.Watch.confirmServers(Milliseconds(100));
+    });
+  confirmServers(t, Milliseconds(100));
+  CHECK(t.Store.ListCalls["servers"] == 2);
+  CHECK(t.Servers.ofService("model").size() == 1);
+  CHECK(t.Watch.serversAge() < Milliseconds(300));
+}
+
+TEST_CASE("servers are not confirmed by a store that does not answer") {
+  Fixture t;
+  t.Watch.start();
+  t.runFor(Milliseconds(300));
+  t.Store.Answers = false;
+  CHECK(confirmServers(t, Milliseconds(100)) >= Milliseconds(100));
+  CHECK(t.Watch.serversAge() >= Milliseconds(300));
+}
+
+TEST_CASE("a process that has lost the store does not wait for servers to be "
+          "confirmed") {
+  Fixture t;
+  t.Store.Watches["servers"].push_back(
+      {Failure::Unavailable, {}, Milliseconds(100)});
+  t.Watch.start();
+  t.runFor(Milliseconds(50));
+  t.Store.Answers = false;
+  t.runFor(Milliseconds(300));
+  CHECK(confirmServers(t, Milliseconds(100)) < Milliseconds(50));
+}
--- a/Tests/Gateway/StreamOriginTest.cpp
+++ b/Tests/Gateway/StreamOriginTest.cpp
@@ -6,6 +6,7 @@
 
 using namespace sardineford;
 using gateway::chooseTakeUpVersion;
+using gateway::mayBeOutOfDate;
 using gateway::TakeUpEvidence;
 
 namespace {
@@ -24,6 +25,18 @@
   return out;
 }
 
+peers::VersionView peerView(const std::string &version, Milliseconds age) {
+  return {.OnlyVersion = peers::hashOfVersion(version), .Age = age};
+}
+
+/// What a process knows that has not heard from the store for some time.
+TakeUpEvidence outOfDate(const std::string &version) {
+  TakeUpEvidence out = evidence({version});
+  out.MayHavePeers = true;
+  out.ViewAge = Milliseconds(5'000);
+  return out;
+}
+
 } // namespace
 
 TEST_CASE("a stream that is taken up goes on at the version that began it") {
@@ -61,7 +74,10 @@
 TEST_CASE("a stream of an unknown version does not go on if a peer knows more "
           "versions") {
   TakeUpEvidence e = evidence({"v1"});
-  e.PeersKnowSeveral = true;
+  e.MayHavePeers = true;
+  e.PeerViews = {{.Age = Milliseconds(20)}};
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.PeerViews = {{}};
   CHECK_FALSE(chooseTakeUpVersion(e));
   e.Found = peers::hashOfVersion("v1");
   CHECK(chooseTakeUpVersion(e) == "v1");
@@ -82,12 +98,59 @@
   TakeUpEvidence e = evidence({"v1"});
   e.MayHavePeers = true;
   e.ViewAge = Milliseconds(20'000);
-  e.PeersTold = 1;
+  e.PeerViews = {peerView("v1", Milliseconds(200))};
   CHECK(chooseTakeUpVersion(e) == "v1");
-  e.PeersTold = 0;
+  e.PeerViews = {};
   e.ViewAge = Milliseconds(200);
   CHECK(chooseTakeUpVersion(e) == "v1");
   e.MayHavePeers = false;
   e.ViewAge = Milliseconds(20'000);
   CHECK(chooseTakeUpVersion(e) == "v1");
 }
+
+// Guards against processes that are cut off together and confirm each other's
+// only version.
+TEST_CASE("a stream of an unknown version does not go on if the peers that "
+          "answer are as far behind as this process") {
+  TakeUpEvidence e = outOfDate("v1");
+  e.PeerViews = {peerView("v1", Milliseconds(5'200))};
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.PeerViews = {peerView("v1", Milliseconds::max()),
+                 peerView("v1", Milliseconds(-1))};
+  CHECK_FALSE(chooseTakeUpVersion(e));
+  e.Found = peers::hashOfVersion("v1");
+  CHECK(chooseTakeUpVersion(e) == "v1");
+}
+
+TEST_CASE("a stream of an unknown version goes on if a peer has heard of no "
+          "other version lately") {
+  TakeUpEvidence e = outOfDate("v1");
+  e.PeerViews = {peerView("v1", Milliseconds(5'200)),
+                 peerView("v1", Milliseconds(300))};
+  CHECK(chooseTakeUpVersion(e) == "v1");
+}
+
+// Guards against two processes that each know one version, not the same.
+TEST_CASE("a stream of an unknown version does not go on if a peer knows "
+          "another version only") {
+  TakeUpEvidence e = evidence({"v1"});
+  e.MayHavePeers = true;
+  e.PeerViews = {peerView("v1", Milliseconds(100)),
+                 peerView("v1.1", Milliseconds(100))};
+  CHECK_FALSE(chooseTakeUpVersion(e));
+}
+
+TEST_CASE("the store is asked only if its answer may let a stream go on") {
+  TakeUpEvidence e = outOfDate("v1");
+  CHECK(mayBeOutOfDate(e));
+  e.PeerViews = {peerView("v1", Milliseconds(5'200))};
+  CHECK(mayBeOutOfDate(e));
+  e.PeerViews = {peerView("v1", Milliseconds(300))};
+  CHECK_FALSE(mayBeOutOfDate(e));
+  e.PeerViews = {{.Age = Milliseconds(20)}};
+  CHECK_FALSE(mayBeOutOfDate(e));
+  CHECK_FALSE(mayBeOutOfDate(evidence({"v1", "v1.1"})));
+  e = outOfDate("v1");
+  e.Found = peers::hashOfVersion("v1");
+  CHECK_FALSE(mayBeOutOfDate(e));
+}
--- a/Tests/Peers/LoadExchangeTest.cpp
+++ b/Tests/Peers/LoadExchangeTest.cpp
@@ -275,7 +275,7 @@
   OriginRecord record{1, 2};
   for (messages::LoadShare it :
        {encodeOrigins({&record, 1}), encodeOriginQuery(1, 1, 1),
-        encodeOriginAnswer(1, 2, true),
+        encodeOriginAnswer(1, 2, VersionView{}),
         encodeOriginAnswer(1, std::nullopt, std::nullopt)}) {
     it.clear_origins();
     socket.send_to(asio::buffer(it.SerializeAsString()), to);
--- a/Tests/Peers/StreamOriginsTest.cpp
+++ b/Tests/Peers/StreamOriginsTest.cpp
@@ -38,6 +38,18 @@
   return out;
 }
 
+const VersionView SeveralVersions{.Age = Milliseconds(0)};
+
+VersionView onlyVersion(const std::string &version,
+                        Milliseconds age = Milliseconds(0)) {
+  return {.OnlyVersion = hashOfVersion(version), .Age = age};
+}
+
+bool knowsSeveral(const FoundOrigin &found) {
+  return std::any_of(found.PeerViews.begin(), found.PeerViews.end(),
+                     [](const VersionView &it) { return !it.OnlyVersion; });
+}
+
 /// Processes that exchange datagrams without a network.
 struct Network {
   struct Datagram {
@@ -409,8 +421,9 @@
   f.Dead = {1, 2};
   f.IsLost = [&](const Network::Datagram &it) {
     uint64_t id = it.Message.origins().query();
-    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5, true), it.To);
-    f.Origins[0]->handle(encodeOriginAnswer(id, 5, true), {"10.0.0.9", 1});
+    f.Origins[0]->handle(encodeOriginAnswer(id + 1, 5, SeveralVersions), it.To);
+    f.Origins[0]->handle(encodeOriginAnswer(id, 5, SeveralVersions),
+                         {"10.0.0.9", 1});
     return true;
   };
   CHECK(!f.find(0, "stream").Version);
@@ -419,56 +432,61 @@
 TEST_CASE("a process that knows one version learns of others from its peers") {
   Network f(6);
   for (size_t i = 0; i < 6; ++i)
-    f.Origins[i]->setSeveralVersions([i](uint64_t service) {
-      return std::optional(i != 0 && service == hashOfService("model"));
+    f.Origins[i]->setViewSource([i](uint64_t service) {
+      return std::optional(i != 0 && service == hashOfService("model")
+                               ? SeveralVersions
+                               : onlyVersion("v1"));
     });
   FoundOrigin out = f.find(0, "stream");
   CHECK(!out.Version);
-  CHECK(out.Told == 5);
-  CHECK(out.PeersKnowSeveral);
+  CHECK(out.PeerViews.size() == 5);
+  CHECK(knowsSeveral(out));
   f.Dead = {1, 2, 3, 4};
   out = f.find(0, "stream");
-  CHECK(out.Told == 1);
-  CHECK(out.PeersKnowSeveral);
+  CHECK(out.PeerViews.size() == 1);
+  CHECK(knowsSeveral(out));
 }
 
 TEST_CASE("one version is the only one if all peers know no other") {
   Network f(6);
   for (auto &it : f.Origins)
-    it->setSeveralVersions([](uint64_t) { return std::optional(false); });
+    it->setViewSource(
+        [](uint64_t) { return std::optional(onlyVersion("v1")); });
   FoundOrigin out = f.find(0, "stream");
-  CHECK(out.Told == AskedFirst);
-  CHECK(!out.PeersKnowSeveral);
+  CHECK(out.PeerViews.size() == AskedFirst);
+  CHECK(!knowsSeveral(out));
 }
 
 TEST_CASE("several versions of another service are no reason to doubt") {
   Network f(6);
   for (auto &it : f.Origins)
-    it->setSeveralVersions([](uint64_t service) {
-      return std::optional(service == hashOfService("other"));
+    it->setViewSource([](uint64_t service) {
+      return std::optional(service == hashOfService("other")
+                               ? SeveralVersions
+                               : onlyVersion("v1"));
     });
   FoundOrigin out = f.find(0, "stream");
-  CHECK(out.Told == AskedFirst);
-  CHECK(!out.PeersKnowSeveral);
+  CHECK(out.PeerViews.size() == AskedFirst);
+  CHECK(!knowsSeveral(out));
 }
 
 TEST_CASE("peers that cannot tell the versions are not counted as told") {
   Network f(4);
   // Process 1 is an earlier build or has set no source.
-  f.Origins[2]->setSeveralVersions(
-      [](uint64_t) { return std::optional<bool>(); });
-  f.Origins[3]->setSeveralVersions(
-      [](uint64_t) { return std::optional(true); });
+  f.Origins[2]->setViewSource(
+      [](uint64_t) { return std::optional<VersionView>(); });
+  f.Origins[3]->setViewSource(
+      [](uint64_t) { return std::optional(SeveralVersions); });
   FoundOrigin out = f.find(0, "stream");
   CHECK(out.NotKnown == 3);
-  CHECK(out.Told == 1);
-  CHECK(out.PeersKnowSeveral);
+  CHECK(out.PeerViews.size() == 1);
+  CHECK(knowsSeveral(out));
 }
 
 TEST_CASE("a question of an earlier build names no service") {
   Network f(2);
-  f.Origins[0]->setSeveralVersions(
-      [](uint64_t) { return std::optional(true); });
+  f.Origins[0]->setViewSource(
+      [](uint64_t) { return std::optional(SeveralVersions); });
   messages::LoadShare in;
   in.mutable_relay();
   in.mutable_origins()->set_query(7);
@@ -484,12 +502,83 @@
   CHECK(query.origins().service() == 4);
   REQUIRE(query.origins().streams_size() == 1);
   CHECK(query.origins().streams(0) == 5);
-  messages::LoadShare answer = encodeOriginAnswer(3, 6, true);
+  messages::LoadShare answer = encodeOriginAnswer(3, 6, SeveralVersions);
   CHECK(answer.origins().versions(0) == 6);
   CHECK(answer.origins().has_several_versions());
   answer = encodeOriginAnswer(3, std::nullopt, std::nullopt);
   CHECK(answer.origins().versions_size() == 0);
   CHECK(!answer.origins().has_has_several_versions());
+  CHECK(!decodeVersionView(answer));
+}
+
+TEST_CASE("an answer names the only version that its sender knows and the age "
+          "of its view") {
+  messages::LoadShare answer = encodeOriginAnswer(
+      3, std::nullopt, onlyVersion("v1", Milliseconds(5'200)));
+  CHECK(answer.origins().has_has_several_versions());
+  CHECK(!answer.origins().has_several_versions());
+  std::optional<VersionView> view = decodeVersionView(answer);
+  REQUIRE(view);
+  CHECK(view->OnlyVersion == hashOfVersion("v1"));
+  CHECK(view->Age == Milliseconds(5'200));
+  view =
+      decodeVersionView(encodeOriginAnswer(3, std::nullopt, SeveralVersions));
+  REQUIRE(view);
+  CHECK(!view->OnlyVersion);
+}
+
+TEST_CASE(
+    "an answer of an earlier build that knows one version proves nothing") {
+  messages::LoadShare answer =
+      encodeOriginAnswer(3, std::nullopt, onlyVersion("v1"));
+  answer.mutable_origins()->clear_only_version();
+  answer.mutable_origins()->clear_view_age_ms();
+  CHECK(!decodeVersionView(answer));
+  answer.mutable_origins()->set_has_several_versions(true);
+  std::optional<VersionView> view = decodeVersionView(answer);
+  REQUIRE(view);
+  CHECK(!view->OnlyVersion);
+}
+
+// Guards against processes that are cut off together and confirm each other's
+// only version, at any size of the fleet.
+TEST_CASE("processes that are cut off together do not know the only version") {
+  for (size_t n : {6, 60, 350}) {
+    INFO(n << " processes");
+    Network f(n);
+    size_t numCut = n / 3;
+    auto isCut = [&](const http::Endpoint &it) {
+      return std::any_of(f.Processes.begin(),
+                         f.Processes.begin() + static_cast<ptrdiff_t>(numCut),
+                         [&](const auto &p) { return p.Address == it; });
+    };
+    f.IsLost = [&](const Network::Datagram &it) {
+      return isCut(it.From) != isCut(it.To);
+    };
+    auto setAge = [&](size_t i, Milliseconds age) {
+      f.Origins[i]->setViewSource(
+          [age](uint64_t) { return std::optional(onlyVersion("v1", age)); });
+    };
+    for (size_t i = 0; i < n; ++i)
+      setAge(i, Milliseconds(i < numCut ? 5'000 : 400));
+    for (size_t stream = 0; stream < 20; ++stream) {
+      FoundOrigin out = f.find(0, std::to_string(stream));
+      CHECK(!isOnlyVersion(onlyVersion("v1", Milliseconds(5'000)),
+                           out.PeerViews));
+      // The others have silent peers, too, but hear of what joins.
+      out = f.find(n - 1, std::to_string(stream));
+      CHECK(isOnlyVersion(onlyVersion("v1", Milliseconds(400)), out.PeerViews));
+    }
+  }
+}
+
+TEST_CASE("further peers are asked if the first ones are out of date") {
+  Network f(6);
+  for (size_t i = 0; i < 6; ++i)
+    f.Origins[i]->setViewSource([](uint64_t) {
+      return std::optional(onlyVersion("v1", Milliseconds(5'000)));
+    });
+  CHECK(f.find(0, "stream").PeerViews.size() == 5);
 }
 
 TEST_CASE("the version of a stream outlives holders that die in turn") {
