Tell a reset from the end of a response while the request is sent

What callers saw: a worker answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is written.

Cause: a socket reports an error once. The pending write of the request receives the reset, and the next read returns 0 bytes, the end of a response without a length.

Change: if a read returns the end while the request is not sent or its write has failed, only a connection that the peer has ended (TCP state CLOSE_WAIT) has an end; any other was reset.

Ruled out: with the whole request sent, the read gets the reset by itself (1 KB: 0 of 20 calls complete).

A server that answers early, ends its side and reads on still gives a complete answer.

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -120,6 +120,17 @@
   s.set_option(Probes(KeepAliveProbes), ec);
 }
 
+/// Returns whether the peer has ended its bytes properly. A read may return
+/// their end after a reset, too: a socket reports an error once, and a write
+/// may have received it.
+bool hasPeerEnded(tcp::socket &s) {
+  tcp_info info{};
+  socklen_t n = sizeof(info);
+  return ::getsockopt(s.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n) ==
+             0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 /// Returns the idle time after which the peer closes the connection, from the
 /// header "Keep-Alive: timeout=N".
 Milliseconds peerIdleLimit(const Headers &fields) {
@@ -467,6 +478,10 @@
       Ready->Received += n;
       return;
     }
+    bool isSent = Outgoing->Done && !Outgoing->Error;
+    if (ec == asio::error::eof && !isSent &&
+        !hasPeerEnded(Conn->Stream.socket()))
+      ec = asio::error::connection_reset;
     if (ec != asio::error::eof || !ResponseParser->got_some()) {
       Error = ec == asio::error::eof ? bhttp::error::end_of_stream : ec;
       return;
--- a/StandIns/Relay/Relay.cpp
+++ b/StandIns/Relay/Relay.cpp
@@ -23,6 +23,9 @@
 /// Delay of a rejection that is repeated later, and between its two parts.
 constexpr Milliseconds RepeatDelay{50};
 constexpr Milliseconds PartDelay{3};
+constexpr Milliseconds ResetDelay{50};
+/// Little of an upload fits into the buffers of a connection.
+constexpr int EarlyReceiveBytes = 16 * 1024;
 /// Interval at which a relay that refuses connections looks whether it accepts
 /// them again.
 constexpr Milliseconds ListenPollInterval{5};
@@ -101,6 +104,10 @@
         co_await Acceptor.async_accept(asio::as_tuple(use_awaitable));
     if (ec || Mode == LinkMode::Disconnect)
       continue;
+    boost::system::error_code ignored;
+    if (MakeEarlyAnswer)
+      socket.set_option(
+          asio::socket_base::receive_buffer_size(EarlyReceiveBytes), ignored);
     auto from = std::make_shared<tcp::socket>(std::move(socket));
     spawn(Io, "link", [this, from] { return openLink(std::move(*from)); });
   }
@@ -139,6 +146,12 @@
     if (discard)
       continue;
     std::string_view received(buf.data(), n);
+    std::string early =
+        toTarget && MakeEarlyAnswer ? MakeEarlyAnswer(received) : std::string();
+    if (!early.empty()) {
+      co_await sendAndReset(link, std::move(early));
+      break;
+    }
     if (!toTarget && Endless && received.starts_with(SuccessStart)) {
       co_await sendEndless(link, std::string(received));
       break;
@@ -173,6 +186,16 @@
   }
 }
 
+Awaitable<void> Relay::sendAndReset(LinkPtr link, std::string bytes) {
+  ++NumEarly;
+  co_await asio::async_write(link->From, asio::buffer(bytes),
+                             asio::as_tuple(use_awaitable));
+  // The caller waits in its write once the buffers of the connection are full.
+  co_await sleepFor(ResetDelay);
+  boost::system::error_code ec;
+  link->From.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 void Relay::replaceFromTarget(std::string text, std::string replacement) {
   Replacements.emplace_back(std::move(text), std::move(replacement));
 }
--- a/StandIns/Relay/Relay.h
+++ b/StandIns/Relay/Relay.h
@@ -5,11 +5,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -60,6 +62,13 @@
   /// Replaces the responses with status 200 that begin from now on by ones
   /// without an end; none for sound ones.
   void setEndless(std::optional<EndlessForm> form) { Endless = form; }
+  /// Sets a function that is given the begin of what a caller sends. The bytes
+  /// that it returns are sent to the caller at once, and the connection is
+  /// reset while the caller sends on; none to forward the request.
+  using EarlyAnswer = std::function<std::string(std::string_view)>;
+  void setEarlyAnswer(EarlyAnswer f) { MakeEarlyAnswer = std::move(f); }
+  /// Number of such answers.
+  size_t earlyAnswers() const { return NumEarly; }
   /// Number of responses without an end.
   size_t endlessResponses() const { return NumEndless; }
   /// Replaces a text in what the target sends by another one of the same
@@ -82,6 +91,7 @@
   /// Sends a response without an end to the caller until it closes the
   /// connection. `head` begins with that of the target's response.
   Awaitable<void> sendEndless(LinkPtr link, std::string head);
+  Awaitable<void> sendAndReset(LinkPtr link, std::string bytes);
   /// Keeps a rejection that was forwarded to the caller.
   void recordRejection(const LinkPtr &link, std::string_view bytes);
   /// Writes the last rejection of the connection to the caller again.
@@ -98,7 +108,9 @@
   RepeatedRejection Repeated = RepeatedRejection::Never;
   std::optional<EndlessForm> Endless;
   size_t NumConnections = 0;
+  EarlyAnswer MakeEarlyAnswer;
   size_t NumEndless = 0;
+  size_t NumEarly = 0;
   std::list<std::weak_ptr<Link>> Links;
   std::vector<std::pair<std::string, std::string>> Replacements;
 };
--- /dev/null
+++ b/Tests/Http/EarlyResponseTest.cpp
@@ -0,0 +1,183 @@
+#include "Sardineford/Http/Client.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace sardineford;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr const char *HeadWithoutLength =
+    "HTTP/1.1 200 OK\r\nRequest-Id: 9c41d0\r\n\r\n";
+constexpr const char *Body = "the part that was sent before the reset";
+/// More than the socket buffers of a connection on loopback hold.
+constexpr size_t LongUpload = size_t{16} * 1024 * 1024;
+constexpr size_t ShortUpload = 1'000;
+constexpr int Repetitions = 20;
+/// The client waits in its write.
+constexpr Milliseconds BuffersFilled{30};
+constexpr Milliseconds CallTimeout{5'000};
+
+/// Serves connections one after the other, in a thread of its own. The function
+/// is called when the head of a request has been received.
+class BlockingServer {
+public:
+  explicit BlockingServer(std::function<void(tcp::socket &)> serve)
+      : Serve(std::move(serve)),
+        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this] { run(); }) {}
+  ~BlockingServer() {
+    Stops = true;
+    // Wakes the thread if it waits for a connection.
+    tcp::socket socket(Io);
+    boost::system::error_code ec;
+    socket.connect(Acceptor.local_endpoint(), ec);
+    socket.close(ec);
+    Thread.join();
+  }
+
+  http::Endpoint at() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+private:
+  void run() {
+    while (!Stops) {
+      boost::system::error_code ec;
+      tcp::socket socket = Acceptor.accept(ec);
+      std::string head;
+      if (!ec)
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(head),
+                                "\r\n\r\n", ec);
+      if (!ec)
+        Serve(socket);
+    }
+  }
+
+  std::function<void(tcp::socket &)> Serve;
+  IoContext Io;
+  tcp::acceptor Acceptor;
+  std::atomic<bool> Stops = false;
+  std::thread Thread;
+};
+
+void write(tcp::socket &socket, const std::string &bytes) {
+  boost::system::error_code ec;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+}
+
+void reset(tcp::socket &socket) {
+  boost::system::error_code ec;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
+  socket.close(ec);
+}
+
+/// Reads until the client closes the connection.
+void drain(tcp::socket &socket) {
+  boost::system::error_code ec;
+  std::vector<char> buf(size_t{64} * 1024);
+  while (!ec)
+    socket.read_some(boost::asio::buffer(buf), ec);
+}
+
+/// Uploads a body and returns the response; nothing if the call fails.
+std::optional<http::Response> upload(http::Endpoint to, size_t bytes) {
+  IoContext io(1);
+  http::Client client(io);
+  std::optional<http::Response> out;
+  spawn(io, "call", [&]() -> Awaitable<void> {
+    try {
+      http::Request request;
+      request.Method = "POST";
+      request.Body.assign(bytes, 'a');
+      http::CallOptions options;
+      options.Timeout = CallTimeout;
+      out = co_await client.call(to, request, options);
+    } catch (const http::TransportError &) {
+      out.reset();
+    }
+    io.stop();
+  });
+  io.run();
+  return out;
+}
+
+/// Counts the uploads that end with a response.
+int countResponses(http::Endpoint to, size_t bytes) {
+  int out = 0;
+  for (int i = 0; i < Repetitions; ++i)
+    out += upload(to, bytes) ? 1 : 0;
+  return out;
+}
+
+} // namespace
+
+// Guards against a reset that the write of the request reports, so that the
+// response seems to end with its connection.
+TEST_CASE("a response without a length that is reset while the request is sent "
+          "is not complete") {
+  for (Milliseconds delay : {Milliseconds(0), BuffersFilled})
+    for (size_t bytes : {ShortUpload, LongUpload}) {
+      INFO(bytes << " bytes, reset after " << delay.count() << " ms");
+      BlockingServer server([&](tcp::socket &socket) {
+        write(socket, std::string(HeadWithoutLength) + Body);
+        std::this_thread::sleep_for(delay);
+        reset(socket);
+      });
+      CHECK(countResponses(server.at(), bytes) == 0);
+    }
+}
+
+TEST_CASE(
+    "a response without a length is not complete if its server closes the "
+    "connection with a part of the request unread") {
+  BlockingServer server([&](tcp::socket &socket) {
+    write(socket, std::string(HeadWithoutLength) + Body);
+    std::this_thread::sleep_for(BuffersFilled);
+    socket.close();
+  });
+  CHECK(countResponses(server.at(), LongUpload) == 0);
+}
+
+TEST_CASE(
+    "a response without a length is complete if its server ends it before "
+    "the request is sent and reads on") {
+  BlockingServer server([&](tcp::socket &socket) {
+    write(socket, std::string(HeadWithoutLength) + Body);
+    socket.shutdown(tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(BuffersFilled);
+    drain(socket);
+  });
+  for (size_t bytes : {ShortUpload, LongUpload})
+    for (int i = 0; i < Repetitions; ++i) {
+      std::optional<http::Response> response = upload(server.at(), bytes);
+      REQUIRE(response);
+      CHECK(response->Body == Body);
+    }
+}
+
+TEST_CASE("a response with a length is complete though its connection is reset "
+          "while the request is sent") {
+  BlockingServer server([&](tcp::socket &socket) {
+    write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(std::string(Body).size()) + "\r\n\r\n" +
+                      Body);
+    std::this_thread::sleep_for(BuffersFilled);
+    reset(socket);
+  });
+  std::optional<http::Response> response = upload(server.at(), LongUpload);
+  REQUIRE(response);
+  CHECK(response->Body == Body);
+}
