Treat a response whose status is not in use as broken

Cause: the parser takes any three digits as a status, and nothing after it asked whether they are one. What is below 200 or above 599 is in none of the tables of successes, rejections and failures, and was passed on.

Change: the client ends a call whose final status is not in 200 to 599 like one with a broken response, so that each path (plain, stream, hop, health check, store, duties) treats it as it treats a connection that breaks. 101 is not valid either, since no request asks for another protocol.

A store whose answers have the status 000 takes no call along.

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -40,6 +40,8 @@
 /// Most informational responses before the final one.
 constexpr int MaxInformational = 16;
 constexpr unsigned StatusSwitchingProtocols = 101;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastFinalStatus = 599;
 /// The kernel closes a connection with bytes unacknowledged for this long. The
 /// limit is well above the round trip time of a loaded link and well below the
 /// deadlines of long responses.
@@ -170,6 +172,12 @@
   return status / 100 == 1 && status != StatusSwitchingProtocols;
 }
 
+/// Returns whether a response with the status can be passed on. Requests never
+/// ask for another protocol.
+bool isFinal(unsigned status) {
+  return status >= FirstFinalStatus && status <= LastFinalStatus;
+}
+
 } // namespace
 
 struct Client::Impl : std::enable_shared_from_this<Client::Impl> {
@@ -414,13 +422,18 @@
     ResponseParser->body_limit(boost::none);
   }
 
-  /// Discards an informational response, so that the final one can be parsed.
-  void skipInformational() {
-    if (HeadReceived || !ResponseParser->is_header_done() ||
-        !isInformational(ResponseParser->get().result_int()))
+  /// Discards an informational response, so that the final one can be parsed,
+  /// and one whose status is not in use.
+  void checkStatus() {
+    if (HeadReceived || !ResponseParser->is_header_done())
+      return;
+    unsigned status = ResponseParser->get().result_int();
+    if (isFinal(status))
       return;
     startParser();
-    if (++NumInformational > MaxInformational)
+    if (!isInformational(status))
+      Error = bhttp::error::bad_status;
+    else if (++NumInformational > MaxInformational)
       Error = bhttp::error::header_limit;
   }
 
@@ -462,7 +475,7 @@
       Error = bhttp::error::buffer_overflow;
     else if (ec && !isIncomplete && ec != bhttp::error::need_buffer)
       Error = ec;
-    skipInformational();
+    checkStatus();
   }
 
   /// Receives what has arrived, without waiting.
--- a/Tests/Http/EarlyResponseTest.cpp
+++ b/Tests/Http/EarlyResponseTest.cpp
@@ -181,3 +181,19 @@
   REQUIRE(response);
   CHECK(response->Body == Body);
 }
+
+// Guards against answers of a server in trouble that no caller can read.
+TEST_CASE("a response whose status is not in use is an error") {
+  for (const char *status :
+       {"000", "001", "099", "101", "600", "999", "200", "204", "599"}) {
+    INFO("status " << status);
+    BlockingServer server([&](tcp::socket &socket) {
+      write(socket, "HTTP/1.1 " + std::string(status) +
+                        " X\r\nContent-Length: 0\r\n\r\n");
+      drain(socket);
+    });
+    std::string text(status);
+    bool isValid = text >= "200" && text <= "599";
+    CHECK(upload(server.at(), ShortUpload).has_value() == isValid);
+  }
+}
--- a/Tests/Process/InvalidAnswerTest.cpp
+++ b/Tests/Process/InvalidAnswerTest.cpp
@@ -3,13 +3,16 @@
 #include "StandIns/Platform/PlatformCaller.h"
 #include "StandIns/Platform/PlatformDeployment.h"
 #include "StandIns/Platform/PlatformWorker.h"
+#include "StandIns/Platform/WorkerHistory.h"
 #include "platform/Names.h"
 
 #include <catch2/catch.hpp>
 
 #include <array>
 #include <functional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace sardineford;
@@ -24,6 +27,7 @@
 /// More than the socket buffers of a connection on loopback hold.
 constexpr size_t UploadBytes = 3'900'000;
 constexpr size_t Uploads = 5;
+constexpr size_t Calls = 20;
 constexpr std::array<const char *, 4> Routes = {OnceRoute, RepeatableRoute,
                                                 ResumableRoute, StreamRoute};
 
@@ -102,6 +106,20 @@
   co_return out;
 }
 
+bool isOwnFailure(const CallResult &it) {
+  bool isFailed = it.Outcome == DaemonCallOutcome::Rejected ||
+                  it.Outcome == DaemonCallOutcome::Failed;
+  return isFailed && it.Status >= 500 && it.Status <= 599;
+}
+
+size_t countRuns(const PlatformDeployment &deployment, const std::string &id) {
+  std::vector<WorkerEvent> history = readHistory(deployment.historyFile());
+  return static_cast<size_t>(
+      std::count_if(history.begin(), history.end(), [&](const auto &it) {
+        return it.Request == id && it.Action == "run";
+      }));
+}
+
 } // namespace
 
 // Guards against a part of a response that reaches the caller as the whole.
@@ -128,3 +146,73 @@
         CHECK(early >= Routes.size() * Uploads);
       });
 }
+
+// Guards against answers of a server in trouble that no caller can read.
+TEST_CASE("answers whose status is not in use reach no caller", "[process]") {
+  for (const char *status : {"000", "099", "600", "999"}) {
+    INFO("status " << status);
+    runDeployment(
+        options(1),
+        [&](PlatformDeployment &d, http::Client &client) -> Awaitable<void> {
+          for (Relay *it : linksTo(d))
+            it->replaceFromTarget("HTTP/1.1 200 ",
+                                  "HTTP/1.1 " + std::string(status) + " ");
+          for (const char *route : Routes) {
+            INFO(route);
+            for (size_t i = 0; i < Calls; ++i) {
+              http::Endpoint to = d.Daemons[0].HttpListen;
+              CallResult r = co_await callDaemon(client, to, route, Deadline);
+              INFO(r.Id << ", status " << r.Status);
+              CHECK(isOwnFailure(r));
+              CHECK((std::string_view(route) != OnceRoute ||
+                     countRuns(d, r.Id) <= 1));
+            }
+          }
+        });
+  }
+}
+
+TEST_CASE(
+    "a server whose answers have no valid status does not harm those that "
+    "others can give",
+    "[process]") {
+  runDeployment(
+      options(1),
+      [](PlatformDeployment &d, http::Client &client) -> Awaitable<void> {
+        std::set<std::string> seen;
+        // The first server of each service.
+        for (DeployedWorker &it : d.Workers)
+          if (it.Stage != "prefill" && seen.insert(it.Service).second)
+            it.Link->replaceFromTarget("HTTP/1.1 200 ", "HTTP/1.1 000 ");
+        for (const char *route : {RepeatableRoute, ResumableRoute}) {
+          size_t correct = 0;
+          for (size_t i = 0; i < Calls; ++i) {
+            http::Endpoint to = d.Daemons[0].HttpListen;
+            CallResult r = co_await callDaemon(client, to, route, Deadline);
+            correct += r.Outcome == DaemonCallOutcome::Correct ? 1 : 0;
+          }
+          INFO(route);
+          CHECK(correct == Calls);
+        }
+      });
+}
+
+TEST_CASE("a daemon serves on while the store answers without a valid status",
+          "[process]") {
+  runDeployment(
+      options(2),
+      [](PlatformDeployment &d, http::Client &client) -> Awaitable<void> {
+        for (DeployedDaemon &it : d.Daemons) {
+          it.StoreLink->replaceFromTarget("HTTP/1.1 200 ", "HTTP/1.1 000 ");
+          it.StoreLink->closeOpenConnections();
+        }
+        co_await sleepFor(Milliseconds(1'000));
+        for (const char *route : Routes)
+          for (size_t i = 0; i < Calls; ++i) {
+            http::Endpoint to = d.Daemons[i % 2].HttpListen;
+            CallResult r = co_await callDaemon(client, to, route, Deadline);
+            INFO(route << " " << r.Id << ", status " << r.Status);
+            CHECK(r.Outcome == DaemonCallOutcome::Correct);
+          }
+      });
+}
