Test bytes without an end that are no response, from a crowd and the store

Report (LOST): bytes that are no answer, without an end, in a head or a body, take a process out of memory.

--- a/StandIns/Relay/EndlessResponse.cpp
+++ b/StandIns/Relay/EndlessResponse.cpp
@@ -48,10 +48,11 @@
 } // namespace
 
 std::string_view toString(EndlessForm form) {
-  constexpr std::array<std::string_view, EndlessForms.size() + 1> Names = {
-      "header",          "informational", "chunk size",    "chunk extension",
-      "trailer",         "event",         "comment lines", "comments",
-      "one-byte chunks", "body",          "error body",    "trickle"};
+  constexpr std::array<std::string_view, EndlessForms.size() + 7> Names = {
+      "header",     "informational", "chunk size", "chunk extension", "trailer",
+      "event",      "comment lines", "comments",   "one-byte chunks", "body",
+      "error body", "trickle",       "letters",    "empty lines",     "lines",
+      "zeros",      "reason phrase", "headers"};
   return Names[static_cast<size_t>(form)];
 }
 
@@ -81,6 +82,18 @@
   case EndlessForm::Trickle:
     return {chunked + "f\r\nid: 1\ndata: a\n\n\r\n", "1\r\na\r\n",
             TricklePause};
+  case EndlessForm::Letters:
+    return {"", repeat("a")};
+  case EndlessForm::EmptyLines:
+    return {"", repeat("\r\n")};
+  case EndlessForm::Lines:
+    return {"", repeat("a\r\n")};
+  case EndlessForm::Zeros:
+    return {"", std::string(BlockBytes, '\0')};
+  case EndlessForm::Reason:
+    return {"HTTP/1.1 200 ", repeat("a")};
+  case EndlessForm::Headers:
+    return {fields, repeat("X: a\r\n")};
   case EndlessForm::Body:
     return {plainHead(std::move(fields), "200 OK"), repeat("a")};
   case EndlessForm::ErrorBody:
--- a/StandIns/Relay/EndlessResponse.h
+++ b/StandIns/Relay/EndlessResponse.h
@@ -33,8 +33,24 @@
   ErrorBody,
   /// A complete event, then one event of which a byte comes now and then.
   Trickle,
+  /// No response at all: bytes without a line break, empty lines, lines of
+  /// letters, zeros.
+  Letters,
+  EmptyLines,
+  Lines,
+  Zeros,
+  /// In the reason phrase of the status line.
+  Reason,
+  /// One header after the other.
+  Headers,
 };
 
+/// Forms without a sound head.
+inline constexpr std::array<EndlessForm, 8> EndlessHeads = {
+    EndlessForm::Header,     EndlessForm::Informational, EndlessForm::Letters,
+    EndlessForm::EmptyLines, EndlessForm::Lines,         EndlessForm::Zeros,
+    EndlessForm::Reason,     EndlessForm::Headers};
+
 /// Forms that soak runs choose from. Seeds of earlier runs depend on the
 /// number.
 inline constexpr std::array<EndlessForm, 11> EndlessForms = {
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -158,6 +158,15 @@
   }
 }
 
+TEST_CASE("bytes without an end that are no response break the call") {
+  for (EndlessForm form : EndlessHeads) {
+    INFO(toString(form));
+    EndlessServer server(form, size_t{8} * 1024 * 1024);
+    CHECK(callOnce(server.at(), CallTimeout) == "broken");
+    CHECK_FALSE(server.isExhausted());
+  }
+}
+
 TEST_CASE("a call fails at the size limit of a body without an end") {
   EndlessServer server(EndlessForm::Body);
   CHECK(callOnce(server.at(), CallTimeout) == "broken");
--- a/Tests/Process/EndlessResponseTest.cpp
+++ b/Tests/Process/EndlessResponseTest.cpp
@@ -125,6 +125,7 @@
 
 constexpr size_t FewCalls = 4;
 constexpr size_t ManyCalls = 24;
+constexpr size_t Crowd = 200;
 
 } // namespace
 
@@ -158,3 +159,57 @@
     checkOthersAreServed(it, RepeatableRoute, ManyCalls);
   }
 }
+
+// Guards against a process that runs out of memory by what one faulty server
+// sends.
+TEST_CASE("a crowd of answers without an end stays within the memory of an "
+          "instance",
+          "[process]") {
+  for (EndlessForm it : EndlessHeads)
+    checkOthersAreServed(it, RepeatableRoute, Crowd);
+  for (const char *route : {StreamRoute, OnceRoute})
+    for (EndlessForm it :
+         {EndlessForm::Letters, EndlessForm::Headers, EndlessForm::Body,
+          EndlessForm::ErrorBody, EndlessForm::ChunkSize})
+      checkOthersAreServed(it, route, Crowd);
+}
+
+TEST_CASE("a store that answers without an end leaves a daemon within its "
+          "memory",
+          "[process]") {
+  constexpr Milliseconds EndlessTime{4'000};
+  for (EndlessForm form :
+       {EndlessForm::Letters, EndlessForm::Headers, EndlessForm::Body,
+        EndlessForm::OneByteChunks, EndlessForm::Trailer}) {
+    INFO(toString(form));
+    IoContext io(1);
+    PlatformDeployment deployment(io, {.Programs = SARDINEFORD_PROGRAMS,
+                                       .Folder = makeTemporaryFolder(),
+                                       .Daemons = 1});
+    http::Client client(io);
+    bool ready = false;
+    std::vector<CallResult> results;
+    spawn(io, "case", [&]() -> Awaitable<void> {
+      ready = co_await deployment.bringUp(StartTime);
+      DeployedDaemon &daemon = deployment.Daemons[0];
+      daemon.StoreLink->setEndless(form);
+      // The daemon reads from the store again.
+      daemon.StoreLink->closeOpenConnections();
+      for (Milliseconds t{0}; ready && t < EndlessTime; t += SoundCallPause) {
+        http::Endpoint to = daemon.HttpListen;
+        results.push_back(
+            co_await callDaemon(client, to, RepeatableRoute, Deadline));
+        co_await sleepFor(SoundCallPause);
+      }
+      io.stop();
+    });
+    io.run();
+    REQUIRE(ready);
+    CHECK(deployment.Daemons[0].StoreLink->endlessResponses() > 0);
+    CHECK(peakMemoryKb(deployment.Daemons[0].ChildProcess->id()) <=
+          MaxMemoryKb);
+    CHECK(std::all_of(results.begin(), results.end(), [](const auto &it) {
+      return it.Outcome == DaemonCallOutcome::Correct;
+    }));
+  }
+}
