Count a peer's answer of the store only for what this process knows too

A process that has lost the store alone, with peers that hear from it, counted as up to date although it had missed a software version; it could take this as proof that there is one, and tell others so.

No caller was seen to suffer: version records and records of streams reach such a process from its peers, so datagrams must be lost as well.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -2,6 +2,8 @@
 
 #include "Sardineford/Store/Version.h"
 
+#include <algorithm>
+
 namespace sardineford::fleet {
 
 namespace {
@@ -25,6 +27,16 @@
   return feed.Era && store::eraOf(revision) < *feed.Era;
 }
 
+void recordConfirmation(Feed &feed, const FeedView &peer, MonoTime now) {
+  if (peer.AnswerAge && feed.Comparison.hasPassed(peer.Digest))
+    feed.ConfirmedToPeerAt =
+        std::max(feed.ConfirmedToPeerAt, now - *peer.AnswerAge);
+}
+
+MonoTime confirmedAt(const Feed &feed) {
+  return std::max(feed.ConfirmedAt, feed.ConfirmedToPeerAt);
+}
+
 FeedView viewOf(const Feed &feed, MonoTime now) {
   FeedView out = feed.Objects.view();
   out.Watches = feed.Duty.mustWatch(now);
--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -27,6 +27,8 @@
   std::optional<uint64_t> Era;
   /// Time of the last answer of the store.
   MonoTime ConfirmedAt{};
+  /// Time at which the store has confirmed to a peer what this process knows.
+  MonoTime ConfirmedToPeerAt{};
   /// The last call to the store failed.
   bool Lost = false;
   /// Versions of the objects that could not be decoded, by name.
@@ -43,6 +45,14 @@
 /// says nothing of the store any more.
 bool isOfEndedEra(const Feed &feed, uint64_t revision);
 
+/// Records the report of a peer that has had an answer of the store. It
+/// confirms what this process knows only if the process knows as much as the
+/// peer. To be called after compareWithPeer.
+void recordConfirmation(Feed &feed, const FeedView &peer, MonoTime now);
+
+/// Returns the time at which the store has confirmed what the process knows.
+MonoTime confirmedAt(const Feed &feed);
+
 /// Returns what the process reports to its peers.
 FeedView viewOf(const Feed &feed, MonoTime now);
 
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -84,13 +84,11 @@
 }
 
 Milliseconds FleetWatch::configurationAge() const {
-  return timeSince(std::max(ConfigurationFeed.ConfirmedAt,
-                            ConfigurationFeed.Duty.peerAnsweredAt()));
+  return timeSince(confirmedAt(ConfigurationFeed));
 }
 
 Milliseconds FleetWatch::serversAge() const {
-  return timeSince(
-      std::max(ServerFeed.ConfirmedAt, ServerFeed.Duty.peerAnsweredAt()));
+  return timeSince(confirmedAt(ServerFeed));
 }
 
 Awaitable<void> FleetWatch::confirmServers(Milliseconds timeout) {
@@ -372,7 +370,9 @@
 
 void FleetWatch::comparePeer(WatchedFeed &feed, const FeedView &peer) {
   using Difference = PeerComparison::Difference;
-  Difference found = compareWithPeer(feed, peer, MonoClock::now());
+  MonoTime now = MonoClock::now();
+  Difference found = compareWithPeer(feed, peer, now);
+  recordConfirmation(feed, peer, now);
   if (found != Difference::None)
     restartWatch(feed, found == Difference::Newer
                            ? "peer has newer objects"
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -61,8 +61,8 @@
   const std::shared_ptr<const RouteTable> &routes() const { return Routes; }
   const RouteHistory &routeHistory() const { return History; }
   bool isLoaded() const { return Routes != nullptr && Servers.isLoaded(); }
-  /// Time since the last answer of the store to this process or to a peer that
-  /// reports it; -1 ms before the first answer.
+  /// Time since the store has confirmed what this process knows, to it or to a
+  /// peer that knows the same; -1 ms before the first answer.
   Milliseconds configurationAge() const;
   Milliseconds serversAge() const;
   /// Reads the servers again and waits until the store has answered or the
--- a/Source/Fleet/PeerComparison.h
+++ b/Source/Fleet/PeerComparison.h
@@ -41,6 +41,8 @@
   /// short while ago, or is in a short while later.
   void recordStates(std::span<const uint64_t> states, const FeedView &peer,
                     MonoTime now);
+  /// Returns whether this process is in the state, or was a short while ago.
+  bool hasPassed(uint64_t state) const { return LocalStates.contains(state); }
   /// Returns whether no peer has agreed for so long that this process must have
   /// missed a change. Becomes rarer while that does not help.
   bool disagreesForLong(const FeedView &peer, MonoTime now);
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -51,8 +51,6 @@
   Milliseconds publishPatience() const;
   /// Returns the number of processes that watch at the same time.
   unsigned watchers() const;
-  /// Time of the newest answer that a peer had.
-  MonoTime peerAnsweredAt() const { return PeerAnsweredAt; }
   /// Returns whether no peer has had an answer for so long that the store is
   /// probably down. False before the first answer.
   bool isStoreSilent(MonoTime now) const;
@@ -71,6 +69,7 @@
   Milliseconds substituteSpread(double share) const;
 
   FleetPosition Position;
+  /// Time of the newest answer that a peer had.
   MonoTime PeerAnsweredAt{};
   MonoTime StoreRegainedAt{};
   /// This process becomes a substitute at this time; from the beginning until
--- a/Tests/Fleet/FeedTest.cpp
+++ b/Tests/Fleet/FeedTest.cpp
@@ -53,3 +53,40 @@
     applyPublished(feed, changes);
   }
 }
+
+// Guards against a process that has lost the store and counts as up to date
+// since its peers hear from it.
+TEST_CASE("the answer that a peer had confirms only what this process knows "
+          "too") {
+  KnownObjects publisher;
+  Feed feed = waitingFeed();
+  applyPublished(feed, changeOf(publisher, 1));
+  auto report = [&](Milliseconds at) {
+    FeedView peer = publisher.view();
+    peer.AnswerAge = Milliseconds(100);
+    compareWithPeer(feed, peer, Start + at);
+    recordConfirmation(feed, peer, Start + at);
+    return confirmedAt(feed);
+  };
+  CHECK(report(Milliseconds(500)) == Start + Milliseconds(400));
+  PublishedChanges missed = changeOf(publisher, 2);
+  CHECK(report(Milliseconds(1'000)) == Start + Milliseconds(400));
+  CHECK(report(Milliseconds(5'000)) == Start + Milliseconds(400));
+  applyPublished(feed, missed);
+  CHECK(report(Milliseconds(5'500)) == Start + Milliseconds(5'400));
+}
+
+TEST_CASE("a peer that is a short while behind confirms what this process "
+          "knows") {
+  KnownObjects publisher;
+  Feed feed = waitingFeed();
+  applyPublished(feed, changeOf(publisher, 1));
+  FeedView behind = publisher.view();
+  behind.AnswerAge = Milliseconds(100);
+  compareWithPeer(feed, behind, Start);
+  applyPublished(feed, changeOf(publisher, 2));
+  MonoTime now = Start + Milliseconds(600);
+  compareWithPeer(feed, behind, now);
+  recordConfirmation(feed, behind, now);
+  CHECK(confirmedAt(feed) == now - Milliseconds(100));
+}
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -705,3 +705,16 @@
   t.runFor(Milliseconds(300));
   CHECK(confirmServers(t, Milliseconds(100)) < Milliseconds(50));
 }
+
+TEST_CASE("the servers of a process grow old while its peers know others") {
+  FollowerFixture t;
+  StoreView peer = watcherView(t.Watch.view());
+  peer.Servers.Digest += 1;
+  t.Store.Answers = false;
+  for (int i = 0; i < 8; ++i) {
+    t.Watch.checkPeerView(peer);
+    t.runFor(Milliseconds(100));
+  }
+  CHECK(t.Watch.serversAge() >= Milliseconds(800));
+  CHECK(t.Watch.configurationAge() < Milliseconds(300));
+}
