Send the records of streams while the store is away

Change: once the store has confirmed nothing for 2 s, the records of streams go to their holders as they do with several versions, those of running streams at the begin of the outage. A record that is found needs no other proof.

Cost: the datagrams that a service with two versions sends, in outages only.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -62,6 +62,8 @@
 /// 32 MB in a heap that may not shrink.
 constexpr int ReturnedBlockBytes = 128 * 1024;
 
+constexpr Milliseconds OutageCheckInterval{200};
+
 http::InstanceSize instanceSizeOf(const settings::Settings &settings) {
   constexpr uint64_t BytesPerMb = uint64_t{1024} * 1024;
   return {static_cast<uint64_t>(settings.get(node::MemoryMb)) * BytesPerMb,
@@ -245,6 +247,18 @@
     Peers.origins().publishAll(service);
 }
 
+Awaitable<void> Gateway::publishOriginsInOutages() {
+  bool wasOutage = false;
+  for (;;) {
+    co_await sleepFor(OutageCheckInterval);
+    bool isOutage = isOutageLikely(Watch.serversAge());
+    if (isOutage && !wasOutage)
+      for (const std::string &it : Versions.services())
+        Peers.origins().publishAll(it);
+    wasOutage = isOutage;
+  }
+}
+
 void Gateway::recordServerChange(const fleet::Server &server,
                                  std::string_view change) {
   const std::string &service = server.Entry.Service;
@@ -357,6 +371,7 @@
   spawn(Io, "stop", [this] { return stopOnSignal(); });
   spawn(Io, "connection-limits",
         [this] { return keepConnectionLimits(Shared); });
+  spawn(Io, "publish-origins", [this] { return publishOriginsInOutages(); });
   spawn(Io, "event-loop-lag", [this] { return measureEventLoopLag(Metrics); });
   log::event(Category::Gateway, log::Level::Info, "started",
              {{"listen", Options.get(node::HttpListen)},
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -78,6 +78,8 @@
   /// Tells the peers where the streams of a service began once it has several
   /// versions.
   void publishOrigins(const std::string &service);
+  /// The same for all services at the begin of each outage of the store.
+  Awaitable<void> publishOriginsInOutages();
   /// Counts and logs a change of the list of servers.
   void recordServerChange(const fleet::Server &server, std::string_view change);
 
--- a/Source/Gateway/StreamOrigin.cpp
+++ b/Source/Gateway/StreamOrigin.cpp
@@ -9,6 +9,17 @@
 
 namespace sardineford::gateway {
 
+namespace {
+
+/// The watch calls of the processes end more often than this.
+constexpr Milliseconds MaxConfirmationInterval{2'000};
+
+} // namespace
+
+bool isOutageLikely(Milliseconds viewAge) {
+  return viewAge > MaxConfirmationInterval;
+}
+
 peers::VersionView versionViewOf(const std::set<std::string> &versions,
                                  bool sharesStreams, Milliseconds age) {
   peers::VersionView out{.Age = age};
@@ -171,6 +182,7 @@
   size_t versions =
       shared.Servers.softwareVersions(context.Service, MonoClock::now()).size();
   bool isAmbiguous = versions > 1 || context.Route->Targets.size() > 1 ||
+                     isOutageLikely(shared.Watch.serversAge()) ||
                      shared.Watch.routeHistory().sharesStreams(
                          context.Service, MonoClock::now());
   shared.Origins.record(context.Service, context.Request.StreamId,
--- a/Source/Gateway/StreamOrigin.h
+++ b/Source/Gateway/StreamOrigin.h
@@ -34,6 +34,11 @@
 peers::VersionView versionViewOf(const std::set<std::string> &versions,
                                  bool sharesStreams, Milliseconds age);
 
+/// Returns whether the store has not confirmed what a process knows for so long
+/// that others would not take its only version as proof. Streams that begin or
+/// run meanwhile can be taken up with their records only.
+bool isOutageLikely(Milliseconds viewAge);
+
 /// Returns whether nothing but the age of what the processes know speaks
 /// against the only version.
 bool mayBeOutOfDate(const TakeUpEvidence &evidence);
--- a/Tests/Gateway/StreamOriginTest.cpp
+++ b/Tests/Gateway/StreamOriginTest.cpp
@@ -154,3 +154,9 @@
   e.Found = peers::hashOfVersion("v1");
   CHECK_FALSE(mayBeOutOfDate(e));
 }
+
+TEST_CASE("a process that has never heard from the store is in no outage") {
+  CHECK_FALSE(gateway::isOutageLikely(Milliseconds(-1)));
+  CHECK_FALSE(gateway::isOutageLikely(Milliseconds(1'500)));
+  CHECK(gateway::isOutageLikely(Milliseconds(5'000)));
+}
--- a/Tests/Process/StreamVersionTest.cpp
+++ b/Tests/Process/StreamVersionTest.cpp
@@ -312,3 +312,31 @@
     CHECK((it.TakeUps == 0 || it.ContinuedTakeUps > 0));
   }
 }
+
+// Guards against streams that are rejected since an outage of the store makes
+// all processes doubt their only version.
+TEST_CASE("every stream that is taken up while the store is away goes on if "
+          "there is one version",
+          "[process]") {
+  constexpr Milliseconds Outage{3'000};
+  StreamScenario s(oneVersion());
+  s.run(0, 0, 0, [&] {
+    // Keeps the scenario running until the streams have begun.
+    ++s.Open;
+    spawn(s.Io, "disturb", [&]() -> Awaitable<void> {
+      for (DeployedDaemon &it : s.Deployment.Daemons)
+        it.StoreLink->setMode(LinkMode::Disconnect);
+      co_await sleepFor(Outage);
+      s.beginStreams(60, 0, 4, 4);
+      co_await sleepFor(Milliseconds(500));
+      s.killFirstDaemons();
+      --s.Open;
+    });
+  });
+  CHECK(s.totals().TakenUp >= MinTakenUp);
+  s.checkOneVersion();
+  for (const CallResult &it : s.Calls) {
+    INFO(it.Id << ", status " << it.Status << ", take-ups " << it.TakeUps);
+    CHECK((it.TakeUps == 0 || it.ContinuedTakeUps > 0));
+  }
+}
