Tell a server that answers with no valid response from one that has crashed

Change: TransportError::Malformed tells bytes that are no response from a response that is cut; a health check with them counts as answered.

Hops are tested, too: answers without a valid status, and those that are reset beside an upload, do not pass through a peer.

--- a/Source/Gateway/HealthCheck.cpp
+++ b/Source/Gateway/HealthCheck.cpp
@@ -60,6 +60,8 @@
       recordResetOnNew(shared, *known);
     if (e.Refused)
       co_return HealthCheckResult::Refused;
+    if (e.Malformed)
+      co_return HealthCheckResult::Answered;
     co_return e.TimedOut || e.Stage == http::TransportStage::NothingSent
         ? HealthCheckResult::Unknown
         : HealthCheckResult::Closed;
--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -133,6 +133,14 @@
          info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
+/// Returns whether an error of the parser is due to bytes that are no response,
+/// rather than to the end of the connection.
+bool isMalformed(beast::error_code ec) {
+  beast::error_code end = bhttp::error::end_of_stream;
+  return ec.category() == end.category() && ec != end &&
+         ec != bhttp::error::partial_message;
+}
+
 /// Returns the idle time after which the peer closes the connection, from the
 /// header "Keep-Alive: timeout=N".
 Milliseconds peerIdleLimit(const Headers &fields) {
@@ -514,6 +522,7 @@
     close();
     TransportError e(TransportStage::Sent, timedOut,
                      "response from " + toString(To) + ": " + ec.message());
+    e.Malformed = isMalformed(ec);
     bool isReset =
         ec == asio::error::connection_reset || ec == asio::error::broken_pipe;
     e.ResetOnNew = isReset && !Conn->Reused && !ResponseParser->got_some() &&
--- a/Tests/Http/EarlyResponseTest.cpp
+++ b/Tests/Http/EarlyResponseTest.cpp
@@ -122,6 +122,28 @@
   return out;
 }
 
+/// Returns the error of a call to a server that sends the bytes and closes the
+/// connection.
+std::optional<http::TransportError> errorOf(const std::string &bytes) {
+  BlockingServer server([&](tcp::socket &socket) { write(socket, bytes); });
+  IoContext io(1);
+  http::Client client(io);
+  std::optional<http::TransportError> out;
+  spawn(io, "call", [&]() -> Awaitable<void> {
+    try {
+      http::Endpoint to = server.at();
+      http::Request request;
+      http::CallOptions options;
+      co_await client.call(to, request, options);
+    } catch (const http::TransportError &e) {
+      out = e;
+    }
+    io.stop();
+  });
+  io.run();
+  return out;
+}
+
 } // namespace
 
 // Guards against a reset that the write of the request reports, so that the
@@ -197,3 +219,22 @@
     CHECK(upload(server.at(), ShortUpload).has_value() == isValid);
   }
 }
+
+TEST_CASE("bytes that are no response are told from a response that is cut") {
+  for (const char *bytes :
+       {"HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 999 X\r\n\r\n", "no response\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n"}) {
+    INFO(bytes);
+    std::optional<http::TransportError> error = errorOf(bytes);
+    REQUIRE(error);
+    CHECK(error->Malformed);
+  }
+  for (const char *bytes :
+       {"", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\na"}) {
+    INFO(bytes);
+    std::optional<http::TransportError> error = errorOf(bytes);
+    REQUIRE(error);
+    CHECK_FALSE(error->Malformed);
+  }
+}
--- a/Tests/Process/InvalidAnswerTest.cpp
+++ b/Tests/Process/InvalidAnswerTest.cpp
@@ -1,4 +1,5 @@
 #include "Sardineford/Common/Random.h"
+#include "Sardineford/Http/Status.h"
 #include "StandIns/Deployment/Deployment.h"
 #include "StandIns/Platform/PlatformCaller.h"
 #include "StandIns/Platform/PlatformDeployment.h"
@@ -10,6 +11,7 @@
 
 #include <array>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -112,6 +114,14 @@
   return isFailed && it.Status >= 500 && it.Status <= 599;
 }
 
+/// Lets the first server of each service answer with the status 000.
+void harmFirstServers(PlatformDeployment &deployment) {
+  std::set<std::string> seen;
+  for (DeployedWorker &it : deployment.Workers)
+    if (it.Stage != "prefill" && seen.insert(it.Service).second)
+      it.Link->replaceFromTarget("HTTP/1.1 200 ", "HTTP/1.1 000 ");
+}
+
 size_t countRuns(const PlatformDeployment &deployment, const std::string &id) {
   std::vector<WorkerEvent> history = readHistory(deployment.historyFile());
   return static_cast<size_t>(
@@ -179,11 +189,7 @@
   runDeployment(
       options(1),
       [](PlatformDeployment &d, http::Client &client) -> Awaitable<void> {
-        std::set<std::string> seen;
-        // The first server of each service.
-        for (DeployedWorker &it : d.Workers)
-          if (it.Stage != "prefill" && seen.insert(it.Service).second)
-            it.Link->replaceFromTarget("HTTP/1.1 200 ", "HTTP/1.1 000 ");
+        harmFirstServers(d);
         for (const char *route : {RepeatableRoute, ResumableRoute}) {
           size_t correct = 0;
           for (size_t i = 0; i < Calls; ++i) {
@@ -216,3 +222,70 @@
           }
       });
 }
+
+// Guards against prompt parts that are blocked since a server in trouble counts
+// as crashed by them.
+TEST_CASE(
+    "a server whose answers have no valid status does not count as crashed",
+    "[process]") {
+  runDeployment(
+      options(1),
+      [](PlatformDeployment &d, http::Client &client) -> Awaitable<void> {
+        harmFirstServers(d);
+        for (size_t i = 0; i < Calls; ++i)
+          for (const char *route : {RepeatableRoute, StreamRoute}) {
+            http::Endpoint to = d.Daemons[0].HttpListen;
+            co_await callDaemon(client, to, route, Deadline);
+          }
+        // The checks of the servers have ended.
+        co_await sleepFor(Milliseconds(500));
+        http::Request request;
+        request.Target = "/metrics";
+        http::Endpoint to = d.Daemons[0].Metrics;
+        http::Response metrics = co_await client.call(to, request);
+        REQUIRE(metrics.Status == http::StatusOk);
+        CHECK(metrics.Body.find("sardineford_server_crashes_total{") ==
+              std::string::npos);
+      });
+}
+
+TEST_CASE("answers without a valid status, and those that are reset beside an "
+          "upload, do not pass through a peer",
+          "[process]") {
+  PlatformDeploymentOptions o = options(2);
+  o.SeparateLinks = true;
+  runDeployment(
+      o, [](PlatformDeployment &d, http::Client &client) -> Awaitable<void> {
+        for (const std::unique_ptr<Relay> &it : d.Daemons[0].Links) {
+          it->setMode(LinkMode::RefuseNew);
+          it->closeOpenConnections();
+        }
+        http::Endpoint to = d.Daemons[0].HttpListen;
+        size_t served = 0;
+        for (size_t i = 0; i < Calls; ++i) {
+          CallResult r =
+              co_await callDaemon(client, to, RepeatableRoute, Deadline);
+          served += r.Outcome == DaemonCallOutcome::Correct ? 1 : 0;
+        }
+        // Requests pass through the peer.
+        CHECK(served > 0);
+        for (const std::unique_ptr<Relay> &it : d.Daemons[1].Links)
+          it->setEarlyAnswer(answerUpload);
+        for (const char *route : Routes) {
+          Answer answer = co_await upload(client, to, route);
+          INFO(route);
+          CHECK((!answer.IsComplete ||
+                 (answer.Status >= 500 && !answer.IsSigned)));
+        }
+        for (const std::unique_ptr<Relay> &it : d.Daemons[1].Links) {
+          it->setEarlyAnswer({});
+          it->replaceFromTarget("HTTP/1.1 200 ", "HTTP/1.1 000 ");
+        }
+        for (const char *route : Routes)
+          for (size_t i = 0; i < Calls; ++i) {
+            CallResult r = co_await callDaemon(client, to, route, Deadline);
+            INFO(route << " " << r.Id << ", status " << r.Status);
+            CHECK(isOwnFailure(r));
+          }
+      });
+}
--- a/include/Sardineford/Http/Client.h
+++ b/include/Sardineford/Http/Client.h
@@ -37,6 +37,8 @@
   bool Refused;
   /// The peer has reset a connection that was just opened, without a response.
   bool ResetOnNew = false;
+  /// The peer has sent bytes that are no valid response.
+  bool Malformed = false;
   /// No connection was opened, since the endpoint has as many as it may have.
   bool AtLimit = false;
 };
