Share the blocking server of two tests of the HTTP client

Cause: EarlyResponseTest had its own copy of the server of EndlessResponseTest. Change: one BlockingServer in StandIns/Service; the checks are the same.

--- a/Tests/Http/EarlyResponseTest.cpp
+++ b/Tests/Http/EarlyResponseTest.cpp
@@ -1,14 +1,11 @@
 #include "Sardineford/Http/Client.h"
+#include "StandIns/Service/BlockingServer.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <array>
-#include <atomic>
-#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
@@ -16,6 +13,7 @@
 
 using namespace sardineford;
 using boost::asio::ip::tcp;
+using standins::BlockingServer;
 
 namespace {
 
@@ -30,49 +28,6 @@
 constexpr Milliseconds BuffersFilled{30};
 constexpr Milliseconds CallTimeout{5'000};
 
-/// Serves connections one after the other, in a thread of its own. The function
-/// is called when the head of a request has been received.
-class BlockingServer {
-public:
-  explicit BlockingServer(std::function<void(tcp::socket &)> serve)
-      : Serve(std::move(serve)),
-        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this] { run(); }) {}
-  ~BlockingServer() {
-    Stops = true;
-    // Wakes the thread if it waits for a connection.
-    tcp::socket socket(Io);
-    boost::system::error_code ec;
-    socket.connect(Acceptor.local_endpoint(), ec);
-    socket.close(ec);
-    Thread.join();
-  }
-
-  http::Endpoint at() const {
-    return {"127.0.0.1", Acceptor.local_endpoint().port()};
-  }
-
-private:
-  void run() {
-    while (!Stops) {
-      boost::system::error_code ec;
-      tcp::socket socket = Acceptor.accept(ec);
-      std::string head;
-      if (!ec)
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(head),
-                                "\r\n\r\n", ec);
-      if (!ec)
-        Serve(socket);
-    }
-  }
-
-  std::function<void(tcp::socket &)> Serve;
-  IoContext Io;
-  tcp::acceptor Acceptor;
-  std::atomic<bool> Stops = false;
-  std::thread Thread;
-};
-
 void write(tcp::socket &socket, const std::string &bytes) {
   boost::system::error_code ec;
   boost::asio::write(socket, boost::asio::buffer(bytes), ec);
--- a/Tests/Http/EndlessResponseTest.cpp
+++ b/Tests/Http/EndlessResponseTest.cpp
@@ -1,15 +1,14 @@
 #include "StandIns/Relay/EndlessResponse.h"
 #include "Sardineford/Engine/HttpEngineClient.h"
 #include "Sardineford/Http/Client.h"
+#include "StandIns/Service/BlockingServer.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <thread>
 
 using namespace sardineford;
 using namespace sardineford::standins;
@@ -23,45 +22,20 @@
 constexpr size_t MostBytes = size_t{128} * 1024 * 1024;
 constexpr Milliseconds CallTimeout{10'000};
 
-/// Sends a response without an end on each connection, from a thread of its
-/// own, until the caller closes the connection.
+/// Sends a response without an end on each connection, until the caller closes
+/// it.
 class EndlessServer {
 public:
   explicit EndlessServer(EndlessForm form, size_t limit = MostBytes)
       : Response(makeEndless(form, SoundHead)), Limit(limit),
-        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this] { run(); }) {}
+        Server([this](tcp::socket &socket) { send(socket); }) {}
+  ~EndlessServer() { Stops = true; }
 
-  ~EndlessServer() {
-    Stops = true;
-    // Wakes the thread if it waits for a connection.
-    tcp::socket socket(Io);
-    boost::system::error_code ec;
-    socket.connect(Acceptor.local_endpoint(), ec);
-    socket.close(ec);
-    Thread.join();
-  }
-
-  http::Endpoint at() const {
-    return {"127.0.0.1", Acceptor.local_endpoint().port()};
-  }
+  http::Endpoint at() const { return Server.at(); }
   /// Returns whether a caller has taken all bytes of a response.
   bool isExhausted() const { return Exhausted; }
 
 private:
-  void run() {
-    while (!Stops) {
-      boost::system::error_code ec;
-      tcp::socket socket = Acceptor.accept(ec);
-      std::string request;
-      if (!ec)
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
-                                "\r\n\r\n", ec);
-      if (!ec)
-        send(socket);
-    }
-  }
-
   void send(tcp::socket &socket) {
     boost::system::error_code ec;
     boost::asio::write(socket, boost::asio::buffer(Response.Begin), ec);
@@ -74,11 +48,9 @@
 
   EndlessBytes Response;
   size_t Limit;
-  IoContext Io;
-  tcp::acceptor Acceptor;
   std::atomic<bool> Stops = false;
   std::atomic<bool> Exhausted = false;
-  std::thread Thread;
+  BlockingServer Server;
 };
 
 /// Returns the error of a call, or "complete".
