Report a soak that ends early as a failure

Seen: 50 runs of sardineford-soak in a folder without its programs ended after a second each with "0 faults, 0 violations", "1 passed" and exit code 0: the scenario had ended with an exception, and no violation was recorded.

Change: a run that does not reach its last checks is a violation.

Result: the test failed before and passes.

--- a/StandIns/Soak/Soak.cpp
+++ b/StandIns/Soak/Soak.cpp
@@ -90,6 +90,8 @@
   SoakReport run() {
     spawn(Io, "soak", [this] { return runScenario(); });
     Io.run();
+    if (!IsComplete)
+      Report.Violations.push_back("the run ended early, see the log");
     for (const std::vector<CallResult> *calls :
          {&Calls, &CrashingCalls, &CrashingRepeats})
       for (const std::string &it :
@@ -187,6 +189,7 @@
             std::string("too few correct responses after the faults: ") + it +
             " " + std::to_string(served[it].first) + " of " +
             std::to_string(served[it].second));
+    IsComplete = true;
     Io.stop();
   }
 
@@ -541,6 +544,8 @@
   Milliseconds CheckedUntil{0};
   std::string LimitedEngine;
   SoakReport Report;
+  /// All checks after the faults have been made.
+  bool IsComplete = false;
   int ActiveFaults = 0;
 };
 
--- a/Tests/Process/PlatformTest.cpp
+++ b/Tests/Process/PlatformTest.cpp
@@ -112,3 +112,10 @@
   INFO("folder " << o.Folder);
   check(runSoak(o));
 }
+
+// Guards against a soak that passes although no process has run.
+TEST_CASE("a soak whose programs are missing is no pass", "[process]") {
+  SoakOptions o = optionsFor(1);
+  o.Programs = o.Folder + "/none";
+  CHECK_FALSE(runSoak(o).Violations.empty());
+}
