Let a crowd of calls arrive in groups at a server with fewer slots

Cause, by the history of its server: 78 calls arrived in one turn of the event loop, and the stand-in engine, which has 64 slots, counts all open requests before it rejects one: it rejected all 78. The fault was not played.

Change: calls arrive in groups of 32, 20 ms apart. The check that the fault was played stays, and more of the 200 calls meet it.

--- a/Tests/Process/EndlessResponseTest.cpp
+++ b/Tests/Process/EndlessResponseTest.cpp
@@ -23,6 +23,9 @@
 constexpr Milliseconds Deadline{4'000};
 constexpr size_t SoundCalls = 40;
 constexpr Milliseconds SoundCallPause{40};
+/// A server rejects all calls that arrive together beyond its slots.
+constexpr size_t GroupSize = 32;
+constexpr Milliseconds GroupPause{20};
 /// Memory of the control plane on an instance.
 constexpr size_t MaxMemoryKb = size_t{64} * 1024;
 
@@ -81,8 +84,11 @@
     for (DeployedWorker &it : deployment.Workers)
       if (it.Stage.empty() != isStream(route))
         it.Link->setEndless(form);
-    for (size_t i = 0; out.Ready && i < affectedCalls; ++i)
+    for (size_t i = 0; out.Ready && i < affectedCalls; ++i) {
+      if (i > 0 && i % GroupSize == 0)
+        co_await sleepFor(GroupPause);
       call(route, out.Affected);
+    }
     co_await sleepFor(Milliseconds(200));
     for (size_t i = 0; out.Ready && i < SoundCalls; ++i) {
       call(soundRoute, out.Sound);
