--- a/review/Lab3.hh
+++ b/review/Lab3.hh
@@ -294,7 +294,10 @@
       }
     }).detach();
   }
-  void stop() { ::shutdown(Fd, SHUT_RDWR); ::close(Fd); }
+  void stop() {
+    ::shutdown(Fd, SHUT_RDWR);
+    ::close(Fd);
+  }
 
   int Port;
 
@@ -426,9 +429,9 @@
     it->second.Revision = ++Revision;
     if (isNew)
       it->second.Created = Revision;
-    History.push_back({Revision, kind,
-                       "{\"object\":" + text(name, it->second) +
-                           ",\"deleted\":false}"});
+    History.push_back(
+        {Revision, kind,
+         "{\"object\":" + text(name, it->second) + ",\"deleted\":false}"});
     Changed.notify_all();
     return it->second;
   }
@@ -437,9 +440,9 @@
     if (it == Kinds[kind].end())
       return;
     it->second.Revision = ++Revision;
-    History.push_back({Revision, kind,
-                       "{\"object\":" + text(name, it->second) +
-                           ",\"deleted\":true}"});
+    History.push_back(
+        {Revision, kind,
+         "{\"object\":" + text(name, it->second) + ",\"deleted\":true}"});
     Kinds[kind].erase(it);
     Changed.notify_all();
   }
@@ -459,11 +462,10 @@
         break;
       if (rewrite)
         body = rewrite(std::move(body));
-      if (!sendAll(fd, responseText(
-                           status,
-                           {{"Content-Type", "application/json"},
-                            {"Store-Era", std::to_string(Era)}},
-                           body)))
+      if (!sendAll(fd, responseText(status,
+                                    {{"Content-Type", "application/json"},
+                                     {"Store-Era", std::to_string(Era)}},
+                                    body)))
         break;
     }
     ::close(fd);
@@ -515,8 +517,7 @@
       std::string items;
       for (const auto &[n, o] : Kinds[kind])
         items += (items.empty() ? "" : ",") + text(n, o);
-      body = "{\"items\":[" + items +
-             "],\"hasMore\":false,\"storeRevision\":" +
+      body = "{\"items\":[" + items + "],\"hasMore\":false,\"storeRevision\":" +
              std::to_string(Revision) + "}";
       return 200;
     }
@@ -537,10 +538,10 @@
     std::string expected = member(meta, "revision");
     auto it = Kinds[kind].find(named);
     bool exists = it != Kinds[kind].end();
-    if (r.method() == "POST" ? exists
-                             : exists && !expected.empty() &&
-                                   std::stoull(expected) !=
-                                       it->second.Revision) {
+    if (r.method() == "POST"
+            ? exists
+            : exists && !expected.empty() &&
+                  std::stoull(expected) != it->second.Revision) {
       body = text(named, it->second);
       return 409;
     }
@@ -660,9 +661,8 @@
     Platform.put("servers", Id,
                  "{\"service\":\"" + Service + "\",\"address\":\"" + address() +
                      "\",\"zone\":\"" + Zone + "\",\"version\":\"" + Version +
-                     "\",\"slots\":" + std::to_string(Slots) +
-                     ",\"state\":\"" + state +
-                     "\",\"coldRemainingMs\":0,\"sequence\":" +
+                     "\",\"slots\":" + std::to_string(Slots) + ",\"state\":\"" +
+                     state + "\",\"coldRemainingMs\":0,\"sequence\":" +
                      std::to_string(++Sequence) +
                      ",\"born\":" + std::to_string(Born) + more + "}");
   }
