--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -1,7 +1,8 @@
 // Thirteen processes, so that six of them watch the store for the others.
-// Nothing fails: a server starts every two seconds, and some leave without
-// reporting it. The check is whether requests still reach such a server later
-// than drainMs after its entry was removed.
+// Servers leave, one every two seconds: those of one service report that they
+// drain; every third one is of another service and does not report it. The
+// check is whether requests reach such a server later than drainMs after its
+// entry was removed.
 #include "../Lab3.hh"
 
 using namespace lab;
@@ -9,34 +10,50 @@
 namespace {
 
 constexpr int Processes = 13;
-constexpr int FilingServers = 12;
+/// Servers that leave with a report, and those that leave without one.
+constexpr int ReportingServers = 60;
+constexpr int SilentServers = 12;
 /// Bound of the rule on the site: drainMs.
 constexpr double DrainTime = 3.0;
-/// Time between two changes of the servers' entries; each third one is a
-/// removal.
+/// Time between two servers that leave; every third one does not report it.
 constexpr double Interval = 2.0;
-constexpr int Changes = 30;
-constexpr int ChangesPerRemoval = 3;
+constexpr int Leaves = 30;
+constexpr int LeavesPerSilent = 3;
+/// A server that drains has left after this many further ones.
+constexpr int DrainSteps = 2;
+/// Requests that each process gets at once, after drainMs.
+constexpr int CallsPerProcess = 16;
 
 } // namespace
 
 int main(int, char **argv) {
   openRecord(argv[1]);
   Store store;
-  Serve serve = [](Worker &w, int fd, const Message &r) {
+  std::mutex m;
+  std::map<std::string, double> removedAt;
+  Serve serve = [&](Worker &w, int fd, const Message &r) {
     w.began(r);
     sleepMs(15);
-    return w.answer(fd, r, "filed");
+    std::lock_guard<std::mutex> lock(m);
+    // A server that leaves says so in its answers.
+    Headers more;
+    if (removedAt.count(w.Id) > 0)
+      more.push_back({"Server-Leaving", "1"});
+    return w.answer(fd, r, "filed", more);
   };
-  std::vector<std::unique_ptr<Worker>> servers;
-  auto add = [&](const std::string &service) {
-    servers.push_back(std::make_unique<Worker>(
-        store, "i-" + std::to_string(servers.size()), service, serve));
-    servers.back()->announce();
-    record("%s of %s starts", servers.back()->Id.c_str(), service.c_str());
-  };
-  for (int i = 0; i < FilingServers; ++i)
-    add("filing");
+  std::vector<std::unique_ptr<Worker>> reporting;
+  std::vector<std::unique_ptr<Worker>> silent;
+  for (int i = 0; i < ReportingServers; ++i)
+    reporting.push_back(std::make_unique<Worker>(
+        store, "r-" + std::to_string(i), "other", serve));
+  for (int i = 0; i < SilentServers; ++i)
+    silent.push_back(std::make_unique<Worker>(store, "s-" + std::to_string(i),
+                                              "filing", serve));
+  for (auto *servers : {&reporting, &silent})
+    for (auto &it : *servers) {
+      it->Slots = 64;
+      it->announce();
+    }
   store.put("config", "main",
             configuration(1,
                           {route("file", "/file/", "unsafe", "filing", 2000, 1),
@@ -51,45 +68,58 @@
   for (auto &it : daemons)
     if (!it->waitReady(20))
       cannotRun("a daemon is not ready");
+  // Longer than stabilityWindowMs: the machines are in touch.
   sleepMs(8000);
-  std::atomic<bool> ended{false};
-  std::thread callers([&] {
-    for (int n = 0; !ended; ++n) {
-      call(daemons[static_cast<size_t>(n) % Processes]->Front, "POST",
-           "/file/1", "f-" + std::to_string(n), 2000, "filing");
-      sleepMs(10);
-    }
-  });
-  // A server of another service starts, or, each third time, one of the filing
-  // servers leaves: its entry is removed, and it serves on.
   double begin = now();
-  std::map<Worker *, double> removed;
-  size_t next = 0;
-  for (int i = 0; i < Changes; ++i) {
-    sleepUntil(begin + i * Interval);
-    if (i % ChangesPerRemoval == ChangesPerRemoval - 1) {
-      Worker &it = *servers[next++];
-      store.remove("servers", it.Id);
-      removed[&it] = now();
-      record("the entry of %s is removed", it.Id.c_str());
-    } else if (hasTrouble()) {
-      add("other");
+  std::thread leaves([&] {
+    size_t nextSilent = 0;
+    for (int i = 0; i < Leaves; ++i) {
+      sleepUntil(begin + i * Interval);
+      if (i % LeavesPerSilent == LeavesPerSilent - 1) {
+        Worker &it = *silent[nextSilent++];
+        store.remove("servers", it.Id);
+        record("the entry of %s is removed", it.Id.c_str());
+        std::lock_guard<std::mutex> lock(m);
+        removedAt[it.Id] = now();
+      } else if (hasTrouble()) {
+        reporting[static_cast<size_t>(i)]->announce("draining");
+        record("%s drains", reporting[static_cast<size_t>(i)]->Id.c_str());
+      }
+      int left = i - DrainSteps;
+      if (hasTrouble() && left >= 0 &&
+          left % LeavesPerSilent != LeavesPerSilent - 1) {
+        reporting[static_cast<size_t>(left)]->exit();
+        store.remove("servers", reporting[static_cast<size_t>(left)]->Id);
+      }
     }
+  });
+  // After each removal, requests at all processes once drainMs has passed.
+  int n = 0;
+  for (int i = LeavesPerSilent - 1; i < Leaves; i += LeavesPerSilent) {
+    sleepUntil(begin + i * Interval + DrainTime + 0.2);
+    std::vector<std::thread> callers;
+    for (auto &it : daemons)
+      for (int k = 0; k < CallsPerProcess; ++k)
+        callers.emplace_back([&it, id = "f-" + std::to_string(n++)] {
+          call(it->Front, "POST", "/file/1", id, 2000, "filing");
+        });
+    for (std::thread &it : callers)
+      it.join();
   }
-  sleepMs(6000);
-  ended = true;
-  callers.join();
+  leaves.join();
   int late = 0;
-  for (const auto &[server, at] : removed)
+  for (auto &server : silent)
     for (const Worker::Run &it : server->runs()) {
-      if (it.At <= at + DrainTime)
+      auto removed = removedAt.find(server->Id);
+      if (removed == removedAt.end() || it.At <= removed->second + DrainTime)
         continue;
       ++late;
       record("%s began %s %.0f ms after its entry was removed",
-             server->Id.c_str(), it.RequestId.c_str(), (it.At - at) * 1000);
+             server->Id.c_str(), it.RequestId.c_str(),
+             (it.At - removed->second) * 1000);
     }
   finish(late > 0,
-         "requests that reached a server later than drainMs after its "
-         "entry was removed: " +
-             std::to_string(late));
+         "requests that reached a server later than drainMs after its entry "
+         "was removed: " +
+             std::to_string(late) + " of " + std::to_string(n));
 }
--- a/review/Lab3.hh
+++ b/review/Lab3.hh
@@ -22,6 +22,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -71,11 +72,27 @@
   va_end(args);
 }
 
+/// Processes that the case has started and not ended, and its folder.
+inline std::set<pid_t> Children;
+inline std::string Folder;
+
+/// Ends all processes that the case has started, and the case.
+[[noreturn]] inline void end(int code) {
+  for (pid_t it : Children)
+    ::kill(it, SIGKILL);
+  for (pid_t it : Children)
+    ::waitpid(it, nullptr, 0);
+  std::error_code ec;
+  if (!Folder.empty())
+    std::filesystem::remove_all(Folder, ec);
+  std::fflush(nullptr);
+  std::_Exit(code);
+}
+
 /// Ends a case that could not run.
 [[noreturn]] inline void cannotRun(const char *why) {
   record("the case could not run: %s", why);
-  ::kill(0, SIGTERM);
-  std::_Exit(2);
+  end(2);
 }
 
 // --- sockets -------------------------------------------------------------
@@ -88,19 +105,19 @@
   return a;
 }
 
+/// Returns a free port below those that the kernel gives to connections.
 inline int freePort() {
-  static std::set<int> used;
-  for (;;) {
+  static int next = 20'000 + ::getpid() % 10'000;
+  for (int tries = 0; tries < 12'000; ++tries) {
+    next = next < 32'000 ? next + 1 : 20'000;
     int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in a = at(0);
-    socklen_t n = sizeof(a);
-    if (::bind(fd, reinterpret_cast<sockaddr *>(&a), n) != 0 ||
-        ::getsockname(fd, reinterpret_cast<sockaddr *>(&a), &n) != 0)
-      std::exit(2);
+    sockaddr_in a = at(next);
+    bool isFree = ::bind(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)) == 0;
     ::close(fd);
-    if (used.insert(ntohs(a.sin_port)).second)
-      return ntohs(a.sin_port);
+    if (isFree)
+      return next;
   }
+  cannotRun("no port is free");
 }
 
 inline int listenOn(int port) {
@@ -764,11 +781,12 @@
 
 /// Folder for settings and logs of the run.
 inline std::string folder() {
-  static std::string dir = [] {
+  if (Folder.empty()) {
     char t[] = "/tmp/review-3-XXXXXX";
-    return std::string(::mkdtemp(t));
-  }();
-  return dir;
+    if (::mkdtemp(t))
+      Folder = t;
+  }
+  return Folder;
 }
 
 /// Further settings of the daemons.
@@ -827,6 +845,7 @@
       ::execve(program, args, env);
       std::_Exit(127);
     }
+    Children.insert(Pid);
     record("%s started", Name.c_str());
   }
   void kill(int signal) {
@@ -836,15 +855,9 @@
     if (signal != SIGKILL)
       return;
     ::waitpid(Pid, nullptr, 0);
+    Children.erase(Pid);
     Pid = 0;
   }
-  /// Returns whether the process has ended, and how.
-  bool hasEnded(int &status) {
-    if (Pid <= 0 || ::waitpid(Pid, &status, WNOHANG) != Pid)
-      return false;
-    Pid = 0;
-    return true;
-  }
   bool waitReady(double seconds) {
     double until = now() + seconds;
     while (now() < until) {
@@ -992,8 +1005,7 @@
 [[noreturn]] inline void finish(bool broken, const std::string &why) {
   record("%s: %s", broken ? "BROKEN" : "held", why.c_str());
   std::printf("%s: %s\n", broken ? "BROKEN" : "held", why.c_str());
-  std::fflush(nullptr);
-  std::_Exit(broken ? 1 : 0);
+  end(broken ? 1 : 0);
 }
 
 } // namespace lab
