Log when and why entries that go missing are kept

Four causes fit: processes that do not watch the store take a silence for an outage; the watchers lose the store; many entries go missing together; watchers pass their grace period on. Nothing in the log told the first from the last.

The event missing_entries_kept names the reason, the time and how many entries are kept.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -150,7 +150,7 @@
   if (!noteEra(feed, revision))
     return;
   MonoTime now = MonoClock::now();
-  GraceEnd = std::max(GraceEnd, now + MissingGracePeriod);
+  extendGrace(now + MissingGracePeriod, "the store was restored");
   Servers.keepMissing(GraceEnd);
   Metrics.count("sardineford_store_restores_total", {{"feed", feed.Kind}});
   log::event(Category::Store, log::Level::Warning, "store_restored",
@@ -262,10 +262,21 @@
       duty.storeRegainedAt() != MonoTime{} && !duty.mustWatch(MonoClock::now());
   if (!knowsOutage)
     return;
-  GraceEnd = std::max(GraceEnd, duty.storeRegainedAt() + MissingGracePeriod);
+  extendGrace(duty.storeRegainedAt() + MissingGracePeriod,
+              "a watcher has an answer again");
   Servers.keepMissing(GraceEnd);
 }
 
+void FleetWatch::extendGrace(MonoTime end, std::string_view because) {
+  if (end <= std::max(GraceEnd, MonoClock::now()))
+    return;
+  GraceEnd = end;
+  log::event(Category::Store, log::Level::Info, "missing_entries_kept",
+             {{"missing", Servers.missing()},
+              {"kept_ms", remainingGrace().count()},
+              {"because", because}});
+}
+
 /// Sends changes to the peers, later if other watchers are to send them first.
 void FleetWatch::publish(WatchedFeed &feed, store::Changes changes) {
   if (!Publish || changes.Objects.empty())
@@ -313,7 +324,7 @@
   // A watcher that alone has lost the store for a time keeps entries that the
   // others know to be gone.
   if (feed.Duty.isStoreSilent(now))
-    GraceEnd = std::max(GraceEnd, now + published.MissingGrace);
+    extendGrace(now + published.MissingGrace, "the watcher keeps them");
   std::vector<store::Object> news = applyPublished(feed, published);
   recordChangeAge(feed, news.size(), "peer", published.Age);
   applyNews(feed, news);
@@ -364,7 +375,7 @@
   if (GraceEnd < now)
     log::event(Category::Store, log::Level::Warning, "entries_missing_together",
                {{"missing", missing}, {"known", Servers.size()}});
-  GraceEnd = std::max(GraceEnd, now + MassExpiryGracePeriod);
+  extendGrace(now + MassExpiryGracePeriod, "many went missing together");
   ManyMissing = true;
 }
 
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -107,6 +107,8 @@
   Awaitable<void> waitForPosition() const;
   Milliseconds remainingGrace() const;
   void extendGraceAfterOutage();
+  /// Keeps entries that go missing until `end`, if that is later than before.
+  void extendGrace(MonoTime end, std::string_view because);
   void publish(WatchedFeed &feed, store::Changes changes);
   Awaitable<void> publishUnlessPublished(WatchedFeed &feed,
                                          PublishedChanges changes);
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -131,6 +131,8 @@
                   MonoTime now);
   /// Removes servers that are still missing at the end of the grace period.
   void removeMissing(MonoTime now);
+  /// Returns the number of servers whose entries are missing and that are kept.
+  size_t missing() const { return Missing.size(); }
   /// Extends the grace periods of the missing servers.
   void keepMissing(MonoTime graceEnd);
   /// Marks an incarnation as leaving, as the server itself has said, also while
