Tell a store that is away from watches that end together

Cause: a process that does not watch the store took 1.5 s without an answer of the store to any watcher for an outage. A change ends the watches of all watchers together, and the next answers follow 1.5 s and a batch later. Each such "return of the store" kept entries for 2.3 s that were missing already.

The trace of a late request: removal applied at 8.52 s, kept at 8.71 and again at 10.95 s, sent at 11.87 s (11.51 allowed).

Change: an outage is told by reports of watchers that have lost the store; they have been in the messages all along. That they wait, or report no more, shows nothing. Entries that are missing already are kept for longer only if all watchers that report have lost it; the loss of some keeps what goes missing afterwards, for one grace period. While all have lost it, nothing is removed. The watchers' first watches after a change end one after another, so that the store is heard from in between.

One test is replaced: "a process that is no watcher learns of an outage from the watchers" let 1.7 s pass without a report and called that an outage. The watchers now report that they have lost the store; its checks are as they were. runBesideWatcher reports that the watcher watches, as a real one does.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -174,7 +174,10 @@
   recordEra(feed, list.Revision, "store");
 }
 
-Milliseconds FleetWatch::watchTimeout() const {
+Milliseconds FleetWatch::watchTimeout(const WatchedFeed &feed) const {
+  if (double part = feed.Duty.firstWatchPart();
+      part < 1 && !feed.LastWatchEmpty)
+    return toMilliseconds(Seconds(MinWatchTimeout) * part);
   Milliseconds wait =
       std::clamp(WatchTimeoutPerProcess * ConfigurationFeed.Duty.watchers(),
                  MinWatchTimeout, MaxWatchTimeout);
@@ -189,7 +192,7 @@
   WatchResult out;
   try {
     out.Changes =
-        co_await Store.watch(feed.Kind, feed.Revision, watchTimeout());
+        co_await Store.watch(feed.Kind, feed.Revision, watchTimeout(feed));
   } catch (const store::StoreError &e) {
     out.Error = e;
   }
@@ -249,22 +252,36 @@
   MonoTime now = MonoClock::now();
   if (peer.Watches)
     feed.Duty.recordWatcher(rank, now, randomShare());
+  if (peer.Watches && !peer.AnswerAge)
+    feed.Duty.recordLoss(rank, now);
   if (!peer.AnswerAge)
     return;
-  feed.Duty.recordPeerAnswer(rank, now - *peer.AnswerAge, now, randomShare());
+  MonoTime answeredAt = now - *peer.AnswerAge;
+  StoreAbsence absence = storeAbsence(feed, answeredAt);
+  feed.Duty.recordPeerAnswer(rank, answeredAt, now, randomShare());
+  if (&feed == &ServerFeed && !feed.Duty.mustWatch(now))
+    extendGraceAfter(absence);
+}
+
+/// Entries of many servers that went missing together are a sign as well: a
+/// watch made before an outage may have returned their removal.
+StoreAbsence FleetWatch::storeAbsence(const WatchedFeed &feed,
+                                      MonoTime until) const {
+  if (ManyMissing && feed.Duty.isStoreSilent(until))
+    return StoreAbsence::Certain;
+  return feed.Duty.storeAbsence(until);
 }
 
 /// A process that does not watch the store learns of an outage when a watcher
-/// has an answer again.
-void FleetWatch::extendGraceAfterOutage() {
-  const WatchDuty &duty = ServerFeed.Duty;
-  bool knowsOutage =
-      duty.storeRegainedAt() != MonoTime{} && !duty.mustWatch(MonoClock::now());
-  if (!knowsOutage)
+/// has an answer again. Only an outage that is certain extends the grace period
+/// of entries that are missing already.
+void FleetWatch::extendGraceAfter(StoreAbsence absence) {
+  if (absence == StoreAbsence::None)
     return;
-  extendGrace(duty.storeRegainedAt() + MissingGracePeriod,
+  extendGrace(MonoClock::now() + MissingGracePeriod,
               "a watcher has an answer again");
-  Servers.keepMissing(GraceEnd);
+  if (absence == StoreAbsence::Certain)
+    Servers.keepMissing(GraceEnd);
 }
 
 void FleetWatch::extendGrace(MonoTime end, std::string_view because) {
@@ -393,7 +410,6 @@
 void FleetWatch::checkPeerView(const StoreView &peer) {
   recordPeerAnswer(ConfigurationFeed, peer.Configuration, peer.Rank);
   recordPeerAnswer(ServerFeed, peer.Servers, peer.Rank);
-  extendGraceAfterOutage();
   comparePeer(ConfigurationFeed, peer.Configuration);
   comparePeer(ServerFeed, peer.Servers);
 }
@@ -559,9 +575,11 @@
     co_await sleepFor(RemoveMissingInterval);
     MonoTime now = MonoClock::now();
     const WatchDuty &duty = ServerFeed.Duty;
+    bool haveWatchersLost =
+        duty.haveWatchersLostStore(now) ||
+        storeAbsence(ServerFeed, now) == StoreAbsence::Certain;
     bool isOutage =
-        ServerFeed.Lost ||
-        (ManyMissing && duty.isStoreSilent(now) && !duty.mustWatch(now));
+        ServerFeed.Lost || (haveWatchersLost && !duty.mustWatch(now));
     // During a store outage, servers with missing entries may be running.
     if (isOutage)
       continue;
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -106,13 +106,14 @@
   Awaitable<void> waitForPeers(WatchedFeed &feed);
   Awaitable<void> waitForPosition() const;
   Milliseconds remainingGrace() const;
-  void extendGraceAfterOutage();
+  StoreAbsence storeAbsence(const WatchedFeed &feed, MonoTime until) const;
+  void extendGraceAfter(StoreAbsence absence);
   /// Keeps entries that go missing until `end`, if that is later than before.
   void extendGrace(MonoTime end, std::string_view because);
   void publish(WatchedFeed &feed, store::Changes changes);
   Awaitable<void> publishUnlessPublished(WatchedFeed &feed,
                                          PublishedChanges changes);
-  Milliseconds watchTimeout() const;
+  Milliseconds watchTimeout(const WatchedFeed &feed) const;
   static void restartWatch(WatchedFeed &feed, std::string_view reason);
   static void comparePeer(WatchedFeed &feed, const FeedView &peer);
   void recordPeerAnswer(WatchedFeed &feed, const FeedView &peer, unsigned rank);
--- a/Source/Fleet/WatchDuty.cpp
+++ b/Source/Fleet/WatchDuty.cpp
@@ -14,7 +14,7 @@
 /// A watcher that has not lost the store reports at least twice in this time.
 constexpr Milliseconds MaxReportAge{1'200};
 /// The watch calls of the watchers end at different times, one after another
-/// well within this time.
+/// well within this time, also after a change (firstWatchPart).
 constexpr Milliseconds MaxAnswerInterval{1'500};
 /// Several reports of several watchers are missing after this time.
 constexpr Milliseconds SubstituteDelay{2'000};
@@ -41,8 +41,7 @@
   std::erase_if(WatcherReports,
                 [&](const auto &it) { return now - it.second > MaxReportAge; });
   WatcherReports[rank] = now;
-  if (isStoreSilent(answeredAt))
-    StoreRegainedAt = now;
+  LossReports.erase(rank);
   PeerAnsweredAt = std::max(PeerAnsweredAt, answeredAt);
   if (rank >= Position.Rank)
     return;
@@ -55,6 +54,13 @@
     SubstituteIfSilentAt = now + SilenceDelay + substituteSpread(share);
 }
 
+void WatchDuty::recordLoss(unsigned rank, MonoTime now) {
+  std::erase_if(LossReports,
+                [&](const auto &it) { return now - it.second > MaxReportAge; });
+  LossReports[rank] = now;
+  WatcherReports.erase(rank);
+}
+
 void WatchDuty::expectWatchers(MonoTime now, double share) {
   SubstituteAt =
       std::max(SubstituteAt, now + SubstituteDelay + substituteSpread(share));
@@ -75,6 +81,25 @@
          now - PeerAnsweredAt > MaxAnswerInterval;
 }
 
+bool WatchDuty::haveWatchersLostStore(MonoTime now) const {
+  auto reported = [&](const auto &it) {
+    return it.first < NumWatchers && now - it.second <= MaxReportAge;
+  };
+  return std::any_of(LossReports.begin(), LossReports.end(), reported) &&
+         std::none_of(WatcherReports.begin(), WatcherReports.end(), reported);
+}
+
+StoreAbsence WatchDuty::storeAbsence(MonoTime until) const {
+  if (!isStoreSilent(until))
+    return StoreAbsence::None;
+  if (haveWatchersLostStore(until))
+    return StoreAbsence::Certain;
+  bool hasLoss =
+      std::any_of(LossReports.begin(), LossReports.end(),
+                  [&](const auto &it) { return it.second > PeerAnsweredAt; });
+  return hasLoss ? StoreAbsence::Possible : StoreAbsence::None;
+}
+
 bool WatchDuty::mustWatch(MonoTime now) const {
   return !isLarge() || Position.Rank < NumWatchers || isSubstitute(now);
 }
@@ -91,6 +116,12 @@
   return watchersBefore < NumPublishers;
 }
 
+double WatchDuty::firstWatchPart() const {
+  if (!isLarge() || Position.Rank >= NumWatchers)
+    return 1;
+  return static_cast<double>(Position.Rank + 1) / NumWatchers;
+}
+
 unsigned WatchDuty::watchers() const {
   return isLarge() ? NumWatchers : Position.Processes;
 }
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -13,6 +13,18 @@
   unsigned Rank = 0;
 };
 
+/// What the reports of the watchers tell a process that does not watch the
+/// store itself.
+enum class StoreAbsence {
+  /// The store was not away, as far as known. That no watcher has had an answer
+  /// for a time does not show that it was: a change ends all watches together.
+  None,
+  /// Some watchers have lost the store, and no other has had an answer.
+  Possible,
+  /// All watchers that report have lost the store.
+  Certain,
+};
+
 /// Decides whether a process watches the store. In a small fleet every process
 /// does. In a large one, the first few do and the others learn the changes from
 /// them, so that calls to the store do not grow with the fleet.
@@ -37,6 +49,10 @@
   /// answer or not.
   void recordWatcher(unsigned rank, MonoTime now, double share);
 
+  /// Records the report of a peer of this rank that watches and has lost the
+  /// store.
+  void recordLoss(unsigned rank, MonoTime now);
+
   bool mustWatch(MonoTime now) const;
   /// Returns whether others learn changes from this process.
   bool watchesForOthers(MonoTime now) const {
@@ -51,12 +67,19 @@
   Milliseconds publishPatience() const;
   /// Returns the number of processes that watch at the same time.
   unsigned watchers() const;
-  /// Returns whether no peer has had an answer for so long that the store is
-  /// probably down. False before the first answer.
+  /// Returns the part of the usual watch timeout after which the first watch
+  /// after a change ends, which ends the watches of all watchers together: so
+  /// the store is heard from in between. 1 for a process of a small fleet.
+  double firstWatchPart() const;
+  /// Returns whether no peer has had an answer for longer than usual. False
+  /// before the first answer.
   bool isStoreSilent(MonoTime now) const;
-  /// Time at which a peer had an answer after such a silence; the epoch if none
-  /// had.
-  MonoTime storeRegainedAt() const { return StoreRegainedAt; }
+  /// Returns whether all watchers that have reported lately have lost the
+  /// store.
+  bool haveWatchersLostStore(MonoTime now) const;
+  /// Returns what is known of the time since the last answer of a peer, at a
+  /// time until which there was no further one.
+  StoreAbsence storeAbsence(MonoTime until) const;
 
 private:
   bool isLarge() const;
@@ -65,20 +88,24 @@
   bool areWatchersSilent(MonoTime now) const {
     return now >= SubstituteIfSilentAt;
   }
+  /// Returns whether all watchers that have reported lately have lost the
+  /// store.
+  bool haveAllLostStore(MonoTime now) const;
   /// Spreads the substitutes of a fleet over time.
   Milliseconds substituteSpread(double share) const;
 
   FleetPosition Position;
   /// Time of the newest answer that a peer had.
   MonoTime PeerAnsweredAt{};
-  MonoTime StoreRegainedAt{};
   /// This process becomes a substitute at this time; from the beginning until
   /// the first report of a watcher.
   MonoTime SubstituteAt{};
   /// The same if no watcher reports until then, with an answer or without.
   MonoTime SubstituteIfSilentAt = MonoTime::max();
-  /// Last reports of peers that watch, by rank.
+  /// Last reports of peers that watch and have not lost the store, by rank.
   std::map<unsigned, MonoTime> WatcherReports;
+  /// Last reports of peers that watch and have lost the store, by rank.
+  std::map<unsigned, MonoTime> LossReports;
 };
 
 } // namespace sardineford::fleet
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <set>
 
 using namespace sardineford;
 using namespace sardineford::fleet;
@@ -33,6 +34,7 @@
   std::map<std::string, std::vector<Object>> Lists;
   std::map<std::string, std::deque<Step>> Watches;
   std::map<std::string, int> ListCalls;
+  std::map<std::string, std::vector<Milliseconds>> Waits;
   int WatchCalls = 0;
   uint64_t Revision = 10;
   /// Lists are answered; otherwise they wait.
@@ -57,8 +59,10 @@
   Awaitable<void> remove(std::string, std::string, uint64_t) override {
     co_return;
   }
-  Awaitable<Changes> watch(std::string kind, uint64_t, Milliseconds) override {
+  Awaitable<Changes> watch(std::string kind, uint64_t,
+                           Milliseconds wait) override {
     ++WatchCalls;
+    Waits[kind].push_back(wait);
     if (Watches[kind].empty())
       co_await sleepFor(std::chrono::seconds(60));
     Step s = Watches[kind].front();
@@ -255,7 +259,9 @@
 /// Reports the watcher's view twice a second while the process runs.
 void runBesideWatcher(Fixture &t, Milliseconds duration) {
   for (Milliseconds n{0}; n < duration; n += Milliseconds(250)) {
-    t.Watch.checkPeerView(watcherView(t.Watch.view()));
+    StoreView v = watcherView(t.Watch.view());
+    v.Configuration.Watches = v.Servers.Watches = true;
+    t.Watch.checkPeerView(v);
     t.runFor(Milliseconds(250));
   }
 }
@@ -356,11 +362,45 @@
   CHECK(t.servers() == 0);
 }
 
+namespace {
+
+const std::set<unsigned> AllWatchers{0, 1, 2, 3, 4, 5};
+
+/// Lets watchers report again and again that they have lost the store, and
+/// others that their last answer was given when this began.
+void runBesideWatchers(Fixture &t, const std::set<unsigned> &lost,
+                       const std::set<unsigned> &waiting,
+                       Milliseconds duration) {
+  for (Milliseconds age{0}; age < duration; age += Milliseconds(250)) {
+    for (unsigned rank : AllWatchers) {
+      if (!lost.contains(rank) && !waiting.contains(rank))
+        continue;
+      StoreView v = watcherView(t.Watch.view());
+      v.Rank = rank;
+      for (FeedView *feed : {&v.Configuration, &v.Servers}) {
+        feed->Watches = true;
+        feed->AnswerAge =
+            waiting.contains(rank) ? std::make_optional(age) : std::nullopt;
+      }
+      t.Watch.checkPeerView(v);
+    }
+    t.runFor(Milliseconds(250));
+  }
+}
+
+void removeServer(Fixture &t, const std::string &name, uint64_t revision) {
+  PublishedChanges removal;
+  removal.Changes = {revision, {{"", name, 0, ""}}};
+  t.Watch.applyChanges(removal);
+}
+
+} // namespace
+
 // The entries that a list lacks after an outage may return as well.
 TEST_CASE(
     "a process that is no watcher learns of an outage from the watchers") {
   FollowerFixture t;
-  t.runFor(Milliseconds(1'700));
+  runBesideWatchers(t, AllWatchers, {}, Milliseconds(1'750));
   t.Watch.checkPeerView(watcherView(t.Watch.view()));
   PublishedChanges removal;
   removal.Changes = {30, {{"", "a", 0, ""}}};
@@ -370,6 +410,58 @@
   CHECK(t.servers() == 0);
 }
 
+// Seen in review case 12: a change ends the watches of all watchers, whose next
+// answers come together. The time in between counted as an outage.
+TEST_CASE(
+    "servers that leave are not kept although no watch ended for a time") {
+  FollowerFixture t;
+  PublishedChanges found;
+  found.Changes = {20, {{"", "b", 20, "model"}}};
+  t.Watch.applyChanges(found);
+  for (const char *it : {"a", "b"}) {
+    runBesideWatchers(t, {}, AllWatchers, Milliseconds(2'000));
+    t.Watch.checkPeerView(watcherView(t.Watch.view()));
+    removeServer(t, it, 30);
+    CHECK(t.Servers.find(it) == nullptr);
+  }
+}
+
+// Guards against taking the end of the watchers for one of the store.
+TEST_CASE("servers that leave are not kept since watchers have died") {
+  FollowerFixture t;
+  t.runFor(Milliseconds(1'750));
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  removeServer(t, "a", 30);
+  CHECK(t.servers() == 0);
+}
+
+TEST_CASE("an outage seen by some watchers keeps no entry that was missing "
+          "before for longer") {
+  FollowerFixture t;
+  runBesideWatchers(t, AllWatchers, {}, Milliseconds(1'750));
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  removeServer(t, "a", 30);
+  CHECK(t.servers() == 1);
+  runBesideWatchers(t, {0}, {1}, Milliseconds(1'750));
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  runBesideWatcher(t, Milliseconds(1'000));
+  CHECK(t.servers() == 0);
+}
+
+TEST_CASE("entries are kept until the store has been back for a time, however "
+          "often it goes") {
+  FollowerFixture t;
+  for (int i = 0; i < 2; ++i) {
+    runBesideWatchers(t, AllWatchers, {}, Milliseconds(1'750));
+    t.Watch.checkPeerView(watcherView(t.Watch.view()));
+    removeServer(t, "a", 30);
+    runBesideWatcher(t, Milliseconds(1'000));
+    CHECK(t.servers() == 1);
+  }
+  runBesideWatcher(t, Milliseconds(1'750));
+  CHECK(t.servers() == 0);
+}
+
 // Seen as DRAIN broken on a day on which two of six processes regained the
 // store: the others took over their grace period and kept a server that had
 // left.
@@ -464,6 +556,20 @@
   CHECK(t.Store.WatchCalls > 0);
 }
 
+TEST_CASE("the first watcher waits for a short time after a change") {
+  Fixture t;
+  t.Store.Watches["servers"].push_back(
+      {std::nullopt, {{"servers", "b", 12, "model"}}, Milliseconds(20)});
+  t.Store.Watches["servers"].push_back({std::nullopt, {}, Milliseconds(20)});
+  t.Watch.setPosition({195, 0});
+  t.Watch.start();
+  t.runFor(Milliseconds(900));
+  const std::vector<Milliseconds> &waits = t.Store.Waits["servers"];
+  REQUIRE(waits.size() == 3);
+  CHECK(waits[1] <= Milliseconds(300));
+  CHECK(waits[2] >= Milliseconds(1'000));
+}
+
 TEST_CASE("a watcher sends what it receives to the others") {
   Fixture t;
   t.Store.Lists["servers"] = {{"servers", "a", 3, "model"}};
--- a/Tests/Fleet/WatchDutyTest.cpp
+++ b/Tests/Fleet/WatchDutyTest.cpp
@@ -113,3 +113,74 @@
     d.recordWatcher(0, Start + Milliseconds(500) * i, 0);
   CHECK_FALSE(d.mustWatch(Start + Milliseconds(1'900)));
 }
+
+namespace {
+
+/// A process that is no watcher, whose watchers had an answer at the start.
+WatchDuty follower(unsigned processes) {
+  WatchDuty out = duty(processes, 10);
+  for (unsigned rank = 0; rank < 6; ++rank)
+    out.recordPeerAnswer(rank, Start, Start, 0);
+  return out;
+}
+
+constexpr Milliseconds Silence{1'700};
+
+} // namespace
+
+TEST_CASE("watchers whose watches wait say nothing of an outage") {
+  for (unsigned processes : {13U, 60U, 195U}) {
+    WatchDuty d = follower(processes);
+    for (unsigned rank = 0; rank < 6; ++rank)
+      d.recordPeerAnswer(rank, Start, Start + Silence, 0);
+    CHECK(d.storeAbsence(Start + Silence) == StoreAbsence::None);
+    // Nor do those that report no more.
+    CHECK(d.storeAbsence(Start + std::chrono::seconds(5)) ==
+          StoreAbsence::None);
+  }
+}
+
+TEST_CASE("an outage is certain once all watchers that report have lost the "
+          "store") {
+  for (unsigned processes : {13U, 60U, 195U}) {
+    WatchDuty d = follower(processes);
+    // The watchers of ranks 4 and 5 are dead.
+    for (unsigned rank = 0; rank < 4; ++rank)
+      d.recordLoss(rank, Start + Silence);
+    CHECK(d.storeAbsence(Start + Silence) == StoreAbsence::Certain);
+    // A substitute that has not called the store yet knows nothing of it.
+    d.recordPeerAnswer(20, Start - std::chrono::seconds(60), Start + Silence,
+                       0);
+    CHECK(d.storeAbsence(Start + Silence) == StoreAbsence::Certain);
+    d.recordPeerAnswer(0, Start + Silence, Start + Silence, 0);
+    CHECK(d.storeAbsence(Start + Silence) == StoreAbsence::None);
+  }
+}
+
+TEST_CASE("an outage is not certain while a watcher has not lost the store") {
+  WatchDuty d = follower(60);
+  for (unsigned rank = 0; rank < 5; ++rank)
+    d.recordLoss(rank, Start + Silence);
+  d.recordPeerAnswer(5, Start, Start + Silence, 0);
+  CHECK(d.storeAbsence(Start + Silence) == StoreAbsence::Possible);
+  // While others have answers, the store is not away.
+  d.recordPeerAnswer(5, Start + Silence, Start + Silence, 0);
+  d.recordLoss(0, Start + Silence + Milliseconds(100));
+  CHECK(d.storeAbsence(Start + Silence + Milliseconds(200)) ==
+        StoreAbsence::None);
+}
+
+TEST_CASE("the watches that a change has ended together end one after another "
+          "from then on") {
+  for (unsigned processes : {13U, 60U, 195U}) {
+    double last = 0;
+    for (unsigned rank = 0; rank < 6; ++rank) {
+      double part = duty(processes, rank).firstWatchPart();
+      CHECK(part - last == Approx(1.0 / 6));
+      last = part;
+    }
+  }
+  // Among few processes, each relies on its own calls.
+  for (unsigned processes : {6U, 12U})
+    CHECK(duty(processes, 0).firstWatchPart() == 1);
+}
