Take a watch that was cut off for an outage only if the store is away

Cause: a watch that ended without a response counted as an outage of the store, though the platform says that a waiting watch may be cut off; and each further read that lacked an entry began its grace period anew, without a bound.

Change: the read that follows a cut watch decides whether the store is away. Where neither this process nor a peer has had an answer for 2 s before the cut, which is less than an entry lives without heartbeats, what goes missing then is still kept for one grace period. An entry that is missing already stays so to the end of its period; only the end of an outage moves that, three times at most. New: event watch_cut, counter sardineford_watches_cut_total.

The check of "an interrupted watch fails and is not resent" also demands that the error says so.

--- a/Source/Fleet/Directory.cpp
+++ b/Source/Fleet/Directory.cpp
@@ -105,10 +105,10 @@
 }
 
 void Directory::remove(const std::string &id, MonoTime graceEnd, MonoTime now) {
-  if (graceEnd <= now)
+  if (graceEnd <= now && !Missing.contains(id))
     drop(id, "removed", true);
   else if (ById.contains(id))
-    Missing[id] = graceEnd;
+    Missing.try_emplace(id, GracePeriod{graceEnd});
 }
 
 void Directory::replaceAll(const std::vector<ServerEntry> &entries,
@@ -130,16 +130,20 @@
 
 void Directory::removeMissing(MonoTime now) {
   std::vector<std::string> expired;
-  for (const auto &[id, graceEnd] : Missing)
-    if (graceEnd <= now)
+  for (const auto &[id, grace] : Missing)
+    if (grace.End <= now)
       expired.push_back(id);
   for (const std::string &it : expired)
     drop(it, "still missing after the store outage", true);
 }
 
 void Directory::keepMissing(MonoTime graceEnd) {
-  for (auto &[id, end] : Missing)
-    end = std::max(end, graceEnd);
+  for (auto &[id, grace] : Missing) {
+    if (graceEnd <= grace.End || grace.Extensions >= MaxGraceExtensions)
+      continue;
+    grace.End = graceEnd;
+    ++grace.Extensions;
+  }
 }
 
 void Directory::markLeaving(const std::string &id, int64_t startedMs,
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -39,6 +39,9 @@
 /// Grace period of missing entries after a store failure: expired entries
 /// reappear about 2 s after the store's recovery.
 constexpr Milliseconds MissingGracePeriod{2'300};
+/// Servers write their entries about once a second, and an entry expires after
+/// three intervals: none expires in a shorter outage.
+constexpr Milliseconds MinExpiryOutage{2'000};
 /// Grace period of entries that went missing together without a known outage.
 /// An outage shows within this time, as answers of the store are missing. It is
 /// shorter than the time for which stopped servers without an entry serve on.
@@ -132,12 +135,30 @@
   feed.Lost = true;
 }
 
+/// A store that is well may cut off a watch that is waiting; the read that
+/// follows shows whether it is away. It may have been away while the watch was
+/// waiting if nobody has had an answer for a time.
+void FleetWatch::recordCut(WatchedFeed &feed, const std::string &error) {
+  MonoTime now = MonoClock::now();
+  MonoTime answeredAt = std::max(feed.ConfirmedAt, feed.Duty.peerAnsweredAt());
+  Metrics.count("sardineford_watches_cut_total", {{"feed", feed.Kind}});
+  log::event(Category::Store, log::Level::Info, "watch_cut",
+             {{"feed", feed.Kind},
+              {"revision", store::revisionOf(feed.Revision)},
+              {"age_ms", toMilliseconds(now - answeredAt).count()},
+              {"error", error}});
+  if (now - answeredAt > MinExpiryOutage)
+    extendGrace(now + MissingGracePeriod, "a watch was cut off");
+}
+
 void FleetWatch::recordAnswer(WatchedFeed &feed) {
   feed.ConfirmedAt = MonoClock::now();
   if (!feed.Lost)
     return;
   feed.Lost = false;
   GraceEnd = MonoClock::now() + MissingGracePeriod;
+  if (&feed == &ServerFeed)
+    Servers.keepMissing(GraceEnd);
   log::event(
       Category::Store, log::Level::Info, "dependency_regained",
       {{"feed", feed.Kind}, {"revision", store::revisionOf(feed.Revision)}});
@@ -425,6 +446,7 @@
   bool isCurrent = false;
   for (;;) {
     bool failed = false;
+    bool isWatch = false;
     try {
       if (!isCurrent) {
         feed.Revision = co_await readAll();
@@ -440,6 +462,7 @@
         isCurrent = false;
         continue;
       }
+      isWatch = true;
       std::optional<store::Changes> changes = co_await watchOnce(feed);
       if (!changes) {
         isCurrent = false;
@@ -468,7 +491,9 @@
         co_await sleepFor(batch.next());
     } catch (const store::StoreError &e) {
       bool isHistoryGone = e.Reason == store::Failure::HistoryExpired;
-      if (!isHistoryGone)
+      if (isWatch && e.ConnectionEnded)
+        recordCut(feed, e.what());
+      else if (!isHistoryGone)
         recordFailure(feed, e.what());
       failed = !isHistoryGone;
       isCurrent = false;
--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -71,6 +71,8 @@
   /// after a change ends, which ends the watches of all watchers together: so
   /// the store is heard from in between. 1 for a process of a small fleet.
   double firstWatchPart() const;
+  /// Time of the newest answer that a peer had; the epoch before the first.
+  MonoTime peerAnsweredAt() const { return PeerAnsweredAt; }
   /// Returns whether no peer has had an answer for longer than usual. False
   /// before the first answer.
   bool isStoreSilent(MonoTime now) const;
--- a/Source/Store/StoreCall.cpp
+++ b/Source/Store/StoreCall.cpp
@@ -42,8 +42,11 @@
   } catch (const http::TransportError &e) {
     ++counts.Failures;
     bool noEffect = !isWrite || e.Stage == http::TransportStage::NothingSent;
-    throw StoreError(noEffect ? Failure::Unavailable : Failure::Ambiguous,
+    StoreError error(noEffect ? Failure::Unavailable : Failure::Ambiguous,
                      e.what());
+    error.ConnectionEnded =
+        e.Stage == http::TransportStage::Sent && !e.TimedOut && !e.Malformed;
+    throw error;
   }
 }
 
--- a/Tests/Fleet/DirectoryTest.cpp
+++ b/Tests/Fleet/DirectoryTest.cpp
@@ -124,6 +124,43 @@
   CHECK(d.ofService("model").empty());
 }
 
+// Seen in review case 11: each further read without the entry began the period
+// anew.
+TEST_CASE("an entry that is still missing does not move the end of its grace "
+          "period") {
+  Directory d = makeDirectory();
+  MonoTime graceEnd = Start + std::chrono::seconds(2);
+  d.replaceAll({entry("a")}, NoGracePeriod, Start);
+  d.replaceAll({}, graceEnd, Start);
+  d.replaceAll({}, graceEnd + std::chrono::seconds(2), Start);
+  d.remove("a", graceEnd + std::chrono::seconds(2), Start);
+  d.removeMissing(graceEnd - Milliseconds(1));
+  CHECK(d.ofService("model").size() == 1);
+  d.removeMissing(graceEnd);
+  CHECK(d.ofService("model").empty());
+}
+
+TEST_CASE("a missing entry is kept over a few outages of the store, not over "
+          "any number") {
+  Directory d = makeDirectory();
+  MonoTime graceEnd = Start + std::chrono::seconds(2);
+  d.replaceAll({entry("a"), entry("b")}, NoGracePeriod, Start);
+  d.replaceAll({}, graceEnd, Start);
+  for (unsigned i = 0; i < MaxGraceExtensions; ++i) {
+    graceEnd += std::chrono::seconds(2);
+    d.keepMissing(graceEnd);
+    d.removeMissing(graceEnd - Milliseconds(1));
+    CHECK(d.ofService("model").size() == 2);
+  }
+  // An entry that reappears counts anew.
+  d.put(entry("b"));
+  d.remove("b", graceEnd, Start);
+  d.keepMissing(graceEnd + std::chrono::seconds(2));
+  d.removeMissing(graceEnd);
+  CHECK(d.find("a") == nullptr);
+  CHECK(d.find("b") != nullptr);
+}
+
 TEST_CASE("a server is removed when another server answers at its address") {
   Directory d = makeDirectory();
   d.put(entry("a"));
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -29,6 +29,8 @@
     std::vector<Object> Objects;
     /// The watch returns this long after its call.
     Milliseconds Delay{0};
+    /// The store cuts the watch off, which Fails is Unavailable for.
+    bool IsCut = false;
   };
 
   std::map<std::string, std::vector<Object>> Lists;
@@ -39,6 +41,8 @@
   uint64_t Revision = 10;
   /// Lists are answered; otherwise they wait.
   bool Answers = true;
+  /// Lists fail so.
+  std::optional<Failure> ListsFail;
 
   Awaitable<std::optional<Object>> get(std::string, std::string) override {
     co_return std::nullopt;
@@ -47,6 +51,8 @@
     ++ListCalls[kind];
     if (!Answers)
       co_await sleepFor(std::chrono::seconds(60));
+    if (ListsFail)
+      throw StoreError(*ListsFail, "scripted");
     ObjectList out;
     out.Revision = Revision;
     out.Objects = Lists[kind];
@@ -69,8 +75,11 @@
     Watches[kind].pop_front();
     if (s.Delay > Milliseconds(0))
       co_await sleepFor(s.Delay);
-    if (s.Fails)
-      throw StoreError(*s.Fails, "scripted");
+    if (s.Fails) {
+      StoreError error(*s.Fails, "scripted");
+      error.ConnectionEnded = s.IsCut;
+      throw error;
+    }
     Changes out;
     out.Revision = ++Revision;
     out.Objects = s.Objects;
@@ -530,6 +539,91 @@
   CHECK(t.servers() == 9);
 }
 
+namespace {
+
+/// A process that watches the store, which knows server "a".
+struct WatcherFixture : Fixture {
+  WatcherFixture() { Store.Lists["servers"] = {{"servers", "a", 3, "model"}}; }
+
+  /// The next watch is cut off after this time.
+  void cutAfter(Milliseconds t) {
+    Store.Watches["servers"].push_back({Failure::Unavailable, {}, t, true});
+  }
+  size_t servers() const { return Servers.ofService("model").size(); }
+};
+
+} // namespace
+
+// Seen in review case 11: a watch that was cut off counted as an outage.
+TEST_CASE("a server that leaves is not kept since a watch was cut off") {
+  WatcherFixture t;
+  t.cutAfter(Milliseconds(100));
+  t.Watch.start();
+  t.runFor(Milliseconds(50));
+  CHECK(t.servers() == 1);
+  t.Store.Lists["servers"] = {};
+  t.runFor(Milliseconds(350));
+  CHECK(t.Store.ListCalls["servers"] == 2);
+  CHECK(t.servers() == 0);
+}
+
+TEST_CASE("watches that are cut off do not keep a server for longer") {
+  WatcherFixture t;
+  t.Store.Watches["servers"].push_back(
+      {Failure::Unavailable, {}, Milliseconds(100)});
+  for (int i = 0; i < 40; ++i)
+    t.cutAfter(Milliseconds(200));
+  t.Watch.start();
+  t.runFor(Milliseconds(50));
+  t.Store.Lists["servers"] = {};
+  t.runFor(Milliseconds(1'950));
+  CHECK(t.servers() == 1);
+  t.runFor(Milliseconds(1'000));
+  CHECK(t.servers() == 0);
+}
+
+TEST_CASE("entries that expired while a watch was waiting in vain are kept for "
+          "a time") {
+  WatcherFixture t;
+  t.cutAfter(Milliseconds(2'200));
+  t.Watch.start();
+  t.runFor(Milliseconds(50));
+  t.Store.Lists["servers"] = {};
+  t.runFor(Milliseconds(2'600));
+  CHECK(t.Store.ListCalls["servers"] == 2);
+  CHECK(t.servers() == 1);
+
+  SECTION("the entry reappears in time") {
+    t.runFor(Milliseconds(1'500));
+    t.Watch.checkPeerView({{}, {1, 20}});
+    t.Store.Lists["servers"] = {{"servers", "a", 20, "model"}};
+    t.runFor(Milliseconds(300));
+    t.Watch.checkPeerView({{}, {1, 20}});
+    t.runFor(Milliseconds(900));
+    CHECK(t.servers() == 1);
+  }
+  SECTION("the entry is still missing") {
+    t.runFor(Milliseconds(2'400));
+    CHECK(t.servers() == 0);
+  }
+}
+
+TEST_CASE("entries that expired in an outage that began with cut watches are "
+          "kept until the store is back") {
+  WatcherFixture t;
+  t.cutAfter(Milliseconds(100));
+  t.Watch.start();
+  t.runFor(Milliseconds(50));
+  t.Store.ListsFail = Failure::Unavailable;
+  t.runFor(Milliseconds(2'500));
+  t.Store.Lists["servers"] = {};
+  t.Store.ListsFail = std::nullopt;
+  t.runFor(Milliseconds(2'000));
+  CHECK(t.servers() == 1);
+  t.runFor(Milliseconds(1'300));
+  CHECK(t.servers() == 0);
+}
+
 TEST_CASE("a lost datagram of a watcher causes one read") {
   FollowerFixture t;
   t.Store.Lists["config"] = {config(7, 12)};
--- a/Tests/Platform/ObjectStoreClientTest.cpp
+++ b/Tests/Platform/ObjectStoreClientTest.cpp
@@ -90,7 +90,7 @@
     try {
       co_await store.watch("config", 5, Milliseconds(500));
     } catch (const store::StoreError &e) {
-      failed = e.Reason == store::Failure::Unavailable;
+      failed = e.Reason == store::Failure::Unavailable && e.ConnectionEnded;
     }
     io.stop();
   });
--- a/include/Sardineford/Fleet/Directory.h
+++ b/include/Sardineford/Fleet/Directory.h
@@ -26,6 +26,10 @@
 /// longer than the deadlines of the callers.
 inline constexpr std::chrono::seconds StreamMemory{30};
 
+/// A server whose entry is missing is kept over this many further outages of
+/// the store at most.
+inline constexpr unsigned MaxGraceExtensions = 3;
+
 /// Entry of a backend server in the platform's store, written by the server.
 struct ServerEntry {
   std::string Id;
@@ -124,7 +128,8 @@
   void put(const ServerEntry &entry);
   /// Removes a server whose entry is missing: at the end of the grace period,
   /// or at once if the period has ended. During a store outage, entries may
-  /// expire although their servers are running.
+  /// expire although their servers are running. That an entry is still missing
+  /// does not move the end of its period.
   void remove(const std::string &id, MonoTime graceEnd, MonoTime now);
   /// Applies a complete list of entries; servers without an entry are missing.
   void replaceAll(const std::vector<ServerEntry> &entries, MonoTime graceEnd,
@@ -133,7 +138,8 @@
   void removeMissing(MonoTime now);
   /// Returns the number of servers whose entries are missing and that are kept.
   size_t missing() const { return Missing.size(); }
-  /// Extends the grace periods of the missing servers.
+  /// Extends the grace periods of the missing servers, of each at most
+  /// MaxGraceExtensions times. Called when the store is back after an outage.
   void keepMissing(MonoTime graceEnd);
   /// Marks an incarnation as leaving, as the server itself has said, also while
   /// its entry is missing. The store may not know yet, or never.
@@ -185,6 +191,11 @@
     bool WentMissing = false;
   };
 
+  struct GracePeriod {
+    MonoTime End{};
+    unsigned Extensions = 0;
+  };
+
   void drop(const std::string &id, std::string_view reason, bool wentMissing);
   void handleReappearance(const ServerEntry &entry, Departure &departure);
   void recordDeparture(const ServerEntry &entry);
@@ -205,8 +216,8 @@
   /// Recorded versions, by service.
   std::map<std::string, std::set<std::string>> Records;
   bool RecordsRead = false;
-  /// Missing servers and the ends of their grace periods.
-  std::map<std::string, MonoTime> Missing;
+  /// Servers whose entries are missing and that are kept for a time.
+  std::map<std::string, GracePeriod> Missing;
   bool Loaded = false;
   /// The first complete list is being applied.
   bool AppliesFirstList = false;
--- a/include/Sardineford/Store/ObjectStore.h
+++ b/include/Sardineford/Store/ObjectStore.h
@@ -56,6 +56,9 @@
   StoreError(Failure failure, const std::string &message);
 
   Failure Reason;
+  /// The connection ended before the response. A store that is well may cut off
+  /// a watch that is waiting.
+  bool ConnectionEnded = false;
 };
 
 /// Number of calls that this process has made to the store.
