Keep no missing entries because the store rejects calls beyond its rate

A store that is well gives this answer to a fleet that reads fast; a watcher that got it kept removed servers for 2.3 s after each such call, and as long as the calls were rejected, and told the others that it had lost the store.

Change: a process whose calls are rejected learns from its peers as before, but the store does not count as away: no grace period, and its reports still name the age of its last answer, so that builds before read them as those of a watcher without news. New: event store_rate_limited, counter sardineford_store_rejections_total.

The new test "a server that leaves is not kept since the store rejects calls" failed before in all its checks but one, and passes now. No caller was seen to suffer from this.

--- a/Source/Fleet/Feed.cpp
+++ b/Source/Fleet/Feed.cpp
@@ -48,7 +48,7 @@
 }
 
 bool learnsFromPeers(const Feed &feed, MonoTime now) {
-  bool watches = feed.Duty.mustWatch(now) && !feed.Lost;
+  bool watches = feed.Duty.mustWatch(now) && !feed.Lost && !feed.RateLimited;
   bool isLoaded = feed.ConfirmedAt != MonoTime{};
   return isLoaded && !watches;
 }
--- a/Source/Fleet/Feed.h
+++ b/Source/Fleet/Feed.h
@@ -31,6 +31,9 @@
   MonoTime ConfirmedToPeerAt{};
   /// The last call to the store failed.
   bool Lost = false;
+  /// The store has rejected the last call because of its rate limit. It answers
+  /// others, and servers can write their entries.
+  bool RateLimited = false;
   /// Versions of the objects that could not be decoded, by name.
   std::map<std::string, uint64_t> Skipped;
   /// The last watch call returned no changes.
--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -151,8 +151,18 @@
     extendGrace(now + MissingGracePeriod, "a watch was cut off");
 }
 
+void FleetWatch::recordRateLimit(WatchedFeed &feed) {
+  Metrics.count("sardineford_store_rejections_total", {{"feed", feed.Kind}});
+  if (!std::exchange(feed.RateLimited, true))
+    log::event(Category::Store, log::Level::Warning, "store_rate_limited",
+               {{"feed", feed.Kind},
+                {"revision", store::revisionOf(feed.Revision)},
+                {"age_ms", timeSince(feed.ConfirmedAt).count()}});
+}
+
 void FleetWatch::recordAnswer(WatchedFeed &feed) {
   feed.ConfirmedAt = MonoClock::now();
+  feed.RateLimited = false;
   if (!feed.Lost)
     return;
   feed.Lost = false;
@@ -493,6 +503,8 @@
       bool isHistoryGone = e.Reason == store::Failure::HistoryExpired;
       if (isWatch && e.ConnectionEnded)
         recordCut(feed, e.what());
+      else if (e.Reason == store::Failure::RateLimited)
+        recordRateLimit(feed);
       else if (!isHistoryGone)
         recordFailure(feed, e.what());
       failed = !isHistoryGone;
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -118,6 +118,7 @@
   static void comparePeer(WatchedFeed &feed, const FeedView &peer);
   void recordPeerAnswer(WatchedFeed &feed, const FeedView &peer, unsigned rank);
   void recordFailure(WatchedFeed &feed, const std::string &error);
+  void recordRateLimit(WatchedFeed &feed);
   void recordCut(WatchedFeed &feed, const std::string &error);
   void recordAnswer(WatchedFeed &feed);
   void recordEra(WatchedFeed &feed, uint64_t revision, std::string_view source);
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -624,6 +624,30 @@
   CHECK(t.servers() == 0);
 }
 
+// Guards against keeping servers because a fleet reads faster than the store
+// allows.
+TEST_CASE("a server that leaves is not kept since the store rejects calls") {
+  WatcherFixture t;
+  t.Store.Watches["servers"].push_back(
+      {Failure::RateLimited, {}, Milliseconds(100)});
+  t.Watch.setPosition({195, 0});
+  t.Watch.start();
+  t.runFor(Milliseconds(50));
+  t.Store.ListsFail = Failure::RateLimited;
+  t.runFor(Milliseconds(400));
+  // The others do not take it for a loss of the store.
+  CHECK(t.Watch.view().Servers.AnswerAge);
+  // Meanwhile this process learns from them.
+  PublishedChanges found;
+  found.Changes = {20, {{"", "b", 20, "model"}}};
+  CHECK(t.Watch.applyChanges(found));
+  t.Store.Lists["servers"] = {{"servers", "b", 20, "model"}};
+  t.Store.ListsFail = std::nullopt;
+  t.runFor(Milliseconds(900));
+  CHECK(t.Servers.find("a") == nullptr);
+  CHECK(t.servers() == 1);
+}
+
 TEST_CASE("a lost datagram of a watcher causes one read") {
   FollowerFixture t;
   t.Store.Lists["config"] = {config(7, 12)};
