Simulate outages at 6 to 195 processes; processes that start have lost nothing

The simulation of the spread of changes gets an outage of the store, and counts the processes that take the store to have been away. A process that has just started reports that it watches and has no answer yet, which counted as the loss of the store by the first watcher.

Change: a peer without objects has just started, as in other comparisons of views, and is not taken for one that has lost the store.

--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -283,7 +283,7 @@
   MonoTime now = MonoClock::now();
   if (peer.Watches)
     feed.Duty.recordWatcher(rank, now, randomShare());
-  if (peer.Watches && !peer.AnswerAge)
+  if (peer.hasLostStore())
     feed.Duty.recordLoss(rank, now);
   if (!peer.AnswerAge)
     return;
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -22,6 +22,7 @@
 constexpr Milliseconds StoreLatency{5};
 constexpr Milliseconds ReadTime{20};
 constexpr Milliseconds WatchTimeout{2'000};
+constexpr Milliseconds MinWatchTimeout{1'500};
 constexpr Milliseconds BatchDelay{250};
 constexpr Milliseconds DutyCheckInterval{100};
 constexpr Milliseconds MaxPositionWait{800};
@@ -60,6 +61,7 @@
   unsigned WatchCall = 0;
   bool IsCallOpen = false;
   MonoTime StartedAt{};
+  bool HasNoticedOutage = false;
 };
 
 using ProcessPtr = std::shared_ptr<SimulatedProcess>;
@@ -81,6 +83,8 @@
        [this] { dieSoonAfterChange(); });
     if (Options.RestoreAt > Milliseconds(0))
       at(Options.RestoreAt, [this] { restore(); });
+    if (Options.OutageAt > Milliseconds(0))
+      at(Options.OutageAt, [this] { goAway(); });
     runUntil(MonoTime{} + Options.Length);
     countDelays();
     return std::move(Out);
@@ -160,6 +164,20 @@
          [this, it] { writeObject(it); });
   }
 
+  void goAway() {
+    AwayUntil = now() + Options.AwayTime;
+    for (size_t i = 0; i < Processes.size(); ++i)
+      if (Processes[i] && Processes[i]->IsCallOpen) {
+        Processes[i]->Feed.IsWatching = false;
+        read(i, Processes[i]);
+      }
+    at(Options.AwayTime * 2, [this] {
+      for (const ProcessPtr &it : Processes)
+        if (it && it->StartedAt + Options.AwayTime * 2 < AwayUntil)
+          Out.UnawareOfOutage += it->HasNoticedOutage ? 0 : 1;
+    });
+  }
+
   static uint64_t serialOf(const store::Object &o) {
     return std::stoull(o.Value);
   }
@@ -184,12 +202,21 @@
     if (p->Feed.Revision < versionOf(Revision))
       answerWatch(i, p, call);
     else
-      at(WatchTimeout / 2 + randomTime(WatchTimeout / 2), [this, i, p, call] {
+      at(watchTimeout(*p), [this, i, p, call] {
         if (p->IsCallOpen && p->WatchCall == call)
           answerWatch(i, p, call);
       });
   }
 
+  /// As FleetWatch::watchTimeout.
+  Milliseconds watchTimeout(const SimulatedProcess &p) {
+    double part = p.Feed.Duty.firstWatchPart();
+    if (part < 1 && !p.Feed.LastWatchEmpty)
+      return toMilliseconds(Seconds(MinWatchTimeout) * part);
+    return std::max(MinWatchTimeout,
+                    WatchTimeout / 2 + randomTime(WatchTimeout));
+  }
+
   void answerWatch(size_t i, const ProcessPtr &p, unsigned call) {
     p->IsCallOpen = false;
     store::Changes changes{versionOf(Revision), {}};
@@ -200,6 +227,7 @@
         return;
       p->Feed.IsWatching = false;
       p->Feed.ConfirmedAt = now();
+      p->Feed.LastWatchEmpty = changes.Objects.empty();
       p->Feed.Revision = std::max(p->Feed.Revision, changes.Revision);
       learn(i, p->Feed.Objects.applyNews(changes));
       publish(i, changes);
@@ -214,6 +242,8 @@
     p->IsCallOpen = false;
     at(ReadTime / 2, [this, i, p] {
       if (isAway()) {
+        p->Feed.Lost = true;
+        p->HasNoticedOutage = true;
         at(RetryDelay, [this, i, p] {
           if (isCurrent(i, p))
             read(i, p);
@@ -232,6 +262,7 @@
         store::Changes changes = applyList(p->Feed, list);
         p->Feed.Revision = list.Revision;
         p->Feed.ConfirmedAt = now();
+        p->Feed.Lost = false;
         learn(i, changes.Objects);
         publish(i, changes);
         awaitPosition(i, p, now() + MaxPositionWait);
@@ -415,9 +446,10 @@
     p.Peers.recordReport({"domain", addressOf(r.From)}, now());
     if (r.View.Watches)
       p.Feed.Duty.recordWatcher(r.Rank, now(), randomShare());
+    if (r.View.hasLostStore())
+      p.Feed.Duty.recordLoss(r.Rank, now());
     if (r.View.AnswerAge)
-      p.Feed.Duty.recordPeerAnswer(r.Rank, now() - *r.View.AnswerAge, now(),
-                                   randomShare());
+      recordAnswer(p, r.Rank, now() - *r.View.AnswerAge);
     if (compareWithPeer(p.Feed, r.View, now()) ==
         PeerComparison::Difference::None)
       return;
@@ -426,6 +458,17 @@
     read(i, Processes[i]);
   }
 
+  /// As FleetWatch::recordPeerAnswer.
+  void recordAnswer(SimulatedProcess &p, unsigned rank, MonoTime answeredAt) {
+    fleet::StoreAbsence absence = p.Feed.Duty.storeAbsence(answeredAt);
+    p.Feed.Duty.recordPeerAnswer(rank, answeredAt, now(), randomShare());
+    if (absence == fleet::StoreAbsence::None || p.Feed.Duty.mustWatch(now()))
+      return;
+    p.HasNoticedOutage = true;
+    bool isCertain = absence == fleet::StoreAbsence::Certain;
+    ++(isCertain ? Out.CertainAbsences : Out.PossibleAbsences);
+  }
+
   double randomShare() { return std::uniform_real_distribution<>()(random()); }
 
   void updatePosition(SimulatedProcess &p) {
--- a/StandIns/Placement/SpreadSimulation.h
+++ b/StandIns/Placement/SpreadSimulation.h
@@ -27,6 +27,9 @@
   Milliseconds RestoreAt{0};
   Milliseconds LostTime{5'000};
   Milliseconds AwayTime{400};
+  /// Time from which the store is away for `AwayTime` without a restore; 0 for
+  /// never. Watches end, and calls fail.
+  Milliseconds OutageAt{0};
   /// Processes order what they know by era and revision, or by revision alone.
   bool KnowsEras = true;
   double LossRatio = 0.01;
@@ -41,6 +44,13 @@
   /// processes that start.
   unsigned Reads = 0;
   unsigned Watches = 0;
+  /// Processes that do not watch the store and took it to have been away,
+  /// possibly or certainly, summed over all such times.
+  unsigned PossibleAbsences = 0;
+  unsigned CertainAbsences = 0;
+  /// Processes that ran through an outage and did not notice it, by their own
+  /// calls or by the reports of the watchers.
+  unsigned UnawareOfOutage = 0;
   /// Datagrams with changes.
   unsigned ChangeDatagrams = 0;
 
--- a/Tests/Fleet/FleetWatchTest.cpp
+++ b/Tests/Fleet/FleetWatchTest.cpp
@@ -444,6 +444,21 @@
   CHECK(t.servers() == 0);
 }
 
+// Guards against taking a process that has not read the store yet for one that
+// has lost it.
+TEST_CASE("servers that leave are not kept since processes have started") {
+  FollowerFixture t;
+  StoreView starting;
+  starting.Configuration.Watches = starting.Servers.Watches = true;
+  for (int i = 0; i < 7; ++i) {
+    t.Watch.checkPeerView(starting);
+    t.runFor(Milliseconds(250));
+  }
+  t.Watch.checkPeerView(watcherView(t.Watch.view()));
+  removeServer(t, "a", 30);
+  CHECK(t.servers() == 0);
+}
+
 TEST_CASE("an outage seen by some watchers keeps no entry that was missing "
           "before for longer") {
   FollowerFixture t;
--- a/Tests/Load/SpreadScaleTest.cpp
+++ b/Tests/Load/SpreadScaleTest.cpp
@@ -79,3 +79,52 @@
     checkSpread("restored beside deaths", o);
   }
 }
+
+namespace {
+
+SpreadOutcome simulateAbsence(const char *name,
+                              const SpreadSimulationOptions &o) {
+  SpreadOutcome out = simulateSpread(o);
+  std::printf(
+      "absence: %3zu processes, %-8s changes every %lld ms: %u possible,"
+      " %u certain, %u unaware, %u watches\n",
+      o.Processes, name, static_cast<long long>(o.ChangeInterval.count()),
+      out.PossibleAbsences, out.CertainAbsences, out.UnawareOfOutage,
+      out.Watches);
+  return out;
+}
+
+} // namespace
+
+// Seen in review case 12: processes that do not watch the store took the time
+// after a change for an outage.
+TEST_CASE("no process takes a store that answers for one that was away") {
+  for (size_t processes : {6, 12, 13, 60, 195})
+    for (int interval : {150, 1'000, 2'000, 4'000})
+      for (double deaths : {0.0, 0.4}) {
+        SpreadSimulationOptions o;
+        o.Processes = processes;
+        o.ChangeInterval = Milliseconds(interval);
+        o.DeathRatio = deaths;
+        SpreadOutcome out = simulateAbsence(deaths > 0 ? "deaths" : "calm", o);
+        INFO(processes << " processes, changes every " << interval << " ms");
+        CHECK(out.PossibleAbsences == 0);
+        CHECK(out.CertainAbsences == 0);
+      }
+}
+
+TEST_CASE("all processes notice that the store was away") {
+  for (size_t processes : {6, 12, 13, 60, 195})
+    for (int interval : {150, 2'000}) {
+      SpreadSimulationOptions o;
+      o.Processes = processes;
+      o.ChangeInterval = Milliseconds(interval);
+      o.OutageAt = Milliseconds(7'000);
+      o.AwayTime = Milliseconds(2'500);
+      SpreadOutcome out = simulateAbsence("outage", o);
+      INFO(processes << " processes, changes every " << interval << " ms");
+      CHECK(out.UnawareOfOutage == 0);
+      if (processes > 12)
+        CHECK(out.CertainAbsences > 0);
+    }
+}
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -19,6 +19,10 @@
   std::optional<Milliseconds> AnswerAge;
   /// The process watches the store, also while that does not answer.
   bool Watches = false;
+
+  /// The process watches the store and has lost it. One that knows no objects
+  /// has just started and has had no answer yet.
+  bool hasLostStore() const { return Watches && !AnswerAge && Digest != 0; }
 };
 
 /// Changes of one feed that a watcher received and sends to the others.
