--- a/Source/Fleet/FleetWatch.cpp
+++ b/Source/Fleet/FleetWatch.cpp
@@ -279,11 +279,11 @@
 }
 
 void FleetWatch::recordPeerAnswer(WatchedFeed &feed, const FeedView &peer,
-                                  unsigned rank) {
+                                  unsigned rank, bool hasReadStore) {
   MonoTime now = MonoClock::now();
   if (peer.Watches)
     feed.Duty.recordWatcher(rank, now, randomShare());
-  if (peer.hasLostStore())
+  if (peer.Watches && !peer.AnswerAge && hasReadStore)
     feed.Duty.recordLoss(rank, now);
   if (!peer.AnswerAge)
     return;
@@ -439,8 +439,9 @@
 }
 
 void FleetWatch::checkPeerView(const StoreView &peer) {
-  recordPeerAnswer(ConfigurationFeed, peer.Configuration, peer.Rank);
-  recordPeerAnswer(ServerFeed, peer.Servers, peer.Rank);
+  for (WatchedFeed *it : {&ConfigurationFeed, &ServerFeed})
+    recordPeerAnswer(*it, it == &ServerFeed ? peer.Servers : peer.Configuration,
+                     peer.Rank, peer.hasReadStore());
   comparePeer(ConfigurationFeed, peer.Configuration);
   comparePeer(ServerFeed, peer.Servers);
 }
--- a/Source/Fleet/FleetWatch.h
+++ b/Source/Fleet/FleetWatch.h
@@ -116,7 +116,8 @@
   Milliseconds watchTimeout(const WatchedFeed &feed) const;
   static void restartWatch(WatchedFeed &feed, std::string_view reason);
   static void comparePeer(WatchedFeed &feed, const FeedView &peer);
-  void recordPeerAnswer(WatchedFeed &feed, const FeedView &peer, unsigned rank);
+  void recordPeerAnswer(WatchedFeed &feed, const FeedView &peer, unsigned rank,
+                        bool hasReadStore);
   void recordFailure(WatchedFeed &feed, const std::string &error);
   void recordRateLimit(WatchedFeed &feed);
   void recordCut(WatchedFeed &feed, const std::string &error);
--- a/StandIns/Placement/SpreadSimulation.cpp
+++ b/StandIns/Placement/SpreadSimulation.cpp
@@ -446,7 +446,7 @@
     p.Peers.recordReport({"domain", addressOf(r.From)}, now());
     if (r.View.Watches)
       p.Feed.Duty.recordWatcher(r.Rank, now(), randomShare());
-    if (r.View.hasLostStore())
+    if (r.View.Watches && !r.View.AnswerAge && r.View.Digest != 0)
       p.Feed.Duty.recordLoss(r.Rank, now());
     if (r.View.AnswerAge)
       recordAnswer(p, r.Rank, now() - *r.View.AnswerAge);
--- a/include/Sardineford/Fleet/StoreView.h
+++ b/include/Sardineford/Fleet/StoreView.h
@@ -19,10 +19,6 @@
   std::optional<Milliseconds> AnswerAge;
   /// The process watches the store, also while that does not answer.
   bool Watches = false;
-
-  /// The process watches the store and has lost it. One that knows no objects
-  /// has just started and has had no answer yet.
-  bool hasLostStore() const { return Watches && !AnswerAge && Digest != 0; }
 };
 
 /// Changes of one feed that a watcher received and sends to the others.
@@ -44,6 +40,12 @@
   FeedView Servers;
   /// Position of the process among all processes.
   unsigned Rank = 0;
+
+  /// Returns whether the process has read the store since it started. The
+  /// store may hold no objects of one kind.
+  bool hasReadStore() const {
+    return Configuration.Digest != 0 || Servers.Digest != 0;
+  }
 };
 
 } // namespace sardineford::fleet
