--- a/Source/Fleet/WatchDuty.h
+++ b/Source/Fleet/WatchDuty.h
@@ -90,9 +90,6 @@
   bool areWatchersSilent(MonoTime now) const {
     return now >= SubstituteIfSilentAt;
   }
-  /// Returns whether all watchers that have reported lately have lost the
-  /// store.
-  bool haveAllLostStore(MonoTime now) const;
   /// Spreads the substitutes of a fleet over time.
   Milliseconds substituteSpread(double share) const;
 
